--- /dev/null
+++ b/src/agent/accounts.rs
@@ -0,0 +1,48 @@
+//! The operators' question to an agent: what became of a request.
+
+use crate::{
+    base::{Account, RequestId},
+    duty::{Route, json},
+    wire::Report, //
+};
+use hyper::StatusCode;
+use serde::Serialize;
+use std::sync::Arc;
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
+
+/// A question to the work duty.
+pub(super) enum Query {
+    Account(RequestId, oneshot::Sender<Option<Account>>),
+    Report(oneshot::Sender<Report>),
+}
+
+/// The questions that may wait; further ones are refused.
+pub(super) const RING: usize = 16;
+
+#[derive(Serialize)]
+struct Known {
+    account: Option<Account>,
+}
+
+/// The agent's own routes on the operators' HTTP.
+pub(super) fn route(ring: mpsc::Sender<Query>) -> Route {
+    Arc::new(move |request| {
+        let ring = ring.clone();
+        let path = request.uri().path().to_owned();
+        Box::pin(async move {
+            if path == "/v1/report" {
+                let (reply, answer) = oneshot::channel();
+                ring.try_send(Query::Report(reply)).ok()?;
+                return Some(json(StatusCode::OK, &answer.await.ok()?));
+            }
+            let id = path.strip_prefix("/v1/account/")?.parse().ok()?;
+            let (reply, answer) = oneshot::channel();
+            ring.try_send(Query::Account(id, reply)).ok()?;
+            let account = answer.await.ok()?;
+            Some(json(StatusCode::OK, &Known { account }))
+        })
+    })
+}
--- /dev/null
+++ b/src/agent/jobs.rs
@@ -0,0 +1,306 @@
+//! How the work duty takes, runs and ends jobs.
+
+use super::{
+    door::LinkKey,
+    job::{Done, Job, JobKey},
+    job_io::JobIo,
+    run_call::run_call,
+    run_generation::Run,
+    work::Work, //
+};
+use crate::{
+    base::{Cause, Event, Failure, Millis, Span, Verdict},
+    policy::{
+        agent_queue::{Item, Offer},
+        claims::Claim, //
+    },
+    wire::{FromAgent, Slot, Start, WINDOW, Work as Task}, //
+};
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+/// The body parts that may wait for the backend server. The window bounds
+/// them by bytes, and each costs at least `MESSAGE_COST` of it.
+const PARTS: usize = (WINDOW / crate::wire::MESSAGE_COST) as usize;
+
+/// The weight of the latest request in the moving average of service time.
+const NEWEST: f64 = 0.1;
+
+impl Work {
+    /// Takes a request in.
+    pub(super) fn start(&mut self, link: LinkKey, start: Box<Start>) {
+        let now = self.context.clock.now();
+        let (request, slot) = (start.request, start.slot);
+        let Some(state) = self.links.get(&link) else {
+            return;
+        };
+        let io = JobIo::new(state.sender.clone(), slot);
+        self.ledger.open(request, &start.team, &start.class);
+        if let Err(failure) = self.claim(now, &start) {
+            self.reject(now, &io, &start, failure);
+            return;
+        }
+
+        let (body, parts) = match &start.work {
+            Task::Call(head) if !head.whole => {
+                let (sender, receiver) = mpsc::channel(PARTS);
+                (Some(sender), Some(receiver))
+            }
+            Task::Call(_) | Task::Generate(_) => (None, None),
+        };
+        let deadline = now + start.budget;
+        let (attempt, priority) = (start.attempt, start.priority);
+        let key = self.jobs.insert(Job {
+            body,
+            deadline,
+            io,
+            link,
+            parts,
+            start,
+            started: None,
+            task: None,
+        });
+        let item = Item {
+            attempt,
+            deadline,
+            key,
+            priority,
+            request,
+        };
+        match self.queue.offer(now, item) {
+            Offer::Queued => self.ledger.note(now, request, Event::Queued),
+            Offer::Refused(failure) => {
+                self.refuse(key, failure);
+                return;
+            }
+            Offer::Run => self.launch(key),
+        }
+        if let Some(state) = self.links.get_mut(&link) {
+            state.slots.insert(slot, key);
+        }
+    }
+
+    /// A job's task has ended.
+    pub(super) fn on_done(&mut self, done: Done) {
+        let Some(job) = self.remove(done.key) else {
+            return;
+        };
+        let now = self.context.clock.now();
+        self.queue.finish();
+        if let Some(started) = job.started {
+            let taken = now.since(started).0 as f64;
+            self.service_time += NEWEST * (taken - self.service_time);
+        }
+        let request = job.start.request;
+        match done.outcome {
+            Ok(spans) => {
+                self.note_versions(now, &job, spans);
+                self.ledger.note(now, request, Event::Finished);
+            }
+            Err(failure) => {
+                if failure.verdict == Verdict::NotRun {
+                    self.release(&job.start);
+                }
+                self.note_failure(now, &job.start, &failure);
+            }
+        }
+        self.run_next();
+    }
+
+    /// Nobody waits for the job's answer any more.
+    pub(super) fn cancel(&mut self, link: LinkKey, slot: Slot) {
+        let key = self.links.get(&link).and_then(|s| s.slots.get(&slot));
+        if let Some(key) = key.copied() {
+            self.abandon(key);
+        }
+    }
+
+    /// Ends a job whose entry is gone or lost interest.
+    ///
+    /// A call that must not be repeated is let run to its end: cutting it
+    /// halfway would leave its effect in doubt.
+    pub(super) fn abandon(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        job.io.discard();
+        if job.started.is_some() && !job.start.idempotent {
+            return;
+        }
+        let started = job.started.is_some();
+        self.queue.withdraw(job.start.request);
+        if let Some(job) = self.remove(key) {
+            self.end_early(&job, started, Cause::Cancelled);
+        }
+    }
+
+    /// Ends the running jobs whose deadline has passed.
+    pub(super) fn expire(&mut self, now: Millis) {
+        let late: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.started.is_some() && job.deadline <= now)
+            .filter(|(_, job)| !job.io.is_discarded())
+            .map(|(key, _)| key)
+            .collect();
+        for key in late {
+            if let Some(job) = self.jobs.get(key) {
+                let detail = "the deadline passed while the request ran";
+                let failure = Failure::may_have_run(Cause::DeadlinePassed, detail);
+                let slot = job.io.slot;
+                job.io.tell(FromAgent::Failed { slot, failure });
+            }
+            self.abandon(key);
+        }
+    }
+
+    /// A further part of a request's body.
+    pub(super) fn on_data(&mut self, link: LinkKey, slot: Slot, bytes: Bytes, last: bool) {
+        let Some(job) = self.job(link, slot) else {
+            return;
+        };
+        let taken = match &job.body {
+            Some(body) => body.try_send(Ok(bytes)).is_ok(),
+            None => false,
+        };
+        if last {
+            job.body = None;
+        }
+        if !taken {
+            // An entry that keeps to its window never gets here.
+            self.cancel(link, slot);
+        }
+    }
+
+    /// Refuses a job that has not started.
+    pub(super) fn refuse(&mut self, key: JobKey, failure: Failure) {
+        let Some(job) = self.remove(key) else {
+            return;
+        };
+        let now = self.context.clock.now();
+        self.release(&job.start);
+        self.reject(now, &job.io, &job.start, failure);
+    }
+
+    fn claim(&mut self, now: Millis, start: &Start) -> Result<(), Failure> {
+        let Some(key) = start.key.as_deref().filter(|_| !start.idempotent) else {
+            return Ok(());
+        };
+        // A caller that got no answer sends the same key again, maybe through
+        // another entry. All entries send a key to the same agent, and here
+        // it is claimed before a byte goes to the backend server.
+        match self.claims.claim(now, &scoped(start, key), start.request) {
+            Claim::Fresh => Ok(()),
+            Claim::Full => {
+                let detail = "too many request keys within the window";
+                Err(Failure::not_run(Cause::Overloaded, detail))
+            }
+            Claim::Taken(earlier) => {
+                let detail = format!("the key belongs to request {earlier}, which was begun");
+                Err(Failure::may_have_run(Cause::Duplicate, detail))
+            }
+        }
+    }
+
+    fn end_early(&mut self, job: &Job, started: bool, cause: Cause) {
+        let now = self.context.clock.now();
+        if started {
+            let failure = Failure::may_have_run(cause, "");
+            self.queue.finish();
+            self.note_failure(now, &job.start, &failure);
+            self.run_next();
+        } else {
+            self.release(&job.start);
+            self.note_failure(now, &job.start, &Failure::not_run(cause, ""));
+        }
+    }
+
+    fn launch(&mut self, key: JobKey) {
+        let now = self.context.clock.now();
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.started = Some(now);
+        let server = self.settings.common.instance.clone();
+        let started = Event::Started { server };
+        self.ledger.note(now, job.start.request, started);
+
+        let (io, parts, start) = (job.io.clone(), job.parts.take(), job.start.clone());
+        let address = self.settings.backend.address;
+        let done = self.done.clone();
+        let gate = self.gate.clone();
+        let service = self.service.clone();
+        job.task = Some(tokio::task::spawn_local(async move {
+            let outcome = match (&start.work, gate) {
+                (Task::Call(head), None) => {
+                    run_call(&service, address, &start, head.clone(), parts, &io)
+                        .await
+                        .map(|()| Vec::new())
+                }
+                (Task::Generate(generation), Some(gate)) => {
+                    Run::new(&gate, generation, start.priority, &io).run().await
+                }
+                (Task::Call(_) | Task::Generate(_), _) => {
+                    let detail = "the backend server is of another kind";
+                    Err(Failure::not_run(Cause::BadRequest, detail))
+                }
+            };
+            if let Err(failure) = &outcome {
+                let (slot, failure) = (io.slot, failure.clone());
+                io.finish(FromAgent::Failed { slot, failure }).await;
+            }
+            let _ = done.send(Done { key, outcome }).await;
+        }));
+    }
+
+    fn note_failure(&mut self, now: Millis, start: &Start, failure: &Failure) {
+        let (cause, verdict) = (failure.cause, failure.verdict);
+        let event = Event::Failed { cause, verdict };
+        self.ledger.note(now, start.request, event);
+    }
+
+    fn note_versions(&mut self, now: Millis, job: &Job, spans: Vec<Span>) {
+        if let Task::Generate(generation) = &job.start.work {
+            let model = generation.model.clone();
+            let event = Event::Versions { model, spans };
+            self.ledger.note(now, job.start.request, event);
+        }
+    }
+
+    fn reject(&mut self, now: Millis, io: &JobIo, start: &Start, failure: Failure) {
+        self.note_failure(now, start, &failure);
+        let slot = io.slot;
+        io.tell(FromAgent::Failed { slot, failure });
+    }
+
+    fn release(&mut self, start: &Start) {
+        if let Some(key) = &start.key {
+            self.claims.release(&scoped(start, key), start.request);
+        }
+    }
+
+    fn remove(&mut self, key: JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
+        if let Some(state) = self.links.get_mut(&job.link)
+            && state.slots.get(&job.io.slot) == Some(&key)
+        {
+            state.slots.remove(&job.io.slot);
+        }
+        if let Some(task) = &job.task {
+            task.abort();
+        }
+        Some(job)
+    }
+
+    fn run_next(&mut self) {
+        while let Some(item) = self.queue.next(self.turn) {
+            self.turn += 1;
+            self.launch(item.key);
+        }
+    }
+}
+
+/// A key as one team's: two teams may use the same text.
+fn scoped(start: &Start, key: &str) -> String {
+    format!("{}/{key}", start.team)
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,16 @@
+//! The agent: the only door to its backend server.
+
+mod accounts;
+mod agent_handle;
+mod door;
+mod gate;
+mod job;
+mod job_io;
+mod jobs;
+mod orders;
+pub mod run_call;
+mod run_generation;
+mod run_order;
+mod work;
+
+pub use self::agent_handle::Agent;
--- /dev/null
+++ b/src/agent/orders.rs
@@ -0,0 +1,101 @@
+//! How the work duty passes orders to its backend server.
+
+use super::{
+    door::LinkKey,
+    run_order::run_order,
+    work::Work, //
+};
+use crate::{
+    base::{Cause, Failure, WeightVersion},
+    platform::Platform,
+    policy::{
+        fences::{Fences, Ruling},
+        lease::Lease, //
+    },
+    wire::{EngineState, FromAgent, Order, OrderKind, Slot}, //
+};
+use std::{
+    cell::RefCell,
+    rc::Rc, //
+};
+
+impl Work {
+    /// Rules on an order, does it, and answers.
+    pub(super) fn on_order(&mut self, link: LinkKey, slot: Slot, order: Order) {
+        let Some(sender) = self.links.get(&link).map(|state| state.sender.clone()) else {
+            return;
+        };
+        let gate = self.gate.clone();
+        let fences = self.fences.clone();
+        let platform = self.platform.clone();
+        let server = self.settings.common.instance.clone();
+        tokio::task::spawn_local(async move {
+            let result: Result<EngineState, Failure> = async {
+                rule(&fences, &platform, &order).await?;
+                let Some(gate) = gate else {
+                    let detail = "a plain service takes no orders";
+                    return Err(Failure::not_run(Cause::BadRequest, detail));
+                };
+                run_order(&gate, &order).await
+            }
+            .await;
+            tracing::info!(
+                target: "decision",
+                server,
+                model = order.model,
+                order = ?order.kind,
+                fence = order.fence,
+                done = result.is_ok(),
+                why = result.as_ref().err().map(|failure| failure.cause.word()),
+                "order"
+            );
+            sender.send(FromAgent::Ordered { slot, result }).await;
+        });
+    }
+}
+
+/// Lets an order pass only if no newer one is known.
+async fn rule(
+    fences: &Rc<RefCell<Fences>>,
+    platform: &Platform,
+    order: &Order,
+) -> Result<(), Failure> {
+    let version = match order.kind {
+        OrderKind::Load { version } => version,
+        OrderKind::Role { .. } | OrderKind::Unload => WeightVersion::default(),
+    };
+    let ruling = fences.borrow_mut().rule(&order.lease, order.fence, version);
+    let ruling = match ruling {
+        Ruling::Ask => {
+            // An agent that has just started knows no fencing number, and its
+            // engine may not check any: an owner that was paused past its
+            // lease could have an old order passed. The lease's row tells the
+            // newest number; without it no order passes.
+            let epoch = epoch(platform, &order.lease).await?;
+            let mut fences = fences.borrow_mut();
+            fences.learn(&order.lease, epoch.max(1));
+            fences.rule(&order.lease, order.fence, version)
+        }
+        Ruling::Pass | Ruling::Stale(_) => ruling,
+    };
+    match ruling {
+        Ruling::Pass => Ok(()),
+        Ruling::Ask | Ruling::Stale(_) => {
+            let detail = format!("order {} is overtaken by a newer one", order.fence);
+            Err(Failure::not_run(Cause::StaleFence, detail))
+        }
+    }
+}
+
+async fn epoch(platform: &Platform, lease: &str) -> Result<u64, Failure> {
+    let row = platform
+        .get(lease)
+        .await
+        .map_err(|error| Failure::not_run(Cause::StoreDown, error.to_string()))?;
+    let Some(row) = row else {
+        return Ok(0);
+    };
+    let lease: Lease = serde_json::from_str(&row.value)
+        .map_err(|error| Failure::not_run(Cause::StoreDown, error.to_string()))?;
+    Ok(lease.epoch)
+}
--- /dev/null
+++ b/src/agent/work.rs
@@ -0,0 +1,279 @@
+//! The duty that owns the queue and the backend server.
+
+use super::{
+    accounts::Query,
+    door::LinkKey,
+    gate::Gate,
+    job::{Done, Job, JobKey},
+    run_call::{self, ServiceClient}, //
+};
+use crate::{
+    base::{Cause, Failure, Millis, RequestId},
+    duty::{Context, Phase},
+    engine::Engine,
+    platform::Platform,
+    policy::{
+        agent_queue::AgentQueue,
+        claims::Claims,
+        fences::Fences,
+        ledger::Ledger, //
+    },
+    settings::{AgentSettings, BackendKind},
+    wire::{FromAgent, Link, LinkEvent, Report, Slot, ToAgent}, //
+};
+use slotmap::SlotMap;
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering}, //
+    },
+};
+use tokio::{
+    sync::mpsc,
+    time::{MissedTickBehavior, interval}, //
+};
+
+/// What the links tell the work duty.
+pub(super) type WorkEvent = LinkEvent<LinkKey, ToAgent, FromAgent>;
+
+/// A link and the streams on it.
+pub(super) struct LinkState {
+    pub(super) sender: Link<FromAgent>,
+    pub(super) slots: HashMap<Slot, JobKey>,
+}
+
+/// All that the work duty owns.
+pub(super) struct Work {
+    pub(super) claims: Claims,
+    pub(super) context: Context,
+    pub(super) done: mpsc::Sender<Done>,
+    pub(super) fences: Rc<RefCell<Fences>>,
+    /// Present before a model engine.
+    pub(super) gate: Option<Rc<Gate>>,
+    pub(super) jobs: SlotMap<JobKey, Job>,
+    pub(super) ledger: Ledger,
+    pub(super) links: HashMap<LinkKey, LinkState>,
+    pub(super) platform: Platform,
+    pub(super) queue: AgentQueue<JobKey>,
+    reported: (Millis, Report),
+    pub(super) service: ServiceClient,
+    pub(super) service_time: f64,
+    pub(super) settings: AgentSettings,
+    pub(super) turn: u64,
+}
+
+/// How often deadlines are looked at.
+const TICK: Millis = Millis(25);
+
+/// The least and the most time between two reports. At 33 links and some
+/// 60 bytes the fastest pace is 4 KB/s, within the control budget.
+const REPORT_LEAST: Millis = Millis(500);
+const REPORT_MOST: Millis = Millis(2_000);
+
+/// How long a request key is remembered, and how many are.
+const CLAIM_WINDOW: Millis = Millis(600_000);
+const MAX_CLAIMS: usize = 100_000;
+
+/// The accounts kept for the support engineer.
+const MAX_ACCOUNTS: usize = 10_000;
+
+/// The ends of jobs that may wait; a full ring holds up only ended jobs.
+const DONE_RING: usize = 256;
+
+/// Runs until the program stops.
+pub(super) async fn run(
+    context: Context,
+    settings: AgentSettings,
+    mut inbox: mpsc::Receiver<WorkEvent>,
+    mut queries: mpsc::Receiver<Query>,
+    usable: Arc<AtomicBool>,
+) {
+    let (done, mut dones) = mpsc::channel(DONE_RING);
+    let mut work = Work::new(context.clone(), settings, done);
+    if let Some(gate) = work.gate.clone() {
+        tokio::task::spawn_local(async move { gate.poll().await });
+    }
+    let mut tick = interval(TICK.as_duration());
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+
+    loop {
+        tokio::select! {
+            Some(event) = inbox.recv() => work.on_event(event),
+            Some(done) = dones.recv() => work.on_done(done),
+            Some(query) = queries.recv() => work.on_query(query),
+            _ = tick.tick() => {
+                work.on_tick();
+                usable.store(work.is_usable(), Ordering::Relaxed);
+            }
+            () = context.reached(Phase::Stopped) => break,
+        }
+    }
+
+    let cut = work.jobs.len();
+    if cut > 0 {
+        tracing::error!(cut, "the stop cut off requests");
+        metrics::counter!("redwing_stop_cut_total").increment(cut as u64);
+    }
+}
+
+impl Work {
+    fn new(context: Context, settings: AgentSettings, done: mpsc::Sender<Done>) -> Self {
+        let backend = &settings.backend;
+        let engine = backend.kind == BackendKind::Engine;
+        Self {
+            claims: Claims::new(CLAIM_WINDOW, MAX_CLAIMS),
+            context,
+            done,
+            fences: Rc::default(),
+            gate: engine.then(|| Rc::new(Gate::new(Engine::open(backend.address)))),
+            jobs: SlotMap::with_key(),
+            ledger: Ledger::new(MAX_ACCOUNTS),
+            links: HashMap::new(),
+            platform: Platform::open(settings.common.platform),
+            queue: AgentQueue::new(backend.capacity, backend.queue),
+            reported: (Millis(0), Report::default()),
+            service: run_call::client(),
+            service_time: 0.0,
+            settings,
+            turn: 0,
+        }
+    }
+
+    /// Whether the backend server can take work. A plain service is taken to
+    /// be usable until calls to it fail, which its callers judge.
+    pub(super) fn is_usable(&self) -> bool {
+        self.gate.as_ref().is_none_or(|gate| gate.usable())
+    }
+
+    fn on_event(&mut self, event: WorkEvent) {
+        match event {
+            LinkEvent::Down { link, reason } => self.on_down(link, reason),
+            LinkEvent::Message { link, message } => self.on_message(link, message),
+            LinkEvent::Up {
+                hello,
+                link,
+                sender,
+            } => {
+                tracing::info!(entry = hello.instance, "link up");
+                let _ = sender.try_send(FromAgent::Report(self.report()));
+                let slots = HashMap::new();
+                self.links.insert(link, LinkState { sender, slots });
+            }
+        }
+    }
+
+    fn on_message(&mut self, link: LinkKey, message: ToAgent) {
+        match message {
+            ToAgent::Cancel { slot } => self.cancel(link, slot),
+            ToAgent::Credit { slot, bytes } => {
+                if let Some(job) = self.job(link, slot) {
+                    job.io.give(bytes);
+                }
+            }
+            ToAgent::Data { slot, bytes, last } => self.on_data(link, slot, bytes, last),
+            ToAgent::Order { slot, order } => self.on_order(link, slot, order),
+            ToAgent::Query { slot, request } => {
+                let account = self.ledger.account(request).cloned();
+                self.tell(link, FromAgent::Account { slot, account });
+            }
+            ToAgent::Revoke {
+                attempt,
+                slot,
+                request,
+            } => self.revoke(link, slot, request, attempt),
+            ToAgent::Start(start) => self.start(link, start),
+        }
+    }
+
+    fn on_query(&mut self, query: Query) {
+        match query {
+            Query::Account(id, reply) => {
+                let _ = reply.send(self.ledger.account(id).cloned());
+            }
+            Query::Report(reply) => {
+                let _ = reply.send(self.report());
+            }
+        }
+    }
+
+    fn on_down(&mut self, link: LinkKey, reason: &'static str) {
+        tracing::warn!(reason, "link down");
+        let Some(state) = self.links.remove(&link) else {
+            return;
+        };
+        for key in state.slots.into_values() {
+            self.abandon(key);
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.context.clock.now();
+        if self.context.phase() >= Phase::Draining {
+            self.queue.drain();
+            if self.queue.is_idle() {
+                self.context.drained();
+            }
+        }
+        for item in self.queue.shed(now) {
+            self.refuse(item.key, crate::policy::agent_queue::late());
+        }
+        self.expire(now);
+        self.report_if_due(now);
+    }
+
+    fn report_if_due(&mut self, now: Millis) {
+        let since = now.since(self.reported.0);
+        if since < REPORT_LEAST {
+            return;
+        }
+        let report = self.report();
+        if since < REPORT_MOST && report == self.reported.1 {
+            return;
+        }
+        for state in self.links.values() {
+            let _ = state.sender.try_send(FromAgent::Report(report.clone()));
+        }
+        self.reported = (now, report);
+    }
+
+    fn report(&self) -> Report {
+        let engine = self.gate.as_ref().map(|gate| gate.state());
+        Report {
+            capacity: self.settings.backend.capacity,
+            draining: self.context.phase() >= Phase::Draining,
+            engine: engine.map(|state| (*state).clone()).unwrap_or_default(),
+            queued: self.queue.queued() as u32,
+            running: self.queue.running(),
+            service_time: Millis(self.service_time.round() as u64),
+            usable: self.is_usable(),
+        }
+    }
+
+    fn revoke(&mut self, link: LinkKey, slot: Slot, request: RequestId, attempt: u8) {
+        if let Some(item) = self.queue.revoke(request, attempt) {
+            let detail = "the request was revoked before it started";
+            self.refuse(item.key, Failure::not_run(Cause::Cancelled, detail));
+            return;
+        }
+        // Running: its own end will tell. Unknown: it never came, and the
+        // tombstone refuses a late copy, so that `NotRun` stays true.
+        if self.job(link, slot).is_none() && self.ledger.account(request).is_none() {
+            let failure = Failure::not_run(Cause::Cancelled, "the request never arrived");
+            self.tell(link, FromAgent::Failed { slot, failure });
+        }
+    }
+
+    pub(super) fn job(&mut self, link: LinkKey, slot: Slot) -> Option<&mut Job> {
+        let key = *self.links.get(&link)?.slots.get(&slot)?;
+        self.jobs.get_mut(key)
+    }
+
+    pub(super) fn tell(&self, link: LinkKey, message: FromAgent) {
+        if let Some(state) = self.links.get(&link) {
+            let _ = state.sender.try_send(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/base/cause.rs
@@ -0,0 +1,74 @@
+//! Why a request failed.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The reason for a failure, the same word on the wire, in logs and in error bodies.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    BackendBroken,
+    BackendUnreachable,
+    BadRequest,
+    Cancelled,
+    DeadlinePassed,
+    Draining,
+    Duplicate,
+    Forbidden,
+    LinkLost,
+    NoServer,
+    NotFound,
+    Overloaded,
+    StaleFence,
+    StoreDown,
+    TooLarge,
+    Unknown,
+    VersionUncertain,
+}
+
+impl Cause {
+    /// The HTTP status that callers see for this cause.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BackendBroken | Self::BackendUnreachable | Self::LinkLost => 502,
+            Self::BadRequest => 400,
+            Self::Cancelled => 499,
+            Self::DeadlinePassed => 504,
+            Self::Draining
+            | Self::NoServer
+            | Self::StoreDown
+            | Self::Unknown
+            | Self::VersionUncertain => 503,
+            Self::Duplicate | Self::StaleFence => 409,
+            Self::Forbidden => 403,
+            Self::NotFound => 404,
+            Self::Overloaded => 429,
+            Self::TooLarge => 413,
+        }
+    }
+
+    /// The cause as its kebab-case word.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::BackendBroken => "backend-broken",
+            Self::BackendUnreachable => "backend-unreachable",
+            Self::BadRequest => "bad-request",
+            Self::Cancelled => "cancelled",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::Draining => "draining",
+            Self::Duplicate => "duplicate",
+            Self::Forbidden => "forbidden",
+            Self::LinkLost => "link-lost",
+            Self::NoServer => "no-server",
+            Self::NotFound => "not-found",
+            Self::Overloaded => "overloaded",
+            Self::StaleFence => "stale-fence",
+            Self::StoreDown => "store-down",
+            Self::TooLarge => "too-large",
+            Self::Unknown => "unknown",
+            Self::VersionUncertain => "version-uncertain",
+        }
+    }
+}
--- /dev/null
+++ b/src/base/span.rs
@@ -0,0 +1,45 @@
+//! Which weight version produced which tokens.
+
+use super::WeightVersion;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Tokens `from..to` of a generation were produced by `version`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Span {
+    pub from: u32,
+    pub to: u32,
+    pub version: WeightVersion,
+}
+
+impl Span {
+    /// Whether `spans` cover tokens `0..tokens` in order without a gap.
+    pub fn cover(spans: &[Self], tokens: u32) -> bool {
+        let mut next = 0;
+        for span in spans {
+            if span.from != next || span.to < span.from {
+                return false;
+            }
+            next = span.to;
+        }
+        next == tokens
+    }
+
+    /// The oldest version among `spans`.
+    pub fn oldest(spans: &[Self]) -> Option<WeightVersion> {
+        spans.iter().map(|span| span.version).min()
+    }
+
+    /// Appends `span`, joining it to the last one when both share a version.
+    pub fn push(spans: &mut Vec<Self>, span: Self) {
+        if span.from == span.to {
+            return;
+        }
+        match spans.last_mut() {
+            Some(last) if last.version == span.version && last.to == span.from => last.to = span.to,
+            _ => spans.push(span),
+        }
+    }
+}
--- /dev/null
+++ b/src/duty/admin.rs
@@ -0,0 +1,77 @@
+//! The operators' HTTP of a program: health, readiness, metrics and its own routes.
+
+use super::{
+    Answer,
+    Context,
+    Health,
+    HttpServer,
+    Phase,
+    render_metrics,
+    text, //
+};
+use crate::base::Millis;
+use hyper::{
+    Request,
+    StatusCode,
+    body::Incoming, //
+};
+use std::{
+    pin::Pin,
+    sync::Arc, //
+};
+use tokio::sync::watch;
+
+/// A program's own routes; `None` for a path that it doesn't know.
+pub type Route = Arc<
+    dyn Fn(Request<Incoming>) -> Pin<Box<dyn Future<Output = Option<Answer>> + Send>> + Send + Sync,
+>;
+
+/// Serves operators until the program has stopped.
+pub async fn admin(
+    context: Context,
+    server: HttpServer,
+    health: watch::Receiver<Health>,
+    ready: impl Fn() -> bool + Send + Sync + 'static,
+    route: Route,
+) {
+    // Operators are served to the end of a stop, so that they can watch it.
+    context.drained();
+    let ready = Arc::new(ready);
+    let serving = server.serve(&context, Millis(u64::MAX / 4), move |request| {
+        let health = *health.borrow();
+        let ready = ready.clone();
+        let route = route.clone();
+        async move {
+            match request.uri().path() {
+                "/healthz" => check(health.failed == 0, "a duty has ended"),
+                "/metrics" => text(
+                    StatusCode::OK,
+                    "text/plain; version=0.0.4",
+                    render_metrics(),
+                ),
+                "/readyz" => {
+                    let running = health.phase == Phase::Running;
+                    check(running && ready(), "draining, or not yet up")
+                }
+                _ => match route(request).await {
+                    Some(answer) => answer,
+                    None => text(StatusCode::NOT_FOUND, "text/plain", "no such page\n"),
+                },
+            }
+        }
+    });
+    tokio::select! {
+        () = serving => {}
+        () = context.reached(Phase::Stopped) => {}
+    }
+}
+
+fn check(holds: bool, otherwise: &'static str) -> Answer {
+    match holds {
+        true => text(StatusCode::OK, "text/plain", "ok\n"),
+        false => {
+            let body = format!("{otherwise}\n");
+            text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body)
+        }
+    }
+}
--- /dev/null
+++ b/src/duty/handle.rs
@@ -0,0 +1,121 @@
+//! A running program.
+
+use super::{
+    Duty,
+    DutyError,
+    Health,
+    Phase,
+    Supervisor,
+    SupervisorMessage, //
+};
+use crate::base::Millis;
+use ractor::{
+    Actor,
+    ActorRef, //
+};
+use tokio::{
+    runtime::Builder,
+    sync::watch, //
+};
+
+/// A program's duties and their supervisor. Dropping it ends them at once.
+pub struct Handle {
+    duties: Vec<Duty>,
+    health: watch::Receiver<Health>,
+    supervisor: ActorRef<SupervisorMessage>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Handle {
+    /// Starts a supervisor that forces graceful stops after `bound`.
+    pub fn open(bound: Millis) -> Result<Self, DutyError> {
+        let (health, watch) = watch::channel(Health::default());
+        let (sender, receiver) = std::sync::mpsc::sync_channel(1);
+        let thread = std::thread::Builder::new()
+            .name("supervisor".to_owned())
+            .spawn(move || supervise(bound, health, &sender))
+            .map_err(|source| DutyError::Thread {
+                name: "supervisor",
+                source,
+            })?;
+        let supervisor = receiver.recv().map_err(|_| DutyError::Thread {
+            name: "supervisor",
+            source: std::io::Error::other("it ended at its start"),
+        })?;
+        Ok(Self {
+            duties: Vec::new(),
+            health: watch,
+            supervisor,
+            thread: Some(thread),
+        })
+    }
+
+    /// Adds a running duty.
+    pub fn add(&mut self, duty: Duty) {
+        self.duties.push(duty);
+    }
+
+    /// Begins a graceful stop.
+    pub fn drain(&self) {
+        let _ = self.supervisor.cast(SupervisorMessage::Drain);
+    }
+
+    /// The program's health, to be watched.
+    pub fn health(&self) -> watch::Receiver<Health> {
+        self.health.clone()
+    }
+
+    /// Ends the program now.
+    pub fn stop(&self) {
+        let _ = self.supervisor.cast(SupervisorMessage::Stop);
+    }
+
+    /// The supervisor, for starting duties.
+    pub fn supervisor(&self) -> &ActorRef<SupervisorMessage> {
+        &self.supervisor
+    }
+
+    /// Waits until all duties have ended; false when one failed.
+    pub async fn wait(mut self) -> bool {
+        let mut health = self.health.clone();
+        let _ = health.wait_for(|h| h.phase == Phase::Stopped).await;
+        let duties = std::mem::take(&mut self.duties);
+        let joined = tokio::task::spawn_blocking(move || {
+            let ends = duties.into_iter().map(|duty| duty.thread.join().is_ok());
+            let ends: Vec<bool> = ends.collect();
+            ends.into_iter().all(|ended| ended)
+        });
+        let failed = self.health.borrow().failed;
+        joined.await.unwrap_or(false) && failed == 0
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.stop();
+        for duty in std::mem::take(&mut self.duties) {
+            let _ = duty.thread.join();
+        }
+        self.supervisor.stop(None);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn supervise(
+    bound: Millis,
+    health: watch::Sender<Health>,
+    sender: &std::sync::mpsc::SyncSender<ActorRef<SupervisorMessage>>,
+) {
+    let Ok(runtime) = Builder::new_current_thread().enable_all().build() else {
+        return;
+    };
+    runtime.block_on(async {
+        let Ok((supervisor, ended)) = Actor::spawn(None, Supervisor { bound }, health).await else {
+            return;
+        };
+        let _ = sender.send(supervisor);
+        let _ = ended.await;
+    });
+}
--- /dev/null
+++ b/src/duty/signals.rs
@@ -0,0 +1,36 @@
+//! Stops asked for by the operating system.
+
+use super::Handle;
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+/// Runs `handle` until it ends: the first SIGTERM or SIGINT begins a graceful
+/// stop, a second one forces it. False when the program failed.
+pub async fn wait_for_stop(handle: Handle) -> bool {
+    let (Ok(mut term), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        tracing::error!("can't listen for signals");
+        return false;
+    };
+    let mut health = handle.health();
+    let mut asked = false;
+    loop {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+            _ = health.wait_for(|health| health.phase == super::Phase::Stopped) => break,
+        }
+        if asked {
+            handle.stop();
+        } else {
+            tracing::info!("stopping gracefully; a second signal forces the end");
+            handle.drain();
+        }
+        asked = true;
+    }
+    handle.wait().await
+}
--- /dev/null
+++ b/src/duty/supervisor.rs
@@ -0,0 +1,135 @@
+//! The supervisor of a program's duties.
+
+use super::{
+    ControlMessage,
+    Phase, //
+};
+use crate::base::Millis;
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef, //
+};
+use tokio::sync::watch;
+
+/// Whether all duties of a program are alive, and how far its stop has come.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Health {
+    /// Duties that ended without being told to.
+    pub failed: u32,
+    pub phase: Phase,
+}
+
+/// What the supervisor is told.
+#[derive(Debug)]
+pub enum SupervisorMessage {
+    /// A duty is up.
+    Added(&'static str, ActorRef<ControlMessage>),
+    /// Begin a graceful stop.
+    Drain,
+    /// A duty has nothing under way any more and takes nothing new.
+    Drained(&'static str),
+    /// A duty's thread ended.
+    Ended(&'static str),
+    /// End now, cutting what is under way.
+    Stop,
+}
+
+/// Starts graceful stops, waits for every duty, and forces the end at a bound.
+pub struct Supervisor {
+    /// After this long a graceful stop is forced.
+    pub bound: Millis,
+}
+
+/// The duties and what is known of them.
+pub struct State {
+    drained: Vec<&'static str>,
+    duties: Vec<(&'static str, ActorRef<ControlMessage>)>,
+    health: watch::Sender<Health>,
+}
+
+impl Actor for Supervisor {
+    type Arguments = watch::Sender<Health>;
+    type Msg = SupervisorMessage;
+    type State = State;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<SupervisorMessage>,
+        health: watch::Sender<Health>,
+    ) -> Result<State, ActorProcessingErr> {
+        Ok(State {
+            drained: Vec::new(),
+            duties: Vec::new(),
+            health,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<SupervisorMessage>,
+        message: SupervisorMessage,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            SupervisorMessage::Added(name, duty) => {
+                state.duties.push((name, duty));
+                let phase = state.health.borrow().phase;
+                state.enter(phase);
+            }
+            SupervisorMessage::Drain => {
+                if state.health.borrow().phase == Phase::Running {
+                    state.enter(Phase::Draining);
+                    myself.send_after(self.bound.as_duration(), || SupervisorMessage::Stop);
+                }
+            }
+            SupervisorMessage::Drained(name) => {
+                if !state.drained.contains(&name) {
+                    state.drained.push(name);
+                }
+                if state.drained.len() == state.duties.len() {
+                    state.enter(Phase::Stopped);
+                }
+            }
+            SupervisorMessage::Ended(name) => {
+                state.ended(name);
+                if state.duties.is_empty() {
+                    myself.stop(None);
+                }
+            }
+            SupervisorMessage::Stop => {
+                if state.health.borrow().phase == Phase::Draining {
+                    tracing::error!(bound = self.bound.0, "graceful stop forced at its bound");
+                }
+                state.enter(Phase::Stopped);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn ended(&mut self, name: &'static str) {
+        self.duties.retain(|(kept, _)| *kept != name);
+        self.drained.retain(|kept| *kept != name);
+        if self.health.borrow().phase == Phase::Stopped {
+            return;
+        }
+        // A duty that died would leave its callers waiting for good; it shows
+        // as a failed /healthz, and the platform replaces the instance.
+        tracing::error!(duty = name, "a duty ended without being told to");
+        self.health.send_modify(|health| health.failed += 1);
+        self.enter(Phase::Stopped);
+    }
+
+    fn enter(&self, phase: Phase) {
+        self.health.send_modify(|health| {
+            health.phase = health.phase.max(phase);
+        });
+        for (name, duty) in &self.duties {
+            if duty.cast(ControlMessage::Enter(phase)).is_err() {
+                tracing::warn!(duty = name, "a duty takes no control messages");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/duty/thread.rs
@@ -0,0 +1,144 @@
+//! A duty: one thread, one runtime, one owner of state.
+
+use super::{
+    Phase,
+    SupervisorMessage,
+    control::Control, //
+};
+use crate::base::Clock;
+use ractor::{
+    Actor,
+    ActorRef, //
+};
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+use std::{
+    panic::{AssertUnwindSafe, catch_unwind},
+    thread::JoinHandle, //
+};
+use tokio::{
+    runtime::Builder,
+    sync::watch,
+    task::LocalSet, //
+};
+
+/// A duty could not be started.
+#[derive(Debug, Snafu)]
+pub enum DutyError {
+    #[snafu(display("can't listen at {address}: {source}"))]
+    #[snafu(visibility(pub(crate)))]
+    Listen {
+        address: std::net::SocketAddr,
+        source: std::io::Error,
+    },
+    #[snafu(display("can't start the thread of duty `{name}`: {source}"))]
+    Thread {
+        name: &'static str,
+        source: std::io::Error,
+    },
+}
+
+/// Binds a listening port; port 0 lets the system choose.
+pub fn bind_listener(
+    address: std::net::SocketAddr,
+) -> Result<(std::net::SocketAddr, std::net::TcpListener), DutyError> {
+    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    listener
+        .set_nonblocking(true)
+        .context(ListenSnafu { address })?;
+    let address = listener.local_addr().context(ListenSnafu { address })?;
+    Ok((address, listener))
+}
+
+/// A running duty.
+#[derive(Debug)]
+pub struct Duty {
+    pub name: &'static str,
+    pub(super) thread: JoinHandle<()>,
+}
+
+/// What a duty's main function gets.
+#[derive(Clone)]
+pub struct Context {
+    pub clock: Clock,
+    name: &'static str,
+    phase: watch::Receiver<Phase>,
+    supervisor: ActorRef<SupervisorMessage>,
+}
+
+impl Context {
+    /// Tells that this duty has nothing under way and takes nothing new.
+    pub fn drained(&self) {
+        let _ = self.supervisor.cast(SupervisorMessage::Drained(self.name));
+    }
+
+    /// How far the program's stop has come.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Waits until the program's stop has come at least as far as `phase`.
+    pub async fn reached(&self, phase: Phase) {
+        let mut watch = self.phase.clone();
+        let _ = watch.wait_for(|now| *now >= phase).await;
+    }
+}
+
+/// Starts a duty called `name` that runs `main` on a thread of its own.
+pub fn spawn<F, Fut>(
+    name: &'static str,
+    supervisor: &ActorRef<SupervisorMessage>,
+    main: F,
+) -> Result<Duty, DutyError>
+where
+    F: FnOnce(Context) -> Fut + Send + 'static,
+    Fut: Future<Output = ()> + 'static,
+{
+    let supervisor = supervisor.clone();
+    let thread = std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || {
+            let ended = supervisor.clone();
+            let run = AssertUnwindSafe(|| run(name, supervisor, main));
+            if catch_unwind(run).is_err() {
+                tracing::error!(duty = name, "a duty panicked");
+            }
+            let _ = ended.cast(SupervisorMessage::Ended(name));
+        })
+        .context(ThreadSnafu { name })?;
+    Ok(Duty { name, thread })
+}
+
+fn run<F, Fut>(name: &'static str, supervisor: ActorRef<SupervisorMessage>, main: F)
+where
+    F: FnOnce(Context) -> Fut,
+    Fut: Future<Output = ()> + 'static,
+{
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            tracing::error!(duty = name, %error, "no runtime for a duty");
+            return;
+        }
+    };
+    let (sender, phase) = watch::channel(Phase::Running);
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        match Actor::spawn(None, Control, sender).await {
+            Ok((control, _)) => {
+                let _ = supervisor.cast(SupervisorMessage::Added(name, control));
+            }
+            Err(error) => tracing::error!(duty = name, %error, "no control actor"),
+        }
+        let clock = Clock::open();
+        main(Context {
+            clock,
+            name,
+            phase,
+            supervisor,
+        })
+        .await;
+    });
+}
--- /dev/null
+++ b/src/engine/stream.rs
@@ -0,0 +1,80 @@
+//! The tokens of one generation as the engine streams them.
+
+use super::Chunk;
+use crate::{
+    base::{Cause, Failure},
+    wire::Finish, //
+};
+use hyper::body::Incoming;
+use sse_stream::SseStream;
+use std::pin::Pin;
+use tokio_stream::{
+    Stream,
+    StreamExt, //
+};
+
+/// What an engine's stream says next.
+#[derive(Debug, PartialEq)]
+pub enum EngineEvent {
+    Finished(Finish),
+    Token(String),
+}
+
+type Events = dyn Stream<Item = Result<sse_stream::Sse, sse_stream::Error>> + Send;
+
+/// An open stream; dropping it cancels the generation.
+pub struct TokenStream {
+    events: Pin<Box<Events>>,
+    finish: Option<Finish>,
+}
+
+/// The data of the event that ends a whole answer.
+const DONE: &str = "[DONE]";
+
+impl TokenStream {
+    pub(super) fn new(body: Incoming) -> Self {
+        Self {
+            events: Box::pin(SseStream::new(body)),
+            finish: None,
+        }
+    }
+
+    /// The next event. A stream that ends without its end marker is a
+    /// failure: a cut answer must not pass for a whole one.
+    pub async fn next(&mut self) -> Result<EngineEvent, Failure> {
+        loop {
+            let event = self.events.next().await;
+            let Some(Ok(event)) = event else {
+                return Err(broken("the engine's stream was cut"));
+            };
+            let Some(data) = event.data else {
+                continue;
+            };
+            if data == DONE {
+                let finish = self.finish.ok_or_else(|| broken("no finish reason"))?;
+                return Ok(EngineEvent::Finished(finish));
+            }
+            if let Some(token) = self.take(&data)? {
+                return Ok(EngineEvent::Token(token));
+            }
+        }
+    }
+
+    fn take(&mut self, data: &str) -> Result<Option<String>, Failure> {
+        let chunk: Chunk =
+            serde_json::from_str(data).map_err(|_| broken("an event is not understood"))?;
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            return Ok(None);
+        };
+        match choice.finish_reason.as_deref() {
+            Some("length") => self.finish = Some(Finish::Length),
+            Some(_) => self.finish = Some(Finish::Stop),
+            None => {}
+        }
+        Ok(choice.text.filter(|text| !text.is_empty()))
+    }
+}
+
+fn broken(detail: &str) -> Failure {
+    Failure::may_have_run(Cause::BackendBroken, detail)
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,154 @@
+//! The narrow interface to the platform.
+
+use super::{
+    Instance,
+    JsonClient,
+    StoreError,
+    Transaction,
+    Written,
+    store_error::{AnswerSnafu, StatusSnafu, UnavailableSnafu}, //
+};
+use crate::base::Millis;
+use bytes::Bytes;
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use serde::{
+    Deserialize,
+    Serialize,
+    de::DeserializeOwned, //
+};
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+/// A row of the table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    pub value: String,
+    pub version: u64,
+}
+
+/// A client of the platform's services.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    http: JsonClient,
+}
+
+/// How long one request may take.
+const TIMEOUT: Millis = Millis(1_000);
+
+/// How often a transaction is asked for until its outcome is known.
+const TRIES: u32 = 3;
+
+impl Platform {
+    /// A client of the platform at `address`.
+    pub fn open(address: SocketAddr) -> Self {
+        Self {
+            http: JsonClient::open(address, TIMEOUT),
+        }
+    }
+
+    /// The row at `path`.
+    pub async fn get(&self, path: &str) -> Result<Option<Row>, StoreError> {
+        self.read(&format!("/table/{path}")).await
+    }
+
+    /// The list of instances.
+    pub async fn instances(&self) -> Result<Vec<Instance>, StoreError> {
+        let path = "/instances";
+        self.read(path).await?.context(StatusSnafu {
+            path,
+            status: 404_u16,
+        })
+    }
+
+    /// All rows whose path begins with `prefix`.
+    pub async fn list(&self, prefix: &str) -> Result<BTreeMap<String, Row>, StoreError> {
+        let path = format!("/table?prefix={prefix}");
+        let rows = self.read(&path).await?;
+        rows.context(StatusSnafu {
+            path,
+            status: 404_u16,
+        })
+    }
+
+    /// The object `key`.
+    pub async fn object(&self, key: &str) -> Result<Option<Bytes>, StoreError> {
+        let path = format!("/objects/{key}");
+        let (status, body) = self.call(Method::GET, &path, Vec::new()).await?;
+        match status {
+            StatusCode::OK => Ok(Some(body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => unexpected(&path, status),
+        }
+    }
+
+    /// Stores an object unless one of that name exists; tells whether it did.
+    pub async fn put_object(&self, key: &str, content: Vec<u8>) -> Result<bool, StoreError> {
+        let path = format!("/objects/{key}");
+        let (status, _) = self.call(Method::PUT, &path, content).await?;
+        match status {
+            StatusCode::CREATED => Ok(true),
+            StatusCode::CONFLICT => Ok(false),
+            _ => unexpected(&path, status),
+        }
+    }
+
+    /// Does `transaction`, asking again with its token while the outcome is unknown.
+    pub async fn transact(&self, transaction: &Transaction) -> Result<Written, StoreError> {
+        let path = "/table";
+        let body = serde_json::to_vec(transaction).context(AnswerSnafu { path })?;
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            // An answer can be lost after the write took effect. The same
+            // token makes the repeat return the first outcome.
+            match self.call(Method::POST, path, body.clone()).await {
+                Ok((StatusCode::OK, answer)) => {
+                    return serde_json::from_slice(&answer).context(AnswerSnafu { path });
+                }
+                Ok((status, _)) if tries >= TRIES => return unexpected(path, status),
+                Err(error) if tries >= TRIES => return Err(error),
+                Ok(_) | Err(_) => {}
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        metrics::counter!("redwing_platform_requests_total", "method" => method.to_string())
+            .increment(1);
+        let answer = self.http.call(method, path, body).await;
+        answer.context(UnavailableSnafu)
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<Option<T>, StoreError> {
+        let (status, body) = self.call(Method::GET, path, Vec::new()).await?;
+        match status {
+            StatusCode::OK => serde_json::from_slice(&body)
+                .context(AnswerSnafu { path })
+                .map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => unexpected(path, status),
+        }
+    }
+}
+
+fn unexpected<T>(path: &str, status: StatusCode) -> Result<T, StoreError> {
+    StatusSnafu {
+        path,
+        status: status.as_u16(),
+    }
+    .fail()
+}
--- /dev/null
+++ b/src/platform/json_client.rs
@@ -0,0 +1,112 @@
+//! Small HTTP requests with a bound on time and size.
+
+use crate::base::{
+    Millis,
+    Verdict, //
+};
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    Method,
+    Request,
+    StatusCode,
+    header::CONTENT_TYPE, //
+};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer}, //
+};
+use snafu::Snafu;
+use std::net::SocketAddr;
+
+/// A request got no whole answer.
+#[derive(Debug, Snafu)]
+#[snafu(display("{address}{path}: {message}"))]
+pub struct HttpError {
+    address: SocketAddr,
+    message: String,
+    path: String,
+    /// Whether the other end may have acted on it.
+    pub verdict: Verdict,
+}
+
+/// A pooled HTTP/1.1 client of one address.
+#[derive(Clone, Debug)]
+pub struct JsonClient {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout: Millis,
+}
+
+/// The largest answer that is read.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+impl JsonClient {
+    /// A client of `address` that waits at most `timeout` for a whole answer.
+    pub fn open(address: SocketAddr, timeout: Millis) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(8)
+            .build(connector);
+        Self {
+            address,
+            client,
+            timeout,
+        }
+    }
+
+    /// Sends `body` and reads the whole answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), HttpError> {
+        let answer =
+            tokio::time::timeout(self.timeout.as_duration(), self.send(method, path, body));
+        match answer.await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.error(path, Verdict::MayHaveRun, &"no answer in time")),
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), HttpError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| self.error(path, Verdict::NotRun, &error))?;
+        let answer = self.client.request(request).await.map_err(|error| {
+            let verdict = match error.is_connect() {
+                true => Verdict::NotRun,
+                false => Verdict::MayHaveRun,
+            };
+            self.error(path, verdict, &error)
+        })?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+        let body = body.map_err(|error| self.error(path, Verdict::MayHaveRun, &error))?;
+        Ok((status, body.to_bytes()))
+    }
+
+    fn error(&self, path: &str, verdict: Verdict, message: &dyn ToString) -> HttpError {
+        HttpError {
+            address: self.address,
+            message: message.to_string(),
+            path: path.to_owned(),
+            verdict,
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,117 @@
+//! Whether an entry takes a call: a bound for each class and for each team.
+
+use crate::base::{
+    Cause,
+    Failure,
+    Millis, //
+};
+use std::collections::HashMap;
+
+/// The calls in flight at this entry, by team and class.
+///
+/// # Invariants
+///
+/// A counter equals the number of permits taken and not yet given back.
+#[derive(Debug, Default)]
+pub struct Admission {
+    classes: HashMap<(String, String), u32>,
+    teams: HashMap<String, u32>,
+}
+
+/// The bounds that apply to one call.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub class: u32,
+    pub team: u32,
+}
+
+/// When a refused caller is asked to come back.
+const RETRY_AFTER: Millis = Millis(250);
+
+impl Admission {
+    /// Gives back what [`Admission::take`] took.
+    pub fn give_back(&mut self, team: &str, class: &str) {
+        if let Some(count) = self.teams.get_mut(team) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(count) = self.classes.get_mut(&(team.to_owned(), class.to_owned())) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Counts a call in, or says why not.
+    pub fn take(&mut self, team: &str, class: &str, limits: Limits) -> Result<(), Failure> {
+        let in_team = self.teams.entry(team.to_owned()).or_default();
+        let in_class = self
+            .classes
+            .entry((team.to_owned(), class.to_owned()))
+            .or_default();
+        if *in_class >= limits.class {
+            return Err(refusal(&format!("class `{class}`"), limits.class));
+        }
+        if *in_team >= limits.team {
+            return Err(refusal(&format!("team `{team}`"), limits.team));
+        }
+
+        *in_team += 1;
+        *in_class += 1;
+        Ok(())
+    }
+}
+
+fn refusal(whose: &str, limit: u32) -> Failure {
+    let detail = format!("{whose} has its {limit} calls in flight at this entry");
+    Failure::not_run(Cause::Overloaded, detail).retry_after(RETRY_AFTER)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    struct Test {
+        calls: &'static [(&'static str, &'static str)],
+        admitted: &'static [bool],
+    }
+
+    impl Test {
+        fn run(self) {
+            let mut admission = Admission::default();
+            let limits = Limits { class: 2, team: 3 };
+            let admitted: Vec<bool> = self
+                .calls
+                .iter()
+                .map(|(team, class)| admission.take(team, class, limits).is_ok())
+                .collect();
+            assert_eq!(admitted, self.admitted);
+        }
+    }
+
+    #[test]
+    fn one_class_cannot_use_up_the_team() {
+        Test {
+            calls: &[("a", "x"), ("a", "x"), ("a", "x"), ("a", "y"), ("a", "z")],
+            admitted: &[true, true, false, true, false],
+        }
+        .run();
+    }
+
+    #[test]
+    fn teams_are_apart() {
+        Test {
+            calls: &[("a", "x"), ("a", "x"), ("a", "y"), ("b", "x")],
+            admitted: &[true, true, true, true],
+        }
+        .run();
+    }
+
+    #[test]
+    fn what_is_given_back_can_be_taken_again() {
+        let mut admission = Admission::default();
+        let limits = Limits { class: 1, team: 1 };
+        for _ in 0..3 {
+            assert!(admission.take("a", "x", limits).is_ok());
+            assert!(admission.take("a", "x", limits).is_err());
+            admission.give_back("a", "x");
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,19 @@
+//! All decisions, pure: each takes the time and its inputs and returns a value.
+//!
+//! Nothing here does I/O, takes a lock, starts a thread or reads a clock.
+
+pub mod admission;
+pub mod agent_queue;
+pub mod bitmap;
+pub mod claims;
+pub mod fences;
+pub mod health;
+pub mod lease;
+pub mod ledger;
+pub mod retry;
+pub mod retry_budget;
+pub mod router;
+pub mod step;
+pub mod step_spec;
+pub mod subset;
+pub mod wave;
--- /dev/null
+++ b/src/policy/retry_budget.rs
@@ -0,0 +1,53 @@
+//! How many retries successes pay for.
+
+/// A bucket that successes fill and retries empty, so that retries stay a
+/// share of the traffic however many calls fail.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    share: f64,
+    tokens: f64,
+}
+
+/// The most retries saved up, and what a new budget starts with.
+const MOST: f64 = 20.0;
+
+impl RetryBudget {
+    /// A budget in which one success pays for `share` of a retry.
+    pub fn new(share: f64) -> Self {
+        Self {
+            share,
+            tokens: MOST,
+        }
+    }
+
+    /// Pays for one retry, if there is enough.
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// A call succeeded.
+    pub fn succeed(&mut self) {
+        self.tokens = (self.tokens + self.share).min(MOST);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retries_stay_a_share_of_successes() {
+        let mut budget = RetryBudget::new(0.1);
+        while budget.spend() {}
+        let mut retries = 0;
+        for _ in 0..1_000 {
+            budget.succeed();
+            retries += u32::from(budget.spend());
+        }
+        assert!((95..=100).contains(&retries), "{retries}");
+    }
+}
--- /dev/null
+++ b/src/policy/step_spec.rs
@@ -0,0 +1,123 @@
+//! A step as its trainer submits it.
+
+use crate::base::Millis;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use snafu::{
+    Snafu,
+    ensure, //
+};
+
+/// Samples that share a prompt.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupSpec {
+    pub prompt: String,
+    pub samples: u32,
+}
+
+/// How the tokens of a step's samples are drawn.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SamplingSpec {
+    pub max_tokens: u32,
+    #[serde(default)]
+    pub seed: u64,
+    #[serde(default = "one")]
+    pub temperature: f32,
+}
+
+/// What a trainer asks for in one step.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StepSpec {
+    /// How long the trainer wants to wait for the whole step.
+    pub deadline_ms: Millis,
+    pub groups: Vec<GroupSpec>,
+    pub model: String,
+    pub sampling: SamplingSpec,
+    /// How many versions a delivered sample's oldest token may be behind the
+    /// version that the trainer names at the fetch.
+    pub staleness: u64,
+}
+
+/// Why a submitted step can't be taken.
+#[derive(Debug, PartialEq, Snafu)]
+pub enum SpecError {
+    #[snafu(display("`{field}` is {value}, expected {expected}"))]
+    Range {
+        expected: &'static str,
+        field: String,
+        value: String,
+    },
+}
+
+/// The samples that one step may have.
+pub const MAX_SAMPLES: u32 = 16_384;
+
+/// The tokens that one sample may have.
+pub const MAX_TOKENS: u32 = 131_072;
+
+/// The bytes of one prompt.
+pub const MAX_PROMPT: usize = 128 * 1024;
+
+fn one() -> f32 {
+    1.0
+}
+
+impl StepSpec {
+    /// Checks the ranges.
+    pub fn check(&self) -> Result<(), SpecError> {
+        let samples: u64 = self.groups.iter().map(|g| u64::from(g.samples)).sum();
+        ensure!(
+            (1..=u64::from(MAX_SAMPLES)).contains(&samples),
+            RangeSnafu {
+                expected: "1 to 16384 samples in all",
+                field: "groups",
+                value: samples.to_string(),
+            }
+        );
+        ensure!(
+            (1..=MAX_TOKENS).contains(&self.sampling.max_tokens),
+            RangeSnafu {
+                expected: "1 to 131072",
+                field: "sampling.max_tokens",
+                value: self.sampling.max_tokens.to_string(),
+            }
+        );
+        ensure!(
+            !self.model.is_empty(),
+            RangeSnafu {
+                expected: "a model's name",
+                field: "model",
+                value: "empty",
+            }
+        );
+        for (index, group) in self.groups.iter().enumerate() {
+            ensure!(
+                group.samples > 0,
+                RangeSnafu {
+                    expected: "at least 1",
+                    field: format!("groups[{index}].samples"),
+                    value: "0",
+                }
+            );
+            ensure!(
+                group.prompt.len() <= MAX_PROMPT,
+                RangeSnafu {
+                    expected: "at most 131072 bytes",
+                    field: format!("groups[{index}].prompt"),
+                    value: format!("{} bytes", group.prompt.len()),
+                }
+            );
+        }
+        Ok(())
+    }
+
+    /// How many samples the step has.
+    pub fn samples(&self) -> u32 {
+        self.groups.iter().map(|group| group.samples).sum()
+    }
+}
--- /dev/null
+++ b/src/settings/common.rs
@@ -0,0 +1,106 @@
+//! What entries and agents have in common.
+
+use super::Reader;
+use crate::base::Millis;
+use std::net::SocketAddr;
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogFormat {
+    Json,
+    #[default]
+    Text,
+}
+
+/// The bounds of a graceful stop.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainSettings {
+    /// After this the stop is forced, and what it cut is counted.
+    pub bound: Millis,
+    /// How long a leaving process still takes requests that were under way
+    /// to it before others learned that it leaves.
+    pub leave: Millis,
+}
+
+/// The settings of every process.
+#[derive(Clone, Debug)]
+pub struct Common {
+    pub admin: SocketAddr,
+    pub data_centre: String,
+    pub drain: DrainSettings,
+    pub instance: String,
+    /// The deployment's secret: a process that doesn't know it gets no link.
+    pub key: String,
+    pub links: SocketAddr,
+    pub log: LogFormat,
+    /// A filter such as `info` or `info,decision=off`.
+    pub log_level: String,
+    pub platform: SocketAddr,
+}
+
+/// Where a process listens when its settings leave the port to the system.
+pub(super) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An IP address and port.
+pub(super) fn address(reader: &Reader<'_>, key: &str, default: Option<SocketAddr>) -> SocketAddr {
+    let Some(default) = default else {
+        let text = reader.text(key, None);
+        return text.parse().unwrap_or_else(|_| {
+            if !text.is_empty() {
+                let found = format!("`{text}`");
+                reader.contradiction(key, "an IP address and a port", &found);
+            }
+            any_port()
+        });
+    };
+    let text = reader.text(key, Some(&default.to_string()));
+    text.parse().unwrap_or_else(|_| {
+        let found = format!("`{text}`");
+        reader.contradiction(key, "an IP address and a port", &found);
+        default
+    })
+}
+
+impl Common {
+    /// What this process shows on a link as proof of knowing the key.
+    pub fn link_key(&self) -> String {
+        let key = blake3::derive_key("redwingpond link key v1", self.key.as_bytes());
+        blake3::Hash::from_bytes(key).to_string()
+    }
+
+    /// Reads the keys that all processes share.
+    pub fn read(reader: &Reader<'_>) -> Self {
+        let drain = reader.section("drain");
+        let listen = reader.section("listen");
+        let log = reader.section("log");
+        let common = Self {
+            admin: address(&listen, "admin", Some(any_port())),
+            data_centre: reader.text("data_centre", None),
+            drain: DrainSettings {
+                bound: Millis(drain.number("bound_ms", 100..=3_600_000, Some(60_000))),
+                leave: Millis(drain.number("leave_ms", 0..=60_000, Some(2_000))),
+            },
+            instance: reader.text("instance", None),
+            key: reader.text("key", None),
+            links: address(&listen, "links", Some(any_port())),
+            log: log
+                .choice(
+                    "format",
+                    &[("json", LogFormat::Json), ("text", LogFormat::Text)],
+                    Some(LogFormat::Text),
+                )
+                .unwrap_or_default(),
+            log_level: log.text("level", Some("info")),
+            platform: address(reader, "platform", None),
+        };
+        if common.drain.leave > common.drain.bound {
+            let found = common.drain.leave.0.to_string();
+            drain.contradiction("leave_ms", "no more than `bound_ms`", &found);
+        }
+        drain.finish();
+        log.finish();
+        common
+    }
+}
--- /dev/null
+++ b/src/settings/entry_settings.rs
@@ -0,0 +1,72 @@
+//! An entry's own settings.
+
+use super::{
+    Common,
+    Reader,
+    SettingsError,
+    common::{address, any_port},
+    file, //
+};
+use crate::{
+    base::Millis,
+    policy::router::Policy, //
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::Path, //
+};
+
+/// The settings of a `redwing-entry`.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    pub callers: SocketAddr,
+    pub common: Common,
+    /// One-way delay to each other data centre.
+    pub distances: BTreeMap<String, Millis>,
+    pub policy: Policy,
+}
+
+/// The one-way delay assumed to a data centre that is not listed.
+pub const DISTANCE: Millis = Millis(2);
+
+impl EntrySettings {
+    /// Loads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        file::load(path, Self::read)
+    }
+
+    /// Reads the document's root.
+    pub fn read(reader: &Reader<'_>) -> Self {
+        let common = Common::read(reader);
+        let listen = reader.section("listen");
+        let callers = address(&listen, "callers", Some(any_port()));
+        // Read once more so that only unknown keys of the section are told.
+        listen.text("admin", Some("-"));
+        listen.text("links", Some("-"));
+        listen.finish();
+
+        let mut distances = BTreeMap::new();
+        for name in reader.keys("distances") {
+            let section = reader.section("distances");
+            let delay = section.number(&name, 0..=10_000, None);
+            distances.insert(name, Millis(delay));
+        }
+        let words = [("baseline", Policy::Baseline), ("current", Policy::Current)];
+        let policy = reader.choice("policy", &words, Some(Policy::Current));
+        Self {
+            callers,
+            common,
+            distances,
+            policy: policy.unwrap_or_default(),
+        }
+    }
+
+    /// The one-way delay to `data_centre`.
+    pub fn distance(&self, data_centre: &str) -> Millis {
+        if data_centre == self.common.data_centre {
+            return Millis(0);
+        }
+        self.distances.get(data_centre).copied().unwrap_or(DISTANCE)
+    }
+}
--- /dev/null
+++ b/src/settings/pool_settings.rs
@@ -0,0 +1,28 @@
+//! A pool of backend servers.
+
+use super::{
+    BackendKind,
+    Reader, //
+};
+
+/// The shared settings under `pools/NAME`.
+#[derive(Clone, Debug)]
+pub struct PoolSettings {
+    pub kind: BackendKind,
+    /// Engines of the pool that may swap weights at the same time.
+    pub wave: usize,
+}
+
+impl PoolSettings {
+    /// Reads the document's root.
+    pub fn read(reader: &Reader<'_>) -> Self {
+        let kinds = [
+            ("engine", BackendKind::Engine),
+            ("service", BackendKind::Service),
+        ];
+        Self {
+            kind: reader.choice("kind", &kinds, None).unwrap_or_default(),
+            wave: reader.number("wave", 1..=10_000, Some(3)) as usize,
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/team_settings.rs
@@ -0,0 +1,143 @@
+//! A team's subtree.
+
+use super::Reader;
+use crate::base::{
+    Millis,
+    Priority, //
+};
+use std::collections::BTreeMap;
+
+/// A traffic class of a team.
+#[derive(Clone, Debug)]
+pub struct ClassSettings {
+    /// The deadline of calls that name none.
+    pub deadline: Millis,
+    /// Only the callers that list this class may use it.
+    pub internal: bool,
+    /// Calls in flight at one entry at most.
+    pub limit: u32,
+    pub pool: String,
+    pub priority: Priority,
+}
+
+/// A caller with a credential.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    pub classes: Vec<String>,
+    /// The hash of the caller's key, see [`key_hash`]; the key is kept nowhere.
+    pub key: String,
+}
+
+/// How a team's rollouts are made.
+#[derive(Clone, Debug)]
+pub struct RolloutSettings {
+    pub pool: String,
+    /// Samples of the team that run at once at most.
+    pub samples: u32,
+    /// The pool of the scoring service.
+    pub scorer: String,
+}
+
+/// The shared settings under `teams/NAME`.
+#[derive(Clone, Debug)]
+pub struct TeamSettings {
+    pub callers: BTreeMap<String, Caller>,
+    pub classes: BTreeMap<String, ClassSettings>,
+    /// Calls in flight at one entry at most, over all classes.
+    pub limit: u32,
+    /// The share of successful calls that may be retried, in percent.
+    pub retry_share: u64,
+    pub rollout: Option<RolloutSettings>,
+}
+
+/// The hash under which a caller's key is kept in settings.
+pub fn key_hash(key: &str) -> String {
+    let hash = blake3::derive_key("redwingpond caller key v1", key.as_bytes());
+    blake3::Hash::from_bytes(hash).to_string()
+}
+
+/// The word that settings use for each priority of a class.
+const PRIORITIES: [(&str, Priority); 2] = [
+    ("background", Priority::Background),
+    ("live", Priority::Live),
+];
+
+impl TeamSettings {
+    /// Reads the document's root.
+    pub fn read(reader: &Reader<'_>) -> Self {
+        let classes: BTreeMap<String, ClassSettings> = reader
+            .entries("classes")
+            .into_iter()
+            .map(|(name, section)| (name, class(&section)))
+            .collect();
+        let callers = reader
+            .entries("callers")
+            .into_iter()
+            .map(|(name, section)| (name, caller(&section, &classes)))
+            .collect();
+        Self {
+            callers,
+            classes,
+            limit: reader.number("limit", 1..=1_000_000, Some(10_000)) as u32,
+            retry_share: reader.number("retry_share", 0..=100, Some(10)),
+            rollout: rollout(reader),
+        }
+    }
+
+    /// Whether the holder of `key` may call the internal class `class`.
+    pub fn may_call(&self, key: &str, class: &str) -> bool {
+        let hash = key_hash(key);
+        self.callers
+            .values()
+            .any(|caller| caller.key == hash && caller.classes.iter().any(|name| name == class))
+    }
+}
+
+fn caller(section: &Reader<'_>, classes: &BTreeMap<String, ClassSettings>) -> Caller {
+    let caller = Caller {
+        classes: section.texts("classes"),
+        key: section.text("key", None),
+    };
+    let hex = caller.key.bytes().all(|b| b.is_ascii_hexdigit());
+    let hash = caller.key.len() == 64 && hex;
+    if !caller.key.is_empty() && !hash {
+        let expected = "the 64 hexadecimal digits that `redwing key hash` prints";
+        section.contradiction("key", expected, "something else");
+    }
+    for name in &caller.classes {
+        if !classes.contains_key(name) {
+            let expected = "a class of this team";
+            section.contradiction("classes", expected, &format!("`{name}`"));
+        }
+    }
+    section.finish();
+    caller
+}
+
+fn class(section: &Reader<'_>) -> ClassSettings {
+    let settings = ClassSettings {
+        deadline: Millis(section.number("deadline_ms", 1..=3_600_000, Some(10_000))),
+        internal: section.value("internal", "true or false", Some(false)),
+        limit: section.number("limit", 1..=1_000_000, Some(1_000)) as u32,
+        pool: section.text("pool", None),
+        priority: section
+            .choice("priority", &PRIORITIES, Some(Priority::Live))
+            .unwrap_or_default(),
+    };
+    section.finish();
+    settings
+}
+
+fn rollout(reader: &Reader<'_>) -> Option<RolloutSettings> {
+    if !reader.has("rollout") {
+        return None;
+    }
+    let section = reader.section("rollout");
+    let settings = RolloutSettings {
+        pool: section.text("pool", None),
+        samples: section.number("samples", 1..=1_000_000, Some(1_024)) as u32,
+        scorer: section.text("scorer", None),
+    };
+    section.finish();
+    Some(settings)
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
