--- a/src/agent/jobs.rs
+++ b/src/agent/jobs.rs
@@ -23,6 +23,9 @@
 /// them by bytes, and each costs at least `MESSAGE_COST` of it.
 const PARTS: usize = (WINDOW / crate::wire::MESSAGE_COST) as usize;
 
+/// How long after its deadline a call with nobody waiting may still run.
+const LINGER: Millis = Millis(30_000);
+
 /// The weight of the latest request in the moving average of service time.
 const NEWEST: f64 = 0.1;
 
@@ -124,7 +127,7 @@
             return;
         };
         job.io.discard();
-        if job.started.is_some() && !job.start.idempotent {
+        if job.started.is_some() && !job.start.idempotent && job.body.is_none() {
             return;
         }
         let started = job.started.is_some();
@@ -136,6 +139,7 @@
 
     /// Ends the running jobs whose deadline has passed.
     pub(super) fn expire(&mut self, now: Millis) {
+        self.cut_lingering(now);
         let late: Vec<JobKey> = self
             .jobs
             .iter()
@@ -182,6 +186,22 @@
         self.reject(now, &job.io, &job.start, failure);
     }
 
+    /// Cuts the calls that go on with nobody waiting, once they have had long
+    /// enough: a service that never answers would keep its places for good.
+    fn cut_lingering(&mut self, now: Millis) {
+        let lingering: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.io.is_discarded() && job.deadline + LINGER <= now)
+            .map(|(key, _)| key)
+            .collect();
+        for key in lingering {
+            if let Some(job) = self.remove(key) {
+                self.end_early(&job, true, Cause::DeadlinePassed);
+            }
+        }
+    }
+
     fn claim(&mut self, now: Millis, start: &Start) -> Result<(), Failure> {
         let Some(key) = start.key.as_deref().filter(|_| !start.idempotent) else {
             return Ok(());
--- a/src/base/account.rs
+++ b/src/base/account.rs
@@ -27,6 +27,7 @@
     Queued,
     Retried {
         cause: Cause,
+        verdict: Verdict,
     },
     Routed {
         server: String,
--- a/src/base/span.rs
+++ b/src/base/span.rs
@@ -27,6 +27,13 @@
         next == tokens
     }
 
+    /// Appends all of `more`, see [`Span::push`].
+    pub fn extend(spans: &mut Vec<Self>, more: impl IntoIterator<Item = Self>) {
+        for span in more {
+            Self::push(spans, span);
+        }
+    }
+
     /// The oldest version among `spans`.
     pub fn oldest(spans: &[Self]) -> Option<WeightVersion> {
         spans.iter().map(|span| span.version).min()
--- /dev/null
+++ b/src/bin/redwing-entry.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    redwingpond::operator::entry_main()
+}
--- a/src/duty/http_server.rs
+++ b/src/duty/http_server.rs
@@ -201,19 +201,25 @@
 }
 
 /// A failure as problem details (RFC 9457) with `may_have_run` beside them.
-pub fn problem(failure: &Failure, request: Option<RequestId>) -> Answer {
-    let status = failure.cause.status();
-    let body = serde_json::json!({
+pub fn details(failure: &Failure, request: Option<RequestId>) -> String {
+    let details = serde_json::json!({
         "type": format!("urn:redwing:problem:{}", failure.cause.word()),
         "title": failure.cause.word().replace('-', " "),
-        "status": status,
+        "status": failure.cause.status(),
         "detail": failure.detail,
         "may_have_run": failure.verdict.may_have_run(),
         "request_id": request.map(|id| id.to_string()),
         "retry_after_ms": failure.retry_after.map(|wait| wait.0),
     });
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut answer = text(status, "application/problem+json", body.to_string());
+    details.to_string()
+}
+
+/// An answer that tells of a failure.
+pub fn problem(failure: &Failure, request: Option<RequestId>) -> Answer {
+    let status = StatusCode::from_u16(failure.cause.status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = details(failure, request);
+    let mut answer = text(status, "application/problem+json", body);
     if let Some(wait) = failure.retry_after {
         let seconds = hyper::header::HeaderValue::from(wait.0.div_ceil(1_000));
         answer.headers_mut().insert(RETRY_AFTER, seconds);
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -19,7 +19,7 @@
     admin::{Route, admin},
     control::{ControlMessage, Phase},
     handle::Handle,
-    http_server::{Answer, HttpServer, Limits, json, problem, text},
+    http_server::{Answer, HttpServer, Limits, details, json, problem, text},
     log::open_log,
     signals::wait_for_stop,
     supervisor::{Health, Supervisor, SupervisorMessage},
--- /dev/null
+++ b/src/entry/call.rs
@@ -0,0 +1,113 @@
+//! One call under way at an entry.
+
+use super::{
+    command::{NewCall, Reply},
+    server::ServerKey, //
+};
+use crate::{
+    base::{Millis, Span, Tokens},
+    policy::retry::Attempt,
+    wire::Work, //
+};
+
+slotmap::new_key_type! {
+    /// A call's place in the entry's arena.
+    pub struct CallKey;
+
+    /// A hand-over's place; its number is the slot on the link.
+    pub struct AttemptKey;
+}
+
+/// One hand-over of a call to an agent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Handover {
+    pub(super) call: CallKey,
+    pub(super) server: ServerKey,
+}
+
+/// A call from its admission to its last reply.
+pub(super) struct Call {
+    pub(super) attempts: u8,
+    pub(super) current: Option<AttemptKey>,
+    /// Whether an attempt that is over may have run.
+    pub(super) in_doubt: bool,
+    pub(super) new: NewCall,
+    /// When to look for a server again; only while no attempt is under way.
+    pub(super) next_try: Millis,
+    pub(super) opened: Millis,
+    pub(super) spans: Vec<Span>,
+    /// The tokens of a generation so far.
+    pub(super) tokens: Tokens,
+    /// Servers that were tried and failed.
+    pub(super) tried: Vec<ServerKey>,
+    /// Whether the caller has part of an answer that can't be gone on with.
+    pub(super) visible: bool,
+}
+
+impl Call {
+    pub(super) fn new(new: NewCall, now: Millis) -> Self {
+        let tokens = match &new.work {
+            Work::Call(_) => Tokens::default(),
+            Work::Generate(generation) => generation.done.clone(),
+        };
+        Self {
+            attempts: 0,
+            current: None,
+            in_doubt: false,
+            new,
+            next_try: now,
+            opened: now,
+            spans: Vec::new(),
+            tokens,
+            tried: Vec::new(),
+            visible: false,
+        }
+    }
+
+    /// The call as the retry policy sees it.
+    pub(super) fn attempt(&self) -> Attempt {
+        let replayable = match &self.new.work {
+            Work::Call(head) => head.whole,
+            Work::Generate(_) => true,
+        };
+        Attempt {
+            attempts: self.attempts,
+            deadline: self.new.deadline,
+            idempotent: self.new.idempotent,
+            replayable,
+            visible: self.visible,
+        }
+    }
+
+    /// Drops the tokens whose version was not confirmed, so that another
+    /// engine goes on behind the last certain one.
+    pub(super) fn drop_uncertain(&mut self) {
+        let certain = self.spans.last().map_or(0, |span| span.to);
+        if self.tokens.len() > certain {
+            self.tokens.truncate(certain);
+            let _ = self.reply(Reply::Tokens(certain, Tokens::default()));
+        }
+    }
+
+    /// The model asked for, if it is a generation.
+    pub(super) fn model(&self) -> Option<&str> {
+        match &self.new.work {
+            Work::Call(_) => None,
+            Work::Generate(generation) => Some(&generation.model),
+        }
+    }
+
+    /// Passes `reply` on; false when the caller is gone or broke its window.
+    pub(super) fn reply(&self, reply: Reply) -> bool {
+        self.new.reply.try_send(reply).is_ok()
+    }
+
+    /// The work for the next attempt.
+    pub(super) fn work(&self) -> Work {
+        let mut work = self.new.work.clone();
+        if let Work::Generate(generation) = &mut work {
+            generation.done = self.tokens.clone();
+        }
+        work
+    }
+}
--- /dev/null
+++ b/src/entry/chat_api.rs
@@ -0,0 +1,332 @@
+//! The completions and chat requests that callers send to engine pools.
+//!
+//! The subset: `model`, `prompt` or `messages`, `max_tokens`, `temperature`,
+//! `seed`, `stream`. A member outside it is refused rather than ignored.
+
+use super::reply_body::{
+    Body,
+    Replies,
+    cut, //
+};
+use crate::{
+    base::{Cause, Failure, RequestId, Span, Tokens},
+    duty::details,
+    engine::{Choice, Delta, Message},
+    wire::{Finish, Generation, Sampling}, //
+};
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    StreamBody, //
+};
+use hyper::body::Frame;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::command::Reply;
+
+/// Which of the two shapes a caller speaks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Shape {
+    Chat,
+    Completion,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Asked {
+    #[serde(default = "default_tokens")]
+    max_tokens: u32,
+    messages: Option<Vec<Message>>,
+    model: String,
+    prompt: Option<String>,
+    #[serde(default)]
+    seed: u64,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default = "default_temperature")]
+    temperature: f32,
+}
+
+/// A caller's request to an engine pool.
+pub(super) struct ChatCall {
+    pub(super) generation: Generation,
+    pub(super) shape: Shape,
+    pub(super) stream: bool,
+}
+
+/// What we add to the protocol's answers.
+#[derive(Serialize)]
+struct Provenance<'a> {
+    request_id: String,
+    weight_versions: &'a [Span],
+}
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    choices: [Choice; 1],
+    id: String,
+    model: &'a str,
+    object: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    redwing: Option<Provenance<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+fn default_temperature() -> f32 {
+    1.0
+}
+
+fn default_tokens() -> u32 {
+    256
+}
+
+impl Shape {
+    /// The shape that is asked for at `path`.
+    pub(super) fn at(path: &str) -> Option<Self> {
+        match path {
+            "/v1/chat/completions" => Some(Self::Chat),
+            "/v1/completions" => Some(Self::Completion),
+            _ => None,
+        }
+    }
+
+    fn object(self, stream: bool) -> &'static str {
+        match (self, stream) {
+            (Self::Chat, false) => "chat.completion",
+            (Self::Chat, true) => "chat.completion.chunk",
+            (Self::Completion, _) => "text_completion",
+        }
+    }
+
+    fn choice(self, text: String, stream: bool, finish: Option<Finish>) -> Choice {
+        let finish_reason = finish.map(|finish| finish.word().to_owned());
+        let empty = Choice {
+            finish_reason,
+            ..Choice::default()
+        };
+        match (self, stream) {
+            (Self::Chat, false) => Choice {
+                message: Some(Message {
+                    content: text,
+                    role: "assistant".to_owned(),
+                }),
+                ..empty
+            },
+            (Self::Chat, true) => Choice {
+                delta: Some(Delta {
+                    content: Some(text),
+                    role: None,
+                }),
+                ..empty
+            },
+            (Self::Completion, _) => Choice {
+                text: Some(text),
+                ..empty
+            },
+        }
+    }
+}
+
+impl ChatCall {
+    /// Reads a request body of `shape`.
+    pub(super) fn parse(shape: Shape, body: &[u8]) -> Result<Self, Failure> {
+        let refuse = |detail: String| Failure::not_run(Cause::BadRequest, detail);
+        let asked: Asked =
+            serde_json::from_slice(body).map_err(|error| refuse(error.to_string()))?;
+        let prompt = match (shape, asked.messages, asked.prompt) {
+            (Shape::Chat, Some(messages), None) => chat_prompt(&messages),
+            (Shape::Completion, None, Some(prompt)) => prompt,
+            (Shape::Chat, _, _) => return Err(refuse("expected `messages`, no `prompt`".into())),
+            (Shape::Completion, _, _) => {
+                return Err(refuse("expected `prompt`, no `messages`".into()));
+            }
+        };
+        let limit = crate::policy::step_spec::MAX_TOKENS;
+        if !(1..=limit).contains(&asked.max_tokens) {
+            return Err(refuse(format!("`max_tokens` is not within 1 to {limit}")));
+        }
+        Ok(Self {
+            generation: Generation {
+                done: Tokens::default(),
+                model: asked.model,
+                prompt,
+                sampling: Sampling {
+                    max_tokens: asked.max_tokens,
+                    seed: asked.seed,
+                    temperature: asked.temperature,
+                },
+            },
+            shape,
+            stream: asked.stream,
+        })
+    }
+
+    /// Gathers the whole answer.
+    pub(super) async fn whole(&self, mut replies: Replies) -> Result<Bytes, Failure> {
+        let mut tokens = Tokens::default();
+        let mut spans: Vec<Span> = Vec::new();
+        while let Some(reply) = replies.next().await {
+            match reply {
+                Reply::End(finish) => {
+                    let text = tokens.text().to_owned();
+                    let answer = Answer {
+                        choices: [self.shape.choice(text, false, finish)],
+                        id: replies.request.to_string(),
+                        model: &self.generation.model,
+                        object: self.shape.object(false),
+                        redwing: Some(provenance(replies.request, &spans)),
+                        usage: Some(Usage {
+                            completion_tokens: tokens.len(),
+                        }),
+                    };
+                    replies.whole();
+                    return Ok(Bytes::from(encode(&answer)));
+                }
+                Reply::Failed(failure) => return Err(failure),
+                Reply::Spans(more) => {
+                    replies.took(0).await;
+                    Span::extend(&mut spans, more);
+                }
+                Reply::Tokens(from, part) => {
+                    replies.took(size(&part)).await;
+                    tokens.splice(from, &part);
+                }
+                Reply::Credit(_) | Reply::Data(_) | Reply::Head { .. } => {}
+            }
+        }
+        Err(Failure::may_have_run(Cause::LinkLost, "the answer was cut"))
+    }
+
+    /// The answer as server-sent events, beginning with `first`.
+    pub(super) fn events(self, first: Reply, replies: Replies) -> Body {
+        let stream = Stream {
+            call: self,
+            ended: None,
+            first: Some(first),
+            replies,
+            sent: 0,
+            spans: Vec::new(),
+        };
+        let frames = futures_util::stream::unfold(Some(stream), |state| async {
+            let mut stream = state?;
+            match stream.next().await {
+                Next::Cut(detail) => Some((Err(cut(&detail)), None)),
+                Next::End => None,
+                Next::Events(text) => Some((Ok(Frame::data(Bytes::from(text))), Some(stream))),
+            }
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+}
+
+/// A streamed answer under way.
+struct Stream {
+    call: ChatCall,
+    /// Whether the last event was sent, and whether it was the whole answer.
+    ended: Option<bool>,
+    first: Option<Reply>,
+    replies: Replies,
+    /// Tokens that the caller has seen.
+    sent: u32,
+    spans: Vec<Span>,
+}
+
+enum Next {
+    Cut(String),
+    End,
+    Events(String),
+}
+
+impl Stream {
+    async fn next(&mut self) -> Next {
+        match self.ended {
+            Some(true) => return Next::End,
+            Some(false) => return Next::Cut("the generation failed".to_owned()),
+            None => {}
+        }
+        loop {
+            let reply = match self.first.take() {
+                Some(first) => Some(first),
+                None => self.replies.next().await,
+            };
+            match reply {
+                Some(Reply::End(finish)) => {
+                    self.ended = Some(true);
+                    let last = self.event(String::new(), finish.or(Some(Finish::Stop)));
+                    self.replies.whole();
+                    return Next::Events(format!("{last}data: [DONE]\n\n"));
+                }
+                Some(Reply::Failed(failure)) => {
+                    self.ended = Some(false);
+                    let told = details(&failure, Some(self.replies.request));
+                    return Next::Events(format!("event: error\ndata: {told}\n\n"));
+                }
+                Some(Reply::Spans(more)) => {
+                    self.replies.took(0).await;
+                    Span::extend(&mut self.spans, more);
+                }
+                Some(Reply::Tokens(from, part)) => {
+                    self.replies.took(size(&part)).await;
+                    // Tokens that were taken back can't be unsaid: the stream
+                    // is cut rather than go on with another text.
+                    if from < self.sent {
+                        return Next::Cut("tokens shown could not be confirmed".to_owned());
+                    }
+                    if part.is_empty() {
+                        continue;
+                    }
+                    self.sent = from + part.len();
+                    return Next::Events(self.event(part.text().to_owned(), None));
+                }
+                Some(Reply::Credit(_) | Reply::Data(_) | Reply::Head { .. }) => {}
+                None => return Next::Cut("the answer was cut".to_owned()),
+            }
+        }
+    }
+
+    fn event(&self, text: String, finish: Option<Finish>) -> String {
+        let call = &self.call;
+        let provenance = finish.map(|_| provenance(self.replies.request, &self.spans));
+        let answer = Answer {
+            choices: [call.shape.choice(text, true, finish)],
+            id: self.replies.request.to_string(),
+            model: &call.generation.model,
+            object: call.shape.object(true),
+            redwing: provenance,
+            usage: None,
+        };
+        format!("data: {}\n\n", encode(&answer))
+    }
+}
+
+fn chat_prompt(messages: &[Message]) -> String {
+    let lines: Vec<String> = messages
+        .iter()
+        .map(|message| format!("{}: {}\n", message.role, message.content))
+        .collect();
+    lines.concat()
+}
+
+fn encode(answer: &Answer<'_>) -> String {
+    serde_json::to_string(answer).unwrap_or_default()
+}
+
+fn provenance(request: RequestId, spans: &[Span]) -> Provenance<'_> {
+    Provenance {
+        request_id: request.to_string(),
+        weight_versions: spans,
+    }
+}
+
+fn size(part: &Tokens) -> usize {
+    part.text().len() + 4 * part.len() as usize
+}
--- /dev/null
+++ b/src/entry/directory.rs
@@ -0,0 +1,159 @@
+//! The shared settings and the instances as this entry knows them.
+
+use super::news::{
+    Change,
+    News, //
+};
+use crate::{
+    base::stable_hash,
+    platform::{Instance, Listing},
+    settings::Shared, //
+};
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+/// Settings and instances in force here.
+///
+/// # Invariants
+///
+/// The revision never goes back, nor does the version of any row.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Directory {
+    /// Earlier lists of instances by their stamp, for telling peers just what
+    /// has changed.
+    history: VecDeque<(u64, Arc<Vec<Instance>>)>,
+    pub(super) instances: Arc<Vec<Instance>>,
+    listing: Arc<Listing>,
+    pub(super) shared: Arc<Shared>,
+    stamp: u64,
+}
+
+/// The earlier lists kept. A peer that is further behind gets the whole list.
+const HISTORY: usize = 8;
+
+impl Directory {
+    /// Whether any settings have come yet.
+    pub(super) fn is_known(&self) -> bool {
+        self.listing.revision > 0
+    }
+
+    /// This directory with what is newer in `news`; `None` if nothing is.
+    pub(super) fn merged(&self, news: News) -> Option<Self> {
+        let mut next = self.clone();
+        // A peer may lag behind: its settings must not replace newer ones.
+        let newer = news.rows.into_iter().filter(|(path, row)| {
+            let known = self.listing.rows.get(path);
+            known.is_none_or(|known| known.version < row.version)
+        });
+        let newer: Vec<_> = newer.collect();
+        if !newer.is_empty() || news.revision > self.revision() {
+            let listing = Arc::make_mut(&mut next.listing);
+            listing.revision = listing.revision.max(news.revision);
+            listing.rows.extend(newer.iter().cloned());
+        }
+        if !newer.is_empty() {
+            next.read_settings();
+        }
+
+        let instances = news.instances.apply(&self.instances);
+        if instances != *self.instances {
+            next.history.push_back((self.stamp, self.instances.clone()));
+            if next.history.len() > HISTORY {
+                next.history.pop_front();
+            }
+            let bytes = serde_json::to_vec(&instances).unwrap_or_default();
+            next.stamp = stable_hash(&[&bytes]);
+            next.instances = Arc::new(instances);
+        }
+        let changed = next.stamp != self.stamp || next.revision() != self.revision();
+        changed.then_some(next)
+    }
+
+    /// What is newer here than revision `revision` and the list `stamp`;
+    /// `None` if nothing is.
+    pub(super) fn news(&self, revision: u64, stamp: u64) -> Option<News> {
+        if revision >= self.revision() && stamp == self.stamp {
+            return None;
+        }
+        let rows = self.listing.rows.iter();
+        let newer = rows.filter(|(_, row)| row.version > revision);
+        let before = self.history.iter().find(|(earlier, _)| *earlier == stamp);
+        let instances = match before {
+            _ if stamp == self.stamp => Change::Same,
+            Some((_, before)) => Change::between(before, &self.instances),
+            None => Change::All((*self.instances).clone()),
+        };
+        Some(News {
+            instances,
+            revision: self.revision(),
+            rows: newer
+                .map(|(path, row)| (path.clone(), row.clone()))
+                .collect(),
+        })
+    }
+
+    /// The revision of the settings in force.
+    pub(super) fn revision(&self) -> u64 {
+        self.listing.revision
+    }
+
+    /// A number that differs whenever the list of instances does.
+    pub(super) fn stamp(&self) -> u64 {
+        self.stamp
+    }
+
+    fn read_settings(&mut self) {
+        let rows = self.listing.rows.iter();
+        let rows = rows.filter(|(_, row)| !row.value.is_empty());
+        let texts = rows.map(|(path, row)| (path.as_str(), row.value.as_str()));
+        let (shared, errors) = Shared::read(texts);
+        for error in errors {
+            tracing::error!(%error, "shared settings with faults are left out");
+        }
+        self.shared = Arc::new(shared);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::platform::Row;
+
+    fn news(revision: u64, rows: &[(&str, u64)]) -> News {
+        let row = |version: u64| Row {
+            value: format!("kind: service # {version}"),
+            version,
+        };
+        News {
+            instances: Change::Same,
+            revision,
+            rows: rows
+                .iter()
+                .map(|(path, version)| (format!("settings/pools/{path}"), row(*version)))
+                .collect(),
+        }
+    }
+
+    /// A peer that lags tells an entry of older settings: a user would see an
+    /// accepted configuration revert. The entry learned revision 9 from one
+    /// peer, then asks another that is still at 5. Cause: answers without an
+    /// order between peers. Each row's version only grows here.
+    #[test]
+    fn a_lagging_peer_reverts_nothing() {
+        let first = Directory::default().merged(news(9, &[("a", 9), ("b", 3)]));
+        let first = first.unwrap();
+        assert!(first.merged(news(5, &[("a", 5), ("b", 3)])).is_none());
+        assert_eq!(first.revision(), 9);
+    }
+
+    #[test]
+    fn news_hold_only_what_is_newer() {
+        let first = Directory::default().merged(news(9, &[("a", 9), ("b", 3)]));
+        let first = first.unwrap();
+        let told = first.news(5, first.stamp()).unwrap();
+        assert_eq!(told, news(9, &[("a", 9)]));
+        assert!(first.news(9, first.stamp()).is_none());
+    }
+}
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,164 @@
+//! Passes a small HTTP request on to another entry.
+
+use crate::{
+    base::{Cause, Clock, Failure, Incarnation, Issuer, Millis, Priority, RequestId},
+    wire::{
+        CallHead,
+        FromAgent,
+        Hello,
+        Link,
+        LinkEvent,
+        LinkTuning,
+        MESSAGE_COST,
+        Slot,
+        Start,
+        ToAgent,
+        Work,
+        handshake,
+        run_link, //
+    },
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use hyper::StatusCode;
+use std::net::SocketAddr;
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::timeout, //
+};
+
+/// What is needed to open a link to another entry.
+#[derive(Clone)]
+pub(super) struct Forward {
+    pub(super) clock: Clock,
+    pub(super) hello: Hello,
+}
+
+/// The request's one slot; each forwarded request has a connection of its own.
+const SLOT: Slot = Slot(1);
+
+/// The messages that may wait on that connection.
+const RING: usize = 64;
+
+/// The largest answer that is passed on.
+const MAX_ANSWER: usize = 32 * 1024 * 1024;
+
+/// Asks the entry at `peer` for `path`.
+pub(super) async fn get(
+    forward: &Forward,
+    peer: SocketAddr,
+    path: &str,
+    wait: Millis,
+) -> Result<Bytes, Failure> {
+    let (status, body) = send(forward, peer, "GET", path, Bytes::new(), wait).await?;
+    match status {
+        StatusCode::OK => Ok(body),
+        _ => Err(Failure::not_run(Cause::Unknown, status.to_string())),
+    }
+}
+
+/// Sends a request with a whole body and reads the whole answer.
+pub(super) async fn send(
+    forward: &Forward,
+    peer: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Bytes,
+    wait: Millis,
+) -> Result<(StatusCode, Bytes), Failure> {
+    let connected = timeout(Millis(1_000).as_duration(), TcpStream::connect(peer)).await;
+    let Ok(Ok(stream)) = connected else {
+        let detail = format!("no connection to the entry at {peer}");
+        return Err(Failure::not_run(Cause::LinkLost, detail));
+    };
+    let opened = handshake(stream, &forward.hello)
+        .await
+        .map_err(|error| Failure::not_run(Cause::LinkLost, error.to_string()))?;
+
+    let (inbox, mut events) = mpsc::channel(RING);
+    let link = run_link(opened, (), inbox, LinkTuning::default());
+    let exchange = async {
+        let Some(LinkEvent::Up { sender, .. }) = events.recv().await else {
+            return Err(lost());
+        };
+        sender.send(start(forward, method, path, body, wait)).await;
+        answer(&sender, &mut events).await
+    };
+    let both = async {
+        tokio::select! {
+            answer = exchange => answer,
+            () = link => Err(lost()),
+        }
+    };
+    match timeout(wait.as_duration(), both).await {
+        Ok(answer) => answer,
+        Err(_) => Err(lost()),
+    }
+}
+
+async fn answer(
+    link: &Link<ToAgent>,
+    events: &mut mpsc::Receiver<LinkEvent<(), FromAgent, ToAgent>>,
+) -> Result<(StatusCode, Bytes), Failure> {
+    let mut body = BytesMut::new();
+    let mut code = StatusCode::INTERNAL_SERVER_ERROR;
+    while let Some(event) = events.recv().await {
+        let LinkEvent::Message { message, .. } = event else {
+            break;
+        };
+        match message {
+            FromAgent::Data { bytes, .. } => {
+                body.extend_from_slice(&bytes);
+                if body.len() > MAX_ANSWER {
+                    break;
+                }
+                let credit = ToAgent::Credit {
+                    bytes: bytes.len() as u32 + MESSAGE_COST,
+                    slot: SLOT,
+                };
+                link.send(credit).await;
+            }
+            FromAgent::End { .. } => return Ok((code, body.freeze())),
+            FromAgent::Failed { failure, .. } => return Err(failure),
+            FromAgent::Head { status, .. } => {
+                code = StatusCode::from_u16(status).unwrap_or(code);
+            }
+            _ => {}
+        }
+    }
+    Err(lost())
+}
+
+fn lost() -> Failure {
+    Failure::may_have_run(Cause::LinkLost, "the other entry gave no whole answer")
+}
+
+fn start(forward: &Forward, method: &str, path: &str, body: Bytes, budget: Millis) -> ToAgent {
+    let request = RequestId {
+        incarnation: Incarnation::at(forward.clock.now()),
+        issuer: Issuer::of(&forward.hello.instance),
+        second: 0,
+        sequence: 0,
+    };
+    ToAgent::Start(Box::new(Start {
+        attempt: 0,
+        budget,
+        class: String::new(),
+        idempotent: true,
+        key: None,
+        priority: Priority::Live,
+        request,
+        slot: SLOT,
+        team: String::new(),
+        work: Work::Call(CallHead {
+            body,
+            headers: Vec::new(),
+            method: method.to_owned(),
+            path: path.to_owned(),
+            whole: true,
+        }),
+    }))
+}
--- /dev/null
+++ b/src/entry/front.rs
@@ -0,0 +1,94 @@
+//! The duty that talks HTTP with callers and trainers.
+
+use super::{
+    app_api::AppApi,
+    command::Command,
+    trainer_api::{self, TrainerApi}, //
+};
+use crate::{
+    base::{Cause, Failure, Millis, RequestId},
+    duty::{Answer, Context, HttpServer, problem, text}, //
+};
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use hyper::{
+    Request,
+    body::Incoming, //
+};
+use tokio::sync::mpsc;
+
+/// The bytes of a trainer's request: a step of 2,048 prompts of 8 KB.
+const TRAINER_BODY: usize = 16 * 1024 * 1024;
+
+/// How long a trainer's request may take to arrive.
+const TRAINER_TIME: Millis = Millis(30_000);
+
+/// Deliveries told to the traffic duty at once.
+const BATCH: usize = 128;
+
+/// Serves until the program has drained.
+pub(super) async fn run(
+    context: Context,
+    server: HttpServer,
+    leave: Millis,
+    app: AppApi,
+    trainers: TrainerApi,
+    delivered: mpsc::Receiver<RequestId>,
+) {
+    tokio::spawn(tell_delivered(delivered, app.traffic.clone()));
+    server
+        .serve(&context, leave, move |request| {
+            let (app, trainers) = (app.clone(), trainers.clone());
+            async move { route(app, trainers, request).await }
+        })
+        .await;
+    context.drained();
+    context.reached(crate::duty::Phase::Stopped).await;
+}
+
+async fn route(app: AppApi, trainers: TrainerApi, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path();
+    if path.starts_with("/v1/app/") {
+        return app.handle(request).await;
+    }
+    if path.starts_with("/v1/teams/") {
+        return trainer(trainers, request).await;
+    }
+    let detail = format!("no such resource: `{path}`");
+    problem(&Failure::not_run(Cause::NotFound, detail), None)
+}
+
+async fn trainer(api: TrainerApi, request: Request<Incoming>) -> Answer {
+    let (parts, body) = request.into_parts();
+    let gathered = Limited::new(body, TRAINER_BODY).collect();
+    let body = match tokio::time::timeout(TRAINER_TIME.as_duration(), gathered).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            let failure = Failure::not_run(Cause::TooLarge, error.to_string());
+            return problem(&failure, None);
+        }
+        Err(_) => {
+            let detail = "the body did not arrive in time";
+            return problem(&Failure::not_run(Cause::BadRequest, detail), None);
+        }
+    };
+    let (method, path) = (parts.method.as_str(), parts.uri.path());
+    let (status, body) = trainer_api::handle(&api, method, path, body, false).await;
+    let kind = match status.is_success() {
+        true => "application/json",
+        false => "application/problem+json",
+    };
+    text(status, kind, body)
+}
+
+async fn tell_delivered(mut delivered: mpsc::Receiver<RequestId>, traffic: mpsc::Sender<Command>) {
+    let mut batch = Vec::with_capacity(BATCH);
+    while delivered.recv_many(&mut batch, BATCH).await > 0 {
+        let told = std::mem::take(&mut batch);
+        if traffic.send(Command::Delivered(told)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! The entry: what callers and trainers talk to.
+
+mod app_api;
+mod arrival;
+mod call;
+mod chat_api;
+mod command;
+mod dialer;
+mod directory;
+mod entry_handle;
+mod explain;
+mod forward;
+mod front;
+mod issue;
+mod learner;
+mod news;
+mod outcomes;
+mod owned_step;
+mod ownership;
+mod peer_door;
+mod reply_body;
+mod rollout;
+mod sample;
+mod server;
+mod swaps;
+mod traffic;
+mod trainer;
+mod trainer_api;
+mod view;
+
+pub use self::entry_handle::Entry;
--- /dev/null
+++ b/src/entry/news.rs
@@ -0,0 +1,113 @@
+//! What one entry tells another of settings and instances: only what changed.
+
+use crate::platform::{
+    Instance,
+    Row, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+/// A change of the list of instances.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(super) enum Change {
+    All(Vec<Instance>),
+    Part {
+        changed: Vec<Instance>,
+        gone: Vec<String>,
+    },
+    #[default]
+    Same,
+}
+
+/// What is newer than what the asker has.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(super) struct News {
+    pub(super) instances: Change,
+    /// The table's revision that the rows bring the asker up to.
+    pub(super) revision: u64,
+    pub(super) rows: BTreeMap<String, Row>,
+}
+
+impl Change {
+    /// The list after this change of `before`.
+    pub(super) fn apply(self, before: &[Instance]) -> Vec<Instance> {
+        match self {
+            Self::All(list) => list,
+            Self::Part { changed, gone } => {
+                let replaced: BTreeSet<&str> = changed
+                    .iter()
+                    .map(|one| one.name.as_str())
+                    .chain(gone.iter().map(String::as_str))
+                    .collect();
+                let kept = before
+                    .iter()
+                    .filter(|one| !replaced.contains(one.name.as_str()));
+                let mut list: Vec<Instance> = kept.cloned().collect();
+                list.extend(changed);
+                list.sort_by(|a, b| a.name.cmp(&b.name));
+                list
+            }
+            Self::Same => before.to_vec(),
+        }
+    }
+
+    /// The change that leads from `before` to `after`.
+    pub(super) fn between(before: &[Instance], after: &[Instance]) -> Self {
+        let old: BTreeMap<&str, &Instance> =
+            before.iter().map(|one| (one.name.as_str(), one)).collect();
+        let new: BTreeSet<&str> = after.iter().map(|one| one.name.as_str()).collect();
+        let changed = after
+            .iter()
+            .filter(|one| old.get(one.name.as_str()) != Some(one));
+        let gone = before
+            .iter()
+            .filter(|one| !new.contains(one.name.as_str()))
+            .map(|one| one.name.clone());
+        Self::Part {
+            changed: changed.cloned().collect(),
+            gone: gone.collect(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::platform::InstanceState;
+
+    fn list(names: &[(&str, u16)]) -> Vec<Instance> {
+        names
+            .iter()
+            .map(|(name, port)| Instance {
+                admin: ([127, 0, 0, 1], *port).into(),
+                data_centre: "hall".into(),
+                links: ([127, 0, 0, 1], *port).into(),
+                name: (*name).into(),
+                pool: None,
+                state: InstanceState::Live,
+            })
+            .collect()
+    }
+
+    #[test]
+    fn a_change_leads_from_one_list_to_the_other() {
+        let lists = [
+            list(&[]),
+            list(&[("a", 1)]),
+            list(&[("a", 2), ("b", 1)]),
+            list(&[("b", 1), ("c", 1)]),
+        ];
+        for before in &lists {
+            for after in &lists {
+                let change = Change::between(before, after);
+                assert_eq!(change.apply(before), *after);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/outcomes.rs
@@ -0,0 +1,274 @@
+//! How the traffic duty takes answers and failures, and ends calls.
+
+use super::{
+    call::{AttemptKey, Call, CallKey},
+    command::Reply,
+    server::ServerKey,
+    traffic::Traffic, //
+};
+use crate::{
+    base::{Cause, Event, Failure, Millis, RequestId, Span, Verdict},
+    policy::{
+        retry::{self, Decision},
+        retry_budget::RetryBudget, //
+    },
+    wire::{FromAgent, Slot, ToAgent}, //
+};
+use slotmap::Key;
+
+/// How long after a deadline the agent's own word on it is waited for. Only
+/// the agent can say that a request did not run.
+const GRACE: Millis = Millis(150);
+
+impl Traffic {
+    /// An answer that belongs to a call under way.
+    pub(super) fn on_answer(&mut self, key: AttemptKey, call: CallKey, message: FromAgent) {
+        let taken = match message {
+            FromAgent::Credit { bytes, .. } => self.reply_to(call, Reply::Credit(bytes)),
+            FromAgent::Data { bytes, .. } => self.reply_to(call, Reply::Data(bytes)),
+            FromAgent::End { finish, .. } => {
+                self.finish(key, call, Reply::End(finish));
+                return;
+            }
+            FromAgent::Failed { failure, .. } => {
+                self.fail_attempt(key, failure);
+                return;
+            }
+            FromAgent::Head {
+                status, headers, ..
+            } => {
+                if let Some(call) = self.calls.get_mut(call) {
+                    call.visible = true;
+                }
+                self.reply_to(call, Reply::Head { status, headers })
+            }
+            FromAgent::Spans { spans, .. } => self.on_spans(call, spans),
+            FromAgent::Tokens { from, tokens, .. } => {
+                let spliced = self
+                    .calls
+                    .get_mut(call)
+                    .is_some_and(|call| call.tokens.splice(from, &tokens));
+                spliced && self.reply_to(call, Reply::Tokens(from, tokens))
+            }
+            FromAgent::Account { .. } | FromAgent::Ordered { .. } | FromAgent::Report(_) => true,
+        };
+        if !taken {
+            self.abandon(call);
+        }
+    }
+
+    /// A link is gone: every request on it is settled by its verdict.
+    pub(super) fn on_down(&mut self, server: ServerKey, reason: &'static str) {
+        let now = self.context.clock.now();
+        let Some(state) = self.servers.get_mut(server) else {
+            return;
+        };
+        let name = state.instance.name.clone();
+        tracing::warn!(server = name, reason, "link down");
+        metrics::counter!("redwing_links_down_total", "reason" => reason).increment(1);
+        state.link = None;
+        state.health.fail(now);
+
+        let lost: Vec<AttemptKey> = self
+            .attempts
+            .iter()
+            .filter(|(_, handover)| handover.server == server)
+            .map(|(key, _)| key)
+            .collect();
+        for key in lost {
+            let detail = format!("the link to `{name}` was lost: {reason}");
+            self.fail_attempt(key, Failure::may_have_run(Cause::LinkLost, detail));
+        }
+        let orders = self.orders.extract_if(|_, order| order.server == server);
+        for (_, order) in orders {
+            let detail = "the link was lost";
+            let failure = Failure::may_have_run(Cause::LinkLost, detail);
+            let _ = order.reply.send(Err(failure));
+        }
+    }
+
+    /// An attempt is over without a whole answer.
+    pub(super) fn fail_attempt(&mut self, key: AttemptKey, failure: Failure) {
+        let now = self.context.clock.now();
+        let Some(handover) = self.end_attempt(key) else {
+            return;
+        };
+        self.judge(handover.server, &failure, now);
+        let Some(call) = self.calls.get_mut(handover.call) else {
+            return;
+        };
+        call.current = None;
+        call.in_doubt |= failure.verdict.may_have_run();
+        call.tried.push(handover.server);
+
+        let decision = retry::decide(now, call.attempt(), &failure);
+        let pool = (call.new.team.clone(), call.new.pool.clone());
+        let share = call.new.retry_share as f64 / 100.0;
+        let decision = match decision {
+            Decision::Retry { paid: true, .. } => {
+                let budget = self.budgets.entry(pool);
+                match budget.or_insert_with(|| RetryBudget::new(share)).spend() {
+                    true => decision,
+                    false => Decision::GiveUp,
+                }
+            }
+            Decision::GiveUp | Decision::Retry { .. } => decision,
+        };
+        tracing::info!(
+            target: "decision",
+            request = %call.new.request,
+            team = call.new.team,
+            class = call.new.class,
+            cause = failure.cause.word(),
+            verdict = ?failure.verdict,
+            attempts = call.attempts,
+            decision = ?decision,
+            "attempt failed"
+        );
+        match decision {
+            Decision::GiveUp => self.give_up(handover.call, failure),
+            Decision::Retry { wait, .. } => {
+                let event = Event::Retried {
+                    cause: failure.cause,
+                    verdict: failure.verdict,
+                };
+                self.ledger.note(now, call.new.request, event);
+                call.drop_uncertain();
+                call.next_try = now + wait;
+                if wait == Millis(0) {
+                    self.route(handover.call);
+                }
+            }
+        }
+    }
+
+    /// The call ends with `failure`, told at once.
+    pub(super) fn give_up(&mut self, key: CallKey, mut failure: Failure) {
+        let now = self.context.clock.now();
+        let Some(call) = self.remove(key) else {
+            return;
+        };
+        if call.in_doubt && failure.verdict == Verdict::NotRun {
+            // The last attempt did not run, but an earlier one may have.
+            failure.verdict = Verdict::MayHaveRun;
+        }
+        let (cause, verdict) = (failure.cause, failure.verdict);
+        let event = Event::Failed { cause, verdict };
+        self.ledger.note(now, call.new.request, event);
+        metrics::counter!("redwing_calls_failed_total", "cause" => cause.word()).increment(1);
+        call.reply(Reply::Failed(failure));
+    }
+
+    /// Notes that callers' connections were handed whole answers.
+    pub(super) fn note_delivered(&mut self, requests: &[RequestId]) {
+        let now = self.context.clock.now();
+        for request in requests {
+            self.ledger.note(now, *request, Event::Delivered);
+        }
+    }
+
+    /// Looks at every call: callers gone, deadlines passed, waits over.
+    pub(super) fn sweep(&mut self, now: Millis) {
+        let keys: Vec<CallKey> = self.calls.keys().collect();
+        for key in keys {
+            let Some(call) = self.calls.get(key) else {
+                continue;
+            };
+            if call.new.reply.is_closed() {
+                self.abandon(key);
+                continue;
+            }
+            match call.current {
+                None if now >= call.new.deadline => {
+                    let detail = "the deadline passed before a server took the call";
+                    self.give_up(key, Failure::not_run(Cause::DeadlinePassed, detail));
+                }
+                None if now >= call.next_try => self.route(key),
+                Some(_) if now >= call.new.deadline + GRACE => {
+                    self.cancel(key);
+                    let detail = "the deadline passed and the agent said nothing";
+                    self.give_up(key, Failure::may_have_run(Cause::DeadlinePassed, detail));
+                }
+                Some(_) | None => {}
+            }
+        }
+    }
+
+    /// Nobody waits for the call any more.
+    fn abandon(&mut self, key: CallKey) {
+        self.cancel(key);
+        let detail = "the caller is gone";
+        self.give_up(key, Failure::may_have_run(Cause::Cancelled, detail));
+    }
+
+    fn cancel(&mut self, key: CallKey) {
+        if let Some(call) = self.calls.get(key) {
+            self.to_current(call.new.request, |slot: Slot| ToAgent::Cancel { slot });
+        }
+    }
+
+    fn end_attempt(&mut self, key: AttemptKey) -> Option<super::call::Handover> {
+        let handover = self.attempts.remove(key)?;
+        if let Some(server) = self.servers.get_mut(handover.server) {
+            server.in_flight = server.in_flight.saturating_sub(1);
+        }
+        Some(handover)
+    }
+
+    fn finish(&mut self, key: AttemptKey, call: CallKey, end: Reply) {
+        let now = self.context.clock.now();
+        if let Some(handover) = self.end_attempt(key)
+            && let Some(server) = self.servers.get_mut(handover.server)
+        {
+            server.health.succeed();
+        }
+        let Some(call) = self.remove(call) else {
+            return;
+        };
+        let request = call.new.request;
+        if let Some(model) = call.model() {
+            let model = model.to_owned();
+            let spans = call.spans.clone();
+            self.ledger
+                .note(now, request, Event::Versions { model, spans });
+        }
+        self.ledger.note(now, request, Event::Finished);
+        metrics::counter!("redwing_calls_finished_total").increment(1);
+        let pool = (call.new.team.clone(), call.new.pool.clone());
+        if let Some(budget) = self.budgets.get_mut(&pool) {
+            budget.succeed();
+        }
+        call.reply(end);
+    }
+
+    /// Lets a failure count against the server, if it is the server's fault.
+    fn judge(&mut self, server: ServerKey, failure: &Failure, now: Millis) {
+        let at_fault = matches!(
+            failure.cause,
+            Cause::BackendBroken | Cause::BackendUnreachable | Cause::VersionUncertain
+        );
+        if let Some(server) = self.servers.get_mut(server).filter(|_| at_fault) {
+            server.health.fail(now);
+        }
+    }
+
+    fn on_spans(&mut self, key: CallKey, spans: Vec<Span>) -> bool {
+        let Some(call) = self.calls.get_mut(key) else {
+            return false;
+        };
+        Span::extend(&mut call.spans, spans.iter().copied());
+        call.reply(Reply::Spans(spans))
+    }
+
+    fn remove(&mut self, key: CallKey) -> Option<Call> {
+        let call = self.calls.remove(key)?;
+        self.ids.remove(&call.new.request);
+        self.admission.give_back(&call.new.team, &call.new.class);
+        if let Some(attempt) = call.current
+            && !attempt.is_null()
+        {
+            self.end_attempt(attempt);
+        }
+        Some(call)
+    }
+}
--- /dev/null
+++ b/src/entry/owned_step.rs
@@ -0,0 +1,123 @@
+//! A step that this entry owns: its state, its attempts and its open fetches.
+
+use super::rollout::Asked;
+use crate::{
+    base::{Millis, WeightVersion},
+    policy::{
+        bitmap::Bitmap,
+        step::{Sample, Step}, //
+    },
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use std::collections::HashMap;
+use tokio::{
+    sync::oneshot,
+    task::JoinHandle, //
+};
+
+/// A fetch that waits for finished groups.
+pub(super) struct Fetch {
+    pub(super) have: Bitmap,
+    pub(super) reply: oneshot::Sender<Asked>,
+    pub(super) until: Millis,
+    pub(super) version: WeightVersion,
+}
+
+/// A step and what runs for it. Dropping it ends its attempts.
+pub(super) struct OwnedStep {
+    /// The latest fetch; a newer one takes its place.
+    pub(super) fetch: Option<Fetch>,
+    pub(super) step: Step,
+    pub(super) tasks: HashMap<u32, JoinHandle<()>>,
+}
+
+/// The groups and the bytes of text handed out by one fetch.
+const MOST_GROUPS: usize = 64;
+const MOST_BYTES: usize = 4 * 1024 * 1024;
+
+impl OwnedStep {
+    pub(super) fn new(step: Step) -> Self {
+        Self {
+            fetch: None,
+            step,
+            tasks: HashMap::new(),
+        }
+    }
+
+    /// Answers the open fetch if there is something to hand out, if the step
+    /// is whole, or if its time is over.
+    pub(super) fn answer_fetch(&mut self, now: Millis, epoch: u64) {
+        let Some(fetch) = &self.fetch else {
+            return;
+        };
+        if fetch.reply.is_closed() {
+            self.fetch = None;
+            return;
+        }
+        let fetched = self
+            .step
+            .fetch(now, &fetch.have, fetch.version, MOST_GROUPS);
+        let nothing = fetched.groups.is_empty() && !fetched.last;
+        if nothing && now < fetch.until {
+            return;
+        }
+        let Some(fetch) = self.fetch.take() else {
+            return;
+        };
+
+        let mut bytes = 0;
+        let mut groups = Vec::new();
+        for group in &fetched.groups {
+            if bytes > MOST_BYTES {
+                break;
+            }
+            groups.push(self.group(*group, &fetch.have, &mut bytes));
+        }
+        let answer = json!({
+            "done": fetched.last && groups.len() == fetched.groups.len(),
+            "dropped": fetched.dropped,
+            "epoch": epoch,
+            "groups": groups,
+            "regenerated": self.step.regenerated(),
+        });
+        let _ = fetch.reply.send(Asked::Answer(Ok(answer)));
+    }
+
+    fn group(&self, group: u32, have: &Bitmap, bytes: &mut usize) -> Value {
+        let samples: Vec<Value> = self
+            .step
+            .numbers(group)
+            .filter(|number| !have.holds(*number))
+            .filter_map(|number| {
+                let sample = self.step.sample(number)?;
+                *bytes += sample.tokens.text().len();
+                Some(describe(self.step.identity(number).1, number, sample))
+            })
+            .collect();
+        json!({ "group": group, "samples": samples })
+    }
+}
+
+impl Drop for OwnedStep {
+    fn drop(&mut self) {
+        for task in self.tasks.values() {
+            task.abort();
+        }
+    }
+}
+
+fn describe(index: u32, number: u32, sample: &Sample) -> Value {
+    let tokens: Vec<&str> = sample.tokens.iter().collect();
+    json!({
+        "finish_reason": sample.finish,
+        "index": index,
+        "number": number,
+        "request_id": sample.request.to_string(),
+        "score": sample.score,
+        "tokens": tokens,
+        "weight_versions": sample.spans,
+    })
+}
--- /dev/null
+++ b/src/entry/peer_door.rs
@@ -0,0 +1,179 @@
+//! The duty that answers other entries.
+
+use super::{
+    directory::Directory,
+    learner::{HOLD, PATH},
+    news::News,
+    trainer_api::{self, TrainerApi}, //
+};
+use crate::{
+    duty::{Context, Phase},
+    wire::{
+        CallHead,
+        FromAgent,
+        Hello,
+        Link,
+        LinkEvent,
+        LinkTuning,
+        MAX_CHUNK,
+        MESSAGE_COST,
+        Slot,
+        ToAgent,
+        WINDOW,
+        Work,
+        handshake,
+        run_link, //
+    },
+};
+use bytes::Bytes;
+use hyper::StatusCode;
+use std::sync::Arc;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc, watch}, //
+};
+
+/// The connections open at once. A reader holds one for each entry that
+/// learns from it; with 460 entries and 4 readers that is some 115.
+const MAX_LINKS: usize = 1_024;
+
+/// The messages that may wait on one connection.
+const RING: usize = 64;
+
+/// What other entries may ask for.
+#[derive(Clone)]
+pub(super) struct Peers {
+    pub(super) directory: watch::Receiver<Arc<Directory>>,
+    pub(super) hello: Hello,
+    pub(super) trainers: TrainerApi,
+}
+
+/// Answers until the program stops.
+pub(super) async fn run(context: Context, listener: std::net::TcpListener, peers: Peers) {
+    context.drained();
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    let room = Arc::new(Semaphore::new(MAX_LINKS));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = context.reached(Phase::Stopped) => return,
+        };
+        let (Ok((stream, _)), Ok(permit)) = (accepted, room.clone().try_acquire_owned()) else {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            continue;
+        };
+        let peers = peers.clone();
+        tokio::spawn(async move {
+            serve(stream, peers).await;
+            drop(permit);
+        });
+    }
+}
+
+/// Answers the one request of a connection.
+async fn serve(stream: TcpStream, peers: Peers) {
+    let Ok(opened) = handshake(stream, &peers.hello).await else {
+        return;
+    };
+    let (inbox, mut events) = mpsc::channel(RING);
+    let link = run_link(opened, (), inbox, LinkTuning::default());
+    let exchange = async {
+        let Some(LinkEvent::Up { sender, .. }) = events.recv().await else {
+            return;
+        };
+        let Some(LinkEvent::Message {
+            message: ToAgent::Start(start),
+            ..
+        }) = events.recv().await
+        else {
+            return;
+        };
+        let Work::Call(head) = start.work else {
+            return;
+        };
+        let answering = answer(&peers, head);
+        let (status, body) = tokio::select! {
+            answer = answering => answer,
+            Some(LinkEvent::Down { .. }) = events.recv() => return,
+        };
+        reply(&sender, &mut events, start.slot, status, body).await;
+        // The peer closes the connection once it has the whole answer.
+        while let Some(event) = events.recv().await {
+            if matches!(event, LinkEvent::Down { .. }) {
+                return;
+            }
+        }
+    };
+    tokio::join!(link, exchange);
+}
+
+async fn answer(peers: &Peers, head: CallHead) -> (StatusCode, Bytes) {
+    let (path, query) = head.path.split_once('?').unwrap_or((&head.path, ""));
+    if path == PATH {
+        let news = news(
+            peers,
+            parameter(query, "revision"),
+            parameter(query, "stamp"),
+        );
+        return (StatusCode::OK, news.await);
+    }
+    trainer_api::handle(&peers.trainers, &head.method, path, head.body, true).await
+}
+
+/// What is newer than the peer's settings and list, as soon as anything is,
+/// or nothing after the hold.
+async fn news(peers: &Peers, revision: u64, stamp: u64) -> Bytes {
+    let mut watch = peers.directory.clone();
+    let any = watch.wait_for(|now| now.is_known() && now.news(revision, stamp).is_some());
+    let _ = tokio::time::timeout(HOLD.as_duration(), any).await;
+    let news = peers.directory.borrow().news(revision, stamp);
+    let news = news.unwrap_or_else(|| News {
+        revision,
+        ..News::default()
+    });
+    Bytes::from(serde_json::to_vec(&news).unwrap_or_default())
+}
+
+/// A number from a query; 0 where there is none.
+fn parameter(query: &str, name: &str) -> u64 {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let value = pairs.find(|(key, _)| *key == name).map(|(_, value)| value);
+    value.and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+async fn reply(
+    link: &Link<FromAgent>,
+    events: &mut mpsc::Receiver<LinkEvent<(), ToAgent, FromAgent>>,
+    slot: Slot,
+    status: StatusCode,
+    mut body: Bytes,
+) {
+    let headers = Vec::new();
+    let status = status.as_u16();
+    link.send(FromAgent::Head {
+        slot,
+        status,
+        headers,
+    })
+    .await;
+    let mut credit = WINDOW;
+    while !body.is_empty() {
+        let bytes = body.split_to(body.len().min(MAX_CHUNK));
+        let cost = bytes.len() as u32 + MESSAGE_COST;
+        while credit < cost {
+            match events.recv().await {
+                Some(LinkEvent::Message {
+                    message: ToAgent::Credit { bytes, .. },
+                    ..
+                }) => credit = (credit + bytes).min(WINDOW),
+                Some(LinkEvent::Message { .. }) => {}
+                Some(LinkEvent::Down { .. } | LinkEvent::Up { .. }) | None => return,
+            }
+        }
+        credit -= cost;
+        link.send(FromAgent::Data { slot, bytes }).await;
+    }
+    link.send(FromAgent::End { slot, finish: None }).await;
+}
--- /dev/null
+++ b/src/entry/rollout.rs
@@ -0,0 +1,479 @@
+//! The duty that owns trainers' steps.
+
+use super::{
+    command::Command,
+    directory::Directory,
+    issue::Issue,
+    owned_step::{Fetch, OwnedStep},
+    sample::Maker,
+    swaps::Swapped,
+    trainer::{Ownership, Trainer},
+    view::View, //
+};
+use crate::{
+    base::{Cause, Clock, Failure, Millis, WeightVersion},
+    duty::{self, Context, Duty, DutyError, Phase, SupervisorMessage},
+    platform::Platform,
+    policy::{
+        bitmap::Bitmap,
+        lease::{Claimant, Lease},
+        step::{Sample, Step},
+        step_spec::StepSpec, //
+    },
+    settings::RolloutSettings,
+    wire::{Generation, Sampling}, //
+};
+use ractor::ActorRef;
+use serde_json::{
+    Value,
+    json, //
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc, //
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval}, //
+};
+
+/// What a trainer asks.
+pub(super) enum Ask {
+    Cancel(u64),
+    Fetch {
+        epoch: u64,
+        have: Bitmap,
+        step: u64,
+        version: WeightVersion,
+        wait: Millis,
+    },
+    Submit(u64, Box<StepSpec>),
+    Version(String, WeightVersion),
+}
+
+/// How a question is answered.
+pub(super) enum Asked {
+    Answer(Result<Value, Failure>),
+    /// Another entry owns the trainer.
+    Elsewhere(Lease),
+}
+
+/// A question of a trainer, in a request of its own.
+pub(super) struct Question {
+    pub(super) ask: Ask,
+    pub(super) reply: oneshot::Sender<Asked>,
+    pub(super) team: String,
+    pub(super) trainer: String,
+}
+
+/// A trainer's team and name.
+pub(super) type TrainerKey = (String, String);
+
+/// What tasks of this duty report to its loop.
+pub(super) enum Told {
+    Lease {
+        key: TrainerKey,
+        outcome: super::ownership::Look,
+    },
+    Made {
+        key: TrainerKey,
+        number: u32,
+        result: Box<Result<Sample, Failure>>,
+        step: u64,
+    },
+    Swapped(Swapped),
+}
+
+/// All that the rollout duty owns.
+pub(super) struct Rollout {
+    pub(super) clock: Clock,
+    pub(super) directory: Arc<Directory>,
+    pub(super) draining: bool,
+    pub(super) issue: Issue,
+    pub(super) me: Claimant,
+    pub(super) platform: Platform,
+    pub(super) told: mpsc::Sender<Told>,
+    pub(super) traffic: mpsc::Sender<Command>,
+    pub(super) trainers: BTreeMap<TrainerKey, Trainer>,
+    pub(super) view: Arc<View>,
+}
+
+/// What the rollout duty begins with.
+pub(super) struct Seed {
+    pub(super) clock: Clock,
+    pub(super) issue: Issue,
+    pub(super) me: Claimant,
+    pub(super) platform: SocketAddr,
+    pub(super) questions: mpsc::Receiver<Question>,
+    pub(super) traffic: mpsc::Sender<Command>,
+}
+
+impl Seed {
+    /// Starts the duty.
+    pub(super) fn spawn(
+        self,
+        supervisor: &ActorRef<SupervisorMessage>,
+        directory: watch::Receiver<Arc<Directory>>,
+        view: watch::Receiver<Arc<View>>,
+    ) -> Result<Duty, DutyError> {
+        duty::spawn("rollout", supervisor, move |context| {
+            let (told, reports) = mpsc::channel(TOLD);
+            let rollout = Rollout {
+                clock: self.clock,
+                directory: Arc::default(),
+                draining: false,
+                issue: self.issue,
+                me: self.me,
+                platform: Platform::open(self.platform),
+                told,
+                traffic: self.traffic,
+                trainers: BTreeMap::new(),
+                view: Arc::default(),
+            };
+            run(context, rollout, reports, self.questions, directory, view)
+        })
+    }
+}
+
+/// How often leases, swaps, samples and fetches are looked at.
+const TICK: Millis = Millis(20);
+
+/// The reports of tasks that may wait; their senders wait when it is full.
+const TOLD: usize = 1_024;
+
+/// The questions of trainers that may wait; further ones are refused.
+pub(super) const RING: usize = 256;
+
+/// Steps of one trainer kept at once; the oldest gives way.
+const MAX_STEPS: usize = 4;
+
+/// Samples sent out beyond what the engines run at once, so that no engine
+/// waits for the next one.
+const AHEAD: f64 = 1.25;
+
+/// Runs until the program stops.
+async fn run(
+    context: Context,
+    mut rollout: Rollout,
+    mut told: mpsc::Receiver<Told>,
+    mut questions: mpsc::Receiver<Question>,
+    directory: watch::Receiver<Arc<Directory>>,
+    view: watch::Receiver<Arc<View>>,
+) {
+    let mut tick = interval(TICK.as_duration());
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Some(told) = told.recv() => rollout.on_told(told),
+            Some(question) = questions.recv() => rollout.on_question(question),
+            _ = tick.tick() => {
+                rollout.directory = directory.borrow().clone();
+                rollout.view = view.borrow().clone();
+                rollout.draining = context.phase() >= Phase::Draining;
+                rollout.on_tick();
+                if rollout.draining && rollout.trainers.is_empty() {
+                    context.drained();
+                }
+            }
+            () = context.reached(Phase::Stopped) => return,
+        }
+    }
+}
+
+impl Rollout {
+    /// Answers a question, or keeps it until the trainer's owner is known.
+    pub(super) fn on_question(&mut self, question: Question) {
+        let now = self.clock.now();
+        let key = (question.team.clone(), question.trainer.clone());
+        if self.rollout_settings(&key.0).is_none() {
+            let detail = format!("no team `{}` with rollouts", key.0);
+            let failure = Failure::not_run(Cause::NotFound, detail);
+            let _ = question.reply.send(Asked::Answer(Err(failure)));
+            return;
+        }
+        if self.draining && !self.trainers.contains_key(&key) {
+            let failure = Failure::not_run(Cause::Draining, "the entry is stopping");
+            let failure = failure.retry_after(Millis(100));
+            let _ = question.reply.send(Asked::Answer(Err(failure)));
+            return;
+        }
+
+        let trainer = self.trainers.entry(key.clone()).or_default();
+        trainer.wanted = now;
+        match trainer.ownership.clone() {
+            Ownership::Elsewhere(lease) if now.since(trainer.seen) < super::ownership::FRESH => {
+                let _ = question.reply.send(Asked::Elsewhere(lease));
+            }
+            Ownership::Mine(epoch) => self.answer(&key, epoch, question),
+            Ownership::Elsewhere(_) | Ownership::Unknown => {
+                trainer.put_off(question);
+                self.look(&key);
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.clock.now();
+        self.tend_leases(now);
+        self.tend_swaps(now);
+        self.dispatch(now);
+        for trainer in self.trainers.values_mut() {
+            let Some(epoch) = trainer.epoch() else {
+                continue;
+            };
+            for step in trainer.steps.values_mut() {
+                step.answer_fetch(now, epoch);
+            }
+        }
+    }
+
+    fn on_told(&mut self, told: Told) {
+        match told {
+            Told::Lease { key, outcome } => self.on_look(&key, outcome),
+            Told::Made {
+                key,
+                number,
+                result,
+                step,
+            } => self.on_made(&key, step, number, *result),
+            Told::Swapped(swapped) => self.on_swapped(swapped),
+        }
+    }
+
+    fn on_made(
+        &mut self,
+        key: &TrainerKey,
+        step: u64,
+        number: u32,
+        result: Result<Sample, Failure>,
+    ) {
+        let now = self.clock.now();
+        let Some(trainer) = self.trainers.get_mut(key) else {
+            return;
+        };
+        let epoch = trainer.epoch();
+        let Some(step) = trainer.steps.get_mut(&step) else {
+            return;
+        };
+        step.tasks.remove(&number);
+        match result {
+            Ok(sample) => {
+                step.step.store(now, number, sample);
+            }
+            Err(failure) => step.step.fail(now, number, &failure),
+        }
+        if let Some(epoch) = epoch {
+            step.answer_fetch(now, epoch);
+        }
+    }
+
+    fn answer(&mut self, key: &TrainerKey, epoch: u64, question: Question) {
+        let now = self.clock.now();
+        let Some(trainer) = self.trainers.get_mut(key) else {
+            return;
+        };
+        let answer = match question.ask {
+            Ask::Cancel(step) => {
+                let known = trainer.steps.remove(&step).is_some();
+                Ok(json!({ "cancelled": known, "epoch": epoch }))
+            }
+            Ask::Fetch {
+                epoch: seen,
+                have,
+                step,
+                version,
+                wait,
+            } => {
+                trainer.version = trainer.version.max(version);
+                // The trainer has seen a newer owner: this one was paused
+                // past its lease, and must hand out nothing.
+                if seen > epoch {
+                    trainer.lose();
+                    trainer.ownership = Ownership::Unknown;
+                    let failure = Failure::not_run(Cause::StaleFence, "the lease has moved on");
+                    let failure = failure.retry_after(Millis(200));
+                    let _ = question.reply.send(Asked::Answer(Err(failure)));
+                    return;
+                }
+                let version = trainer.version;
+                let Some(owned) = trainer.steps.get_mut(&step) else {
+                    let failure = unknown_step(step);
+                    let _ = question.reply.send(Asked::Answer(Err(failure)));
+                    return;
+                };
+                owned.fetch = Some(Fetch {
+                    have,
+                    reply: question.reply,
+                    until: now + wait,
+                    version,
+                });
+                owned.answer_fetch(now, epoch);
+                return;
+            }
+            Ask::Submit(number, spec) => submit(trainer, number, *spec, epoch, now),
+            Ask::Version(model, version) => {
+                trainer.version = trainer.version.max(version);
+                trainer.model = Some(model);
+                let version = trainer.version;
+                Ok(json!({ "epoch": epoch, "weight_version": version }))
+            }
+        };
+        let _ = question.reply.send(Asked::Answer(answer));
+    }
+
+    /// Sends out samples as far as the engines have room: trainers in turn,
+    /// each with its oldest step first.
+    fn dispatch(&mut self, now: Millis) {
+        let pools = self.directory.shared.pools.keys();
+        let mut room: HashMap<String, usize> =
+            pools.map(|pool| (pool.clone(), self.room(pool))).collect();
+        let keys: Vec<TrainerKey> = self.trainers.keys().cloned().collect();
+        let mut any = true;
+        while std::mem::take(&mut any) {
+            for key in &keys {
+                let Some(settings) = self.rollout_settings(&key.0).cloned() else {
+                    continue;
+                };
+                let Some(room) = room.get_mut(&settings.pool).filter(|room| **room > 0) else {
+                    continue;
+                };
+                if self.dispatch_one(key, &settings, now) {
+                    *room -= 1;
+                    any = true;
+                }
+            }
+        }
+    }
+
+    fn dispatch_one(&mut self, key: &TrainerKey, settings: &RolloutSettings, now: Millis) -> bool {
+        let maker = self.maker(&key.0, settings);
+        let told = self.told.clone();
+        let Some(trainer) = self.trainers.get_mut(key) else {
+            return false;
+        };
+        let running: usize = trainer.steps.values().map(|step| step.tasks.len()).sum();
+        if trainer.epoch().is_none() || running >= settings.samples as usize {
+            return false;
+        }
+        let version = trainer.version;
+        let mut steps = trainer.steps.iter_mut();
+        let found = steps.find_map(|(number, owned)| {
+            let sample = owned.step.next(now)?;
+            Some((*number, owned, sample))
+        });
+        let Some((number, owned, sample)) = found else {
+            return false;
+        };
+
+        let spec = &owned.step.spec;
+        let least = WeightVersion(version.0.saturating_sub(spec.staleness));
+        let generation = generation(spec, owned.step.identity(sample));
+        // An attempt may not outlive its step's deadline, but a step that is
+        // late still wants its samples.
+        let deadline = owned.step.deadline().max(now + LATE_SAMPLE);
+        let key = key.clone();
+        let task = tokio::task::spawn_local(async move {
+            let result = maker.make(generation, least, deadline).await;
+            let made = Told::Made {
+                key,
+                number: sample,
+                result: Box::new(result),
+                step: number,
+            };
+            let _ = told.send(made).await;
+        });
+        owned.tasks.insert(sample, task);
+        true
+    }
+
+    fn maker(&self, team: &str, settings: &RolloutSettings) -> Maker {
+        Maker {
+            clock: self.clock,
+            issue: self.issue.clone(),
+            pool: settings.pool.clone(),
+            scorer: settings.scorer.clone(),
+            team: team.to_owned(),
+            traffic: self.traffic.clone(),
+        }
+    }
+
+    /// How many more samples the engines of `pool` can be given.
+    fn room(&self, pool: &str) -> usize {
+        let servers = self.view.pool(pool);
+        let capacity: u32 = servers.map(|server| server.report.capacity).sum();
+        let steps = self
+            .trainers
+            .iter()
+            .filter(|(key, _)| {
+                let settings = self.rollout_settings(&key.0);
+                settings.is_some_and(|settings| settings.pool == pool)
+            })
+            .flat_map(|(_, trainer)| trainer.steps.values());
+        let running: usize = steps.map(|step| step.tasks.len()).sum();
+        ((f64::from(capacity) * AHEAD) as usize).saturating_sub(running)
+    }
+
+    pub(super) fn rollout_settings(&self, team: &str) -> Option<&RolloutSettings> {
+        let team = self.directory.shared.teams.get(team)?;
+        team.rollout.as_ref()
+    }
+}
+
+/// The least time that a sample of a step past its deadline gets.
+const LATE_SAMPLE: Millis = Millis(60_000);
+
+fn generation(spec: &StepSpec, (group, index): (u32, u32)) -> Generation {
+    // Each sample of a group is drawn with a seed of its own, the same one
+    // whenever it is made anew.
+    let seed = crate::base::stable_hash(&[
+        &spec.sampling.seed.to_le_bytes(),
+        &group.to_le_bytes(),
+        &index.to_le_bytes(),
+    ]);
+    Generation {
+        done: crate::base::Tokens::default(),
+        model: spec.model.clone(),
+        prompt: spec.groups[group as usize].prompt.clone(),
+        sampling: Sampling {
+            max_tokens: spec.sampling.max_tokens,
+            seed,
+            temperature: spec.sampling.temperature,
+        },
+    }
+}
+
+/// Takes a step, or recognises one that it has already.
+fn submit(
+    trainer: &mut Trainer,
+    number: u64,
+    spec: StepSpec,
+    epoch: u64,
+    now: Millis,
+) -> Result<Value, Failure> {
+    trainer.version = trainer.version.max(spec.weight_version);
+    trainer.model = Some(spec.model.clone());
+    let samples = spec.samples();
+    let new = match trainer.steps.get(&number) {
+        Some(owned) if owned.step.spec != spec => {
+            let detail = format!("step {number} was submitted before with other content");
+            return Err(Failure::not_run(Cause::Duplicate, detail));
+        }
+        Some(_) => false,
+        None => {
+            trainer
+                .steps
+                .insert(number, OwnedStep::new(Step::new(spec, now)));
+            true
+        }
+    };
+    while trainer.steps.len() > MAX_STEPS {
+        trainer.steps.pop_first();
+    }
+    Ok(json!({ "epoch": epoch, "new": new, "samples": samples, "step": number }))
+}
+
+fn unknown_step(step: u64) -> Failure {
+    let detail = format!("step {step} is not known here: submit it again, then fetch");
+    Failure::not_run(Cause::NotFound, detail)
+}
--- /dev/null
+++ b/src/entry/sample.rs
@@ -0,0 +1,229 @@
+//! Makes one sample: a generation and its score.
+
+use super::{
+    command::{Command, NewCall, REPLIES, Reply},
+    issue::Issue, //
+};
+use crate::{
+    base::{
+        Cause,
+        Clock,
+        Failure,
+        Millis,
+        Priority,
+        RequestId,
+        Span,
+        Tokens,
+        WeightVersion, //
+    },
+    policy::{admission::Limits, step::Sample},
+    wire::{CallHead, Finish, Generation, MESSAGE_COST, Work}, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use serde::Deserialize;
+use tokio::sync::mpsc;
+
+/// What making a sample takes.
+#[derive(Clone)]
+pub(super) struct Maker {
+    pub(super) clock: Clock,
+    pub(super) issue: Issue,
+    pub(super) pool: String,
+    pub(super) scorer: String,
+    pub(super) team: String,
+    pub(super) traffic: mpsc::Sender<Command>,
+}
+
+/// The class under which a team's samples appear in accounts and decisions.
+const CLASS: &str = "rollout";
+
+/// Samples are bounded by their team's settings, not by a call limit.
+const LIMITS: Limits = Limits {
+    class: u32::MAX,
+    team: u32::MAX,
+};
+
+/// How long one score may take, and how often it is asked for.
+const SCORE_TIME: Millis = Millis(10_000);
+const SCORE_TRIES: u32 = 5;
+const SCORE_WAIT: Millis = Millis(200);
+
+#[derive(Deserialize)]
+struct Score {
+    score: f64,
+}
+
+/// A generation that came to its end.
+struct Made {
+    finish: Finish,
+    spans: Vec<Span>,
+    tokens: Tokens,
+}
+
+impl Maker {
+    /// Generates with weights of at least `least`, then has it scored.
+    pub(super) async fn make(
+        &self,
+        generation: Generation,
+        least: WeightVersion,
+        deadline: Millis,
+    ) -> Result<Sample, Failure> {
+        let request = self.issue.next();
+        let prompt = generation.prompt.clone();
+        let made = self.generate(request, generation, least, deadline).await?;
+        let score = self.score(&prompt, &made.tokens, request).await?;
+        Ok(Sample {
+            finish: made.finish.word(),
+            request,
+            score,
+            spans: made.spans,
+            tokens: made.tokens,
+        })
+    }
+
+    async fn generate(
+        &self,
+        request: RequestId,
+        generation: Generation,
+        least: WeightVersion,
+        deadline: Millis,
+    ) -> Result<Made, Failure> {
+        let pool = self.pool.clone();
+        let work = Work::Generate(generation);
+        let mut call = self.call(request, pool, work, least, deadline);
+        call.priority = Priority::Rollout;
+        let mut replies = self.send(call).await?;
+        let mut tokens = Tokens::default();
+        let mut spans: Vec<Span> = Vec::new();
+        while let Some(reply) = replies.recv().await {
+            match reply {
+                Reply::End(Some(finish)) => {
+                    return Ok(Made {
+                        finish,
+                        spans,
+                        tokens,
+                    });
+                }
+                Reply::Failed(failure) => return Err(failure),
+                Reply::Spans(more) => {
+                    Span::extend(&mut spans, more);
+                    self.credit(request, MESSAGE_COST).await;
+                }
+                Reply::Tokens(from, part) => {
+                    tokens.splice(from, &part);
+                    let cost = part.text().len() as u32 + 4 * part.len() + MESSAGE_COST;
+                    self.credit(request, cost).await;
+                }
+                Reply::Credit(_) | Reply::Data(_) | Reply::End(None) | Reply::Head { .. } => {}
+            }
+        }
+        Err(gone())
+    }
+
+    /// Asks the team's scoring service; the request key is the sample's
+    /// request, so that a service can tell a repeat from a new sample.
+    async fn score(
+        &self,
+        prompt: &str,
+        tokens: &Tokens,
+        sample: RequestId,
+    ) -> Result<f64, Failure> {
+        let body = serde_json::json!({ "prompt": prompt, "text": tokens.text() }).to_string();
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            match self.score_once(body.clone(), sample).await {
+                Ok(score) => return Ok(score),
+                Err(failure) if tries >= SCORE_TRIES => return Err(failure),
+                Err(_) => tokio::time::sleep(SCORE_WAIT.as_duration()).await,
+            }
+        }
+    }
+
+    async fn score_once(&self, body: String, sample: RequestId) -> Result<f64, Failure> {
+        let request = self.issue.next();
+        let json = Bytes::from_static(b"application/json");
+        let work = Work::Call(CallHead {
+            body: Bytes::from(body),
+            headers: vec![("content-type".to_owned(), json)],
+            method: "POST".to_owned(),
+            path: "/score".to_owned(),
+            whole: true,
+        });
+        let deadline = self.clock.now() + SCORE_TIME;
+        let pool = self.scorer.clone();
+        let mut call = self.call(request, pool, work, WeightVersion(0), deadline);
+        call.key = Some(sample.to_string());
+        let mut replies = self.send(call).await?;
+        let mut code = 0;
+        let mut answer = BytesMut::new();
+        while let Some(reply) = replies.recv().await {
+            match reply {
+                Reply::Data(bytes) => {
+                    answer.extend_from_slice(&bytes);
+                    let cost = bytes.len() as u32 + MESSAGE_COST;
+                    self.credit(request, cost).await;
+                }
+                Reply::End(_) if code == 200 => {
+                    let score: Result<Score, _> = serde_json::from_slice(&answer);
+                    return score.map(|score| score.score).map_err(|_| unscored(code));
+                }
+                Reply::End(_) => return Err(unscored(code)),
+                Reply::Failed(failure) => return Err(failure),
+                Reply::Head { status, .. } => code = status,
+                Reply::Credit(_) | Reply::Spans(_) | Reply::Tokens(..) => {}
+            }
+        }
+        Err(gone())
+    }
+
+    fn call(
+        &self,
+        request: RequestId,
+        pool: String,
+        work: Work,
+        least: WeightVersion,
+        deadline: Millis,
+    ) -> NewCall {
+        NewCall {
+            class: CLASS.to_owned(),
+            deadline,
+            idempotent: true,
+            key: None,
+            least,
+            limits: LIMITS,
+            pool,
+            priority: Priority::Background,
+            reply: mpsc::channel(1).0,
+            request,
+            retry_share: 100,
+            team: self.team.clone(),
+            work,
+        }
+    }
+
+    async fn credit(&self, request: RequestId, bytes: u32) {
+        let _ = self.traffic.send(Command::Credit { request, bytes }).await;
+    }
+
+    async fn send(&self, mut call: NewCall) -> Result<mpsc::Receiver<Reply>, Failure> {
+        let (reply, replies) = mpsc::channel(REPLIES);
+        call.reply = reply;
+        match self.traffic.send(Command::Start(Box::new(call))).await {
+            Ok(()) => Ok(replies),
+            Err(_) => Err(gone()),
+        }
+    }
+}
+
+fn gone() -> Failure {
+    Failure::may_have_run(Cause::Draining, "the traffic duty has ended")
+}
+
+fn unscored(status: u16) -> Failure {
+    let detail = format!("the scoring service answered with status {status}, without a score");
+    Failure::may_have_run(Cause::BackendBroken, detail)
+}
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,74 @@
+//! One backend server as this entry sees it.
+
+use crate::{
+    base::{Incarnation, Millis, WeightVersion},
+    platform::{Instance, InstanceState},
+    policy::{health::Health, router::Candidate},
+    wire::{Link, Report, ToAgent}, //
+};
+use tokio::task::JoinHandle;
+
+slotmap::new_key_type! {
+    /// A server's place in the entry's arena.
+    pub struct ServerKey;
+}
+
+/// A backend server and the link to its agent.
+pub(super) struct Server {
+    pub(super) dialer: JoinHandle<()>,
+    pub(super) distance: Millis,
+    pub(super) health: Health,
+    pub(super) in_flight: u32,
+    pub(super) incarnation: Incarnation,
+    pub(super) instance: Instance,
+    pub(super) link: Option<Link<ToAgent>>,
+    /// Whether the platform still lists it.
+    pub(super) listed: bool,
+    pub(super) report: Report,
+    /// This entry's requests there when the report came.
+    pub(super) reported_mine: u32,
+}
+
+impl Server {
+    /// The server as the router sees it.
+    pub(super) fn candidate(
+        &self,
+        key: ServerKey,
+        now: Millis,
+        excluded: bool,
+    ) -> Candidate<ServerKey> {
+        Candidate {
+            capacity: self.report.capacity,
+            distance: self.distance,
+            eligible: !excluded && self.takes_work(),
+            in_flight: self.in_flight,
+            key,
+            reported: self.report.running + self.report.queued,
+            reported_mine: self.reported_mine,
+            service_time: self.report.service_time,
+            trusted: self.health.may_get(now),
+        }
+    }
+
+    /// Whether the model's weights there are whole and at least `least`.
+    pub(super) fn has(&self, model: &str, least: WeightVersion) -> bool {
+        let version = self.report.engine.version(model);
+        version.is_some_and(|version| version >= least)
+    }
+
+    /// Notes what the agent says of itself.
+    pub(super) fn hear(&mut self, report: Report) {
+        self.reported_mine = self.in_flight;
+        self.report = report;
+    }
+
+    /// Whether new work may go there at all. The agent's own word counts
+    /// before the platform's list, which lags.
+    pub(super) fn takes_work(&self) -> bool {
+        self.link.is_some()
+            && self.listed
+            && self.instance.state == InstanceState::Live
+            && self.report.usable
+            && !self.report.draining
+    }
+}
--- /dev/null
+++ b/src/entry/traffic.rs
@@ -0,0 +1,374 @@
+//! The duty that owns the links to agents and every call under way.
+
+use super::{
+    call::{AttemptKey, Call, CallKey, Handover},
+    command::{Command, Reply},
+    dialer,
+    directory::Directory,
+    issue::Issue,
+    server::{Server, ServerKey},
+    view::{ServerView, View}, //
+};
+use crate::{
+    base::{Failure, Incarnation, Millis, RequestId},
+    duty::{Context, Phase},
+    platform::Instance,
+    policy::{
+        admission::Admission,
+        health::Health,
+        ledger::Ledger,
+        retry_budget::RetryBudget,
+        subset, //
+    },
+    settings::EntrySettings,
+    wire::{EngineState, FromAgent, Hello, LinkEvent, Report, Slot, ToAgent}, //
+};
+use slotmap::{
+    Key,
+    KeyData,
+    SlotMap, //
+};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc, //
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval}, //
+};
+
+/// What the links tell the traffic duty.
+pub(super) type TrafficEvent = LinkEvent<ServerKey, FromAgent, ToAgent>;
+
+/// An order that waits for its outcome.
+pub(super) struct PendingOrder {
+    pub(super) reply: oneshot::Sender<Result<EngineState, Failure>>,
+    pub(super) server: ServerKey,
+}
+
+/// All that the traffic duty owns.
+pub(super) struct Traffic {
+    pub(super) admission: Admission,
+    pub(super) attempts: SlotMap<AttemptKey, Handover>,
+    pub(super) budgets: HashMap<(String, String), RetryBudget>,
+    pub(super) calls: SlotMap<CallKey, Call>,
+    pub(super) context: Context,
+    hello: Hello,
+    pub(super) ids: HashMap<RequestId, CallKey>,
+    inbox: mpsc::Sender<TrafficEvent>,
+    pub(super) issue: Issue,
+    pub(super) ledger: Ledger,
+    pub(super) orders: HashMap<Slot, PendingOrder>,
+    pub(super) queries: HashMap<Slot, super::explain::Asked>,
+    pub(super) servers: SlotMap<ServerKey, Server>,
+    pub(super) settings: EntrySettings,
+    pub(super) turn: u64,
+    view: watch::Sender<Arc<View>>,
+    viewed: Millis,
+}
+
+/// How often deadlines are looked at.
+const TICK: Millis = Millis(25);
+
+/// How often the step duty gets a new view.
+const VIEW: Millis = Millis(100);
+
+/// The link events that may wait; a full ring stops the reading of links.
+const EVENTS: usize = 4_096;
+
+/// The accounts kept for the support engineer.
+const MAX_ACCOUNTS: usize = 20_000;
+
+/// Runs until the program stops.
+pub(super) async fn run(
+    context: Context,
+    settings: EntrySettings,
+    hello: Hello,
+    issue: Issue,
+    mut commands: mpsc::Receiver<Command>,
+    mut directory: watch::Receiver<Arc<Directory>>,
+    view: watch::Sender<Arc<View>>,
+) {
+    let (inbox, mut events) = mpsc::channel(EVENTS);
+    let mut traffic = Traffic::new(context.clone(), settings, hello, issue, inbox, view);
+    let mut tick = interval(TICK.as_duration());
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    directory.mark_changed();
+
+    loop {
+        tokio::select! {
+            Some(event) = events.recv() => traffic.on_event(event),
+            Some(command) = commands.recv() => traffic.on_command(command),
+            Ok(()) = directory.changed() => {
+                let directory = directory.borrow_and_update().clone();
+                traffic.on_directory(&directory);
+            }
+            _ = tick.tick() => traffic.on_tick(),
+            () = context.reached(Phase::Stopped) => break,
+        }
+    }
+
+    let cut = traffic.calls.len();
+    if cut > 0 {
+        tracing::error!(cut, "the stop cut off calls");
+        metrics::counter!("redwing_stop_cut_total").increment(cut as u64);
+    }
+}
+
+impl Traffic {
+    fn new(
+        context: Context,
+        settings: EntrySettings,
+        hello: Hello,
+        issue: Issue,
+        inbox: mpsc::Sender<TrafficEvent>,
+        view: watch::Sender<Arc<View>>,
+    ) -> Self {
+        Self {
+            admission: Admission::default(),
+            attempts: SlotMap::with_key(),
+            budgets: HashMap::new(),
+            calls: SlotMap::with_key(),
+            context,
+            hello,
+            ids: HashMap::new(),
+            inbox,
+            issue,
+            ledger: Ledger::new(MAX_ACCOUNTS),
+            orders: HashMap::new(),
+            queries: HashMap::new(),
+            servers: SlotMap::with_key(),
+            settings,
+            turn: 0,
+            view,
+            viewed: Millis(0),
+        }
+    }
+
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Body {
+                request,
+                bytes,
+                last,
+            } => self.pass_body(request, bytes, last),
+            Command::Credit { request, bytes } => {
+                self.to_current(request, |slot| ToAgent::Credit { slot, bytes });
+            }
+            Command::Delivered(requests) => self.note_delivered(&requests),
+            Command::Explain(request, reply) => self.explain(request, reply),
+            Command::Order {
+                order,
+                reply,
+                server,
+            } => self.order(server, order, reply),
+            Command::Start(new) => self.arrive(*new),
+            Command::View(reply) => {
+                let _ = reply.send(self.view());
+            }
+        }
+    }
+
+    fn on_event(&mut self, event: TrafficEvent) {
+        match event {
+            LinkEvent::Down { link, reason } => self.on_down(link, reason),
+            LinkEvent::Message { link, message } => self.on_message(link, message),
+            LinkEvent::Up {
+                hello,
+                link,
+                sender,
+            } => {
+                if let Some(server) = self.servers.get_mut(link) {
+                    let name = &server.instance.name;
+                    tracing::info!(server = name, "link up");
+                    server.incarnation = hello.incarnation;
+                    server.link = Some(sender);
+                    server.report = Report::default();
+                }
+            }
+        }
+    }
+
+    fn on_message(&mut self, server: ServerKey, message: FromAgent) {
+        match message {
+            FromAgent::Account { slot, account } => self.on_account(slot, account),
+            FromAgent::Ordered { slot, result } => {
+                if let Some(order) = self.orders.remove(&slot) {
+                    let _ = order.reply.send(result);
+                }
+            }
+            FromAgent::Report(report) => {
+                if let Some(server) = self.servers.get_mut(server) {
+                    server.hear(report);
+                }
+            }
+            message => {
+                let Some(slot) = message.slot() else {
+                    return;
+                };
+                // A late answer carries a slot that was given up: its key has
+                // an old generation, or belongs to another server, and so
+                // finds nobody.
+                let key = AttemptKey::from(KeyData::from_ffi(slot.0));
+                match self.attempts.get(key) {
+                    Some(handover) if handover.server == server => {
+                        self.on_answer(key, handover.call, message);
+                    }
+                    Some(_) | None => metrics::counter!("redwing_late_answers_total").increment(1),
+                }
+            }
+        }
+    }
+
+    /// Follows the platform's list: links to the chosen subset of each pool.
+    fn on_directory(&mut self, directory: &Directory) {
+        let wanted = self.wanted(&directory.instances);
+        for server in self.servers.values_mut() {
+            match wanted.get(server.instance.name.as_str()) {
+                Some(instance) if instance.links == server.instance.links => {
+                    server.instance = (*instance).clone();
+                    server.listed = true;
+                }
+                Some(_) | None => server.listed = false,
+            }
+        }
+
+        let linked: BTreeSet<(String, std::net::SocketAddr)> = self
+            .servers
+            .values()
+            .map(|server| (server.instance.name.clone(), server.instance.links))
+            .collect();
+        for instance in wanted.into_values() {
+            if !linked.contains(&(instance.name.clone(), instance.links)) {
+                self.add_server(instance.clone());
+            }
+        }
+        self.drop_unlisted();
+    }
+
+    fn wanted<'a>(&self, instances: &'a [Instance]) -> BTreeMap<&'a str, &'a Instance> {
+        let mut pools: BTreeMap<&str, Vec<&Instance>> = BTreeMap::new();
+        for instance in instances {
+            if let Some(pool) = &instance.pool {
+                pools.entry(pool).or_default().push(instance);
+            }
+        }
+        let me = &self.settings.common.instance;
+        let mut wanted = BTreeMap::new();
+        for pool in pools.into_values() {
+            let names = pool.iter().map(|instance| instance.name.as_str());
+            let chosen: BTreeSet<&str> = subset::choose(me, names, subset::SUBSET)
+                .into_iter()
+                .collect();
+            let kept = pool
+                .into_iter()
+                .filter(|instance| chosen.contains(instance.name.as_str()));
+            wanted.extend(kept.map(|instance| (instance.name.as_str(), instance)));
+        }
+        wanted
+    }
+
+    fn add_server(&mut self, instance: Instance) {
+        let (hello, inbox) = (self.hello.clone(), self.inbox.clone());
+        let distance = self.settings.distance(&instance.data_centre);
+        self.servers.insert_with_key(|key| Server {
+            dialer: tokio::task::spawn_local(dialer::dial(key, instance.links, hello, inbox)),
+            distance,
+            health: Health::default(),
+            in_flight: 0,
+            incarnation: Incarnation::default(),
+            instance,
+            link: None,
+            listed: true,
+            report: Report::default(),
+            reported_mine: 0,
+        });
+    }
+
+    /// Lets go of servers that the platform no longer lists, once nothing
+    /// of ours runs there.
+    fn drop_unlisted(&mut self) {
+        self.servers.retain(|_, server| {
+            let keep = server.listed || server.in_flight > 0;
+            if !keep {
+                server.dialer.abort();
+            }
+            keep
+        });
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.context.clock.now();
+        self.sweep(now);
+        self.expire_queries(now);
+        if now.since(self.viewed) >= VIEW {
+            self.viewed = now;
+            self.view.send_replace(Arc::new(self.view()));
+            self.drop_unlisted();
+        }
+        if self.context.phase() >= Phase::Draining && self.calls.is_empty() {
+            self.context.drained();
+        }
+    }
+
+    fn view(&self) -> View {
+        let servers = self.servers.iter().map(|(key, server)| ServerView {
+            in_flight: server.in_flight,
+            key,
+            linked: server.link.is_some(),
+            name: server.instance.name.clone(),
+            out: server.health.is_out(),
+            pool: server.instance.pool.clone().unwrap_or_default(),
+            report: server.report.clone(),
+        });
+        View {
+            calls: self.calls.len(),
+            servers: servers.collect(),
+        }
+    }
+
+    fn order(
+        &mut self,
+        server: ServerKey,
+        order: crate::wire::Order,
+        reply: oneshot::Sender<Result<EngineState, Failure>>,
+    ) {
+        let slot = self.fresh_slot();
+        let sent = self.servers.get(server).is_some_and(|server| {
+            let link = server.link.as_ref();
+            link.is_some_and(|link| link.try_send(ToAgent::Order { slot, order }))
+        });
+        if sent {
+            self.orders.insert(slot, PendingOrder { reply, server });
+        } else {
+            let detail = "no link to the server";
+            let failure = Failure::not_run(crate::base::Cause::NoServer, detail);
+            let _ = reply.send(Err(failure));
+        }
+    }
+
+    /// A slot for a question or an order. These have tables of their own, so
+    /// one that equals an attempt's slot is not taken for it.
+    pub(super) fn fresh_slot(&mut self) -> Slot {
+        self.turn += 1;
+        Slot(u64::MAX - self.turn)
+    }
+
+    /// Sends to the agent that has the request now.
+    pub(super) fn to_current(&self, request: RequestId, message: impl FnOnce(Slot) -> ToAgent) {
+        let call = self.ids.get(&request).and_then(|key| self.calls.get(*key));
+        let Some(key) = call.and_then(|call| call.current) else {
+            return;
+        };
+        let server = self.attempts.get(key).map(|handover| handover.server);
+        let server = server.and_then(|server| self.servers.get(server));
+        if let Some(link) = server.and_then(|server| server.link.as_ref()) {
+            let _ = link.try_send(message(Slot(key.data().as_ffi())));
+        }
+    }
+
+    /// Tells a caller that its request's credit was taken, and the like.
+    pub(super) fn reply_to(&self, call: CallKey, reply: Reply) -> bool {
+        self.calls.get(call).is_some_and(|call| call.reply(reply))
+    }
+}
--- /dev/null
+++ b/src/operator/explain.rs
@@ -0,0 +1,140 @@
+//! `redwing explain`.
+
+use super::{
+    OperatorError,
+    fleet::entries,
+    operator_error::{AnswerSnafu, UnknownRequestSnafu}, //
+};
+use crate::{
+    base::{Account, Event, Millis, RequestId, Verdict},
+    platform::JsonClient,
+    policy::explanation::{Explanation, conclude}, //
+};
+use argh::FromArgs;
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use snafu::{
+    ResultExt,
+    ensure, //
+};
+use std::net::SocketAddr;
+
+/// Tell what became of one request: it ran once, it never ran, or why that
+/// can't be known.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(super) struct ExplainCommand {
+    /// the request id, as in the answer's `redwing-request-id`
+    #[argh(positional)]
+    request: String,
+
+    /// the admin address of an entry; may be given again
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+
+    /// the platform's address, to find the entries in its list
+    #[argh(option)]
+    platform: Option<SocketAddr>,
+}
+
+/// How long one entry may take, its agents' answers included.
+const TIMEOUT: Millis = Millis(2_000);
+
+impl ExplainCommand {
+    pub(super) async fn run(self) -> Result<(), OperatorError> {
+        let request: RequestId = self.request.parse()?;
+        let mut own = None;
+        let mut agents = Vec::new();
+        for entry in entries(self.entry, self.platform).await? {
+            if let Some(told) = ask(entry, request).await? {
+                own = own.or(told.entry);
+                agents.extend(told.agents);
+            }
+        }
+        ensure!(
+            own.is_some() || !agents.is_empty(),
+            UnknownRequestSnafu { id: self.request }
+        );
+        agents.dedup();
+        let explanation = conclude(own, agents);
+        match self.json {
+            true => println!("{}", serde_json::json!(explanation)),
+            false => print(request, &explanation),
+        }
+        Ok(())
+    }
+}
+
+async fn ask(entry: SocketAddr, request: RequestId) -> Result<Option<Explanation>, OperatorError> {
+    let client = JsonClient::open(entry, TIMEOUT);
+    let path = format!("/v1/explain/{request}");
+    match client.call(Method::GET, &path, Vec::new()).await {
+        Ok((StatusCode::OK, body)) => serde_json::from_slice(&body)
+            .context(AnswerSnafu { address: entry })
+            .map(Some),
+        Ok(_) => Ok(None),
+        Err(error) => {
+            eprintln!("warning: {error}");
+            Ok(None)
+        }
+    }
+}
+
+fn print(request: RequestId, explanation: &Explanation) {
+    let verdict = match explanation.verdict {
+        Verdict::MayHaveRun => "it may have run",
+        Verdict::NotRun => "it never ran",
+        Verdict::Ran => "it ran",
+    };
+    let delivered = match explanation.delivered {
+        None => "whether it was delivered is not known",
+        Some(false) => "no whole answer was delivered",
+        Some(true) => "the whole answer was delivered",
+    };
+    println!("request {request}");
+    println!("  {verdict}: {}", explanation.why);
+    println!("  {delivered}");
+    let accounts = explanation.entry.iter().map(|one| ("entry", one));
+    let accounts = accounts.chain(explanation.agents.iter().map(|one| ("agent", one)));
+    for (whose, account) in accounts {
+        println!("{whose}'s account ({}/{}):", account.team, account.class);
+        print_events(account);
+    }
+}
+
+fn print_events(account: &Account) {
+    let Some((first, _)) = account.events.first() else {
+        return;
+    };
+    for (at, event) in &account.events {
+        println!("  +{:>6} ms  {}", at.since(*first).0, describe(event));
+    }
+}
+
+fn describe(event: &Event) -> String {
+    match event {
+        Event::Admitted => "admitted".to_owned(),
+        Event::Delivered => "whole answer handed to the caller's connection".to_owned(),
+        Event::Failed { cause, verdict } => format!("failed: {} ({verdict:?})", cause.word()),
+        Event::Finished => "whole answer from the backend server".to_owned(),
+        Event::Queued => "queued".to_owned(),
+        Event::Retried { cause, verdict } => {
+            format!("tried again after: {} ({verdict:?})", cause.word())
+        }
+        Event::Routed { server, reason } => format!("routed to {server}: {reason}"),
+        Event::Started { server } => format!("started by {server}"),
+        Event::Versions { model, spans } => {
+            let spans: Vec<String> = spans
+                .iter()
+                .map(|span| format!("{}..{} by version {}", span.from, span.to, span.version.0))
+                .collect();
+            format!("tokens of {model}: {}", spans.join(", "))
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/fleet.rs
@@ -0,0 +1,95 @@
+//! `redwing status`, and how operators' commands find the entries.
+
+use super::{
+    OperatorError,
+    operator_error::{AnswerSnafu, NoEntriesSnafu}, //
+};
+use crate::{
+    base::Millis,
+    platform::{JsonClient, Platform}, //
+};
+use argh::FromArgs;
+use hyper::Method;
+use serde_json::Value;
+use snafu::{
+    ResultExt,
+    ensure, //
+};
+use std::net::SocketAddr;
+
+/// How long one process may take to answer.
+const TIMEOUT: Millis = Millis(2_000);
+
+/// Show the backend servers as each entry sees them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(super) struct StatusCommand {
+    /// the admin address of an entry; may be given again
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+
+    /// the platform's address, to find the entries in its list
+    #[argh(option)]
+    platform: Option<SocketAddr>,
+}
+
+impl StatusCommand {
+    pub(super) async fn run(self) -> Result<(), OperatorError> {
+        for entry in entries(self.entry, self.platform).await? {
+            let client = JsonClient::open(entry, TIMEOUT);
+            let (_, body) = client.call(Method::GET, "/v1/fleet", Vec::new()).await?;
+            let fleet: Value =
+                serde_json::from_slice(&body).context(AnswerSnafu { address: entry })?;
+            match self.json {
+                true => println!("{fleet}"),
+                false => print(entry, &fleet),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The admin addresses to ask: those named, or those that the platform lists.
+pub(super) async fn entries(
+    named: Vec<SocketAddr>,
+    platform: Option<SocketAddr>,
+) -> Result<Vec<SocketAddr>, OperatorError> {
+    let mut all = named;
+    if let Some(platform) = platform {
+        let listed = Platform::open(platform).instances().await?;
+        let entries = listed.into_iter().filter(|one| one.pool.is_none());
+        all.extend(entries.map(|one| one.admin));
+    }
+    ensure!(!all.is_empty(), NoEntriesSnafu);
+    Ok(all)
+}
+
+fn print(entry: SocketAddr, fleet: &Value) {
+    println!("entry {entry}: {} calls in flight", fleet["calls"]);
+    println!(
+        "  {:<24} {:<16} {:>7} {:>6} {:>9} {:>8}  state",
+        "server", "pool", "running", "queued", "capacity", "time ms"
+    );
+    for server in fleet["servers"].as_array().into_iter().flatten() {
+        let report = &server["report"];
+        let state = match (&server["linked"], &report["draining"], &server["out"]) {
+            (Value::Bool(false), _, _) => "no link",
+            (_, Value::Bool(true), _) => "draining",
+            (_, _, Value::Bool(true)) => "out",
+            _ => "up",
+        };
+        println!(
+            "  {:<24} {:<16} {:>7} {:>6} {:>9} {:>8}  {state}",
+            server["name"].as_str().unwrap_or("?"),
+            server["pool"].as_str().unwrap_or("?"),
+            report["running"],
+            report["queued"],
+            report["capacity"],
+            report["service_time"],
+        );
+    }
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,1 +1,63 @@
-//! Placeholder.
+//! The programs' command lines and the operators' commands.
+
+mod agent_command;
+mod apply;
+mod entry_command;
+mod explain;
+mod fleet;
+mod operator_command;
+mod operator_error;
+mod shared_settings;
+
+pub use self::{
+    agent_command::agent_main,
+    entry_command::entry_main,
+    operator_command::operator_main,
+    operator_error::OperatorError, //
+};
+
+use argh::TopLevelCommand;
+use std::{
+    future::Future,
+    process::ExitCode, //
+};
+
+/// The exit code for wrong usage or settings.
+pub const USAGE: u8 = 2;
+
+/// Parses the command line of a program that knows `--version`; on help or an
+/// error it prints that and returns the exit code.
+pub fn parse<T: TopLevelCommand>() -> Result<T, ExitCode> {
+    let arguments: Vec<String> = std::env::args().collect();
+    let texts: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let (program, rest) = texts.split_first().unwrap_or((&"redwing", &[]));
+    let name = program.rsplit('/').next().unwrap_or(program);
+    if rest.first() == Some(&"--version") {
+        println!("{name} {}", env!("CARGO_PKG_VERSION"));
+        return Err(ExitCode::SUCCESS);
+    }
+    T::from_args(&[name], rest).map_err(|early| match early.status {
+        Ok(()) => {
+            println!("{}", early.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("error: {}", early.output.trim_end());
+            ExitCode::from(USAGE)
+        }
+    })
+}
+
+/// Runs `main` on a small runtime.
+pub fn block_on(main: impl Future<Output = ExitCode>) -> ExitCode {
+    match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime.block_on(main),
+        Err(error) => {
+            eprintln!("error: no runtime: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/operator_command.rs
@@ -0,0 +1,94 @@
+//! The command line of `redwing`.
+
+use super::{
+    OperatorError,
+    USAGE,
+    apply::{ApplyCommand, CheckCommand},
+    block_on,
+    explain::ExplainCommand,
+    fleet::StatusCommand,
+    parse,
+    shared_settings::{GetCommand, ListCommand}, //
+};
+use crate::settings::key_hash;
+use argh::FromArgs;
+use std::process::ExitCode;
+
+/// The operators' tool of redwingpond.
+#[derive(FromArgs)]
+struct OperatorCommand {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Explain(ExplainCommand),
+    KeyHash(KeyHashCommand),
+    Settings(SettingsCommand),
+    Status(StatusCommand),
+}
+
+/// Print the hash under which a caller's key is kept in a team's settings.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "key-hash")]
+struct KeyHashCommand {
+    /// the key
+    #[argh(positional)]
+    key: String,
+}
+
+/// Read and change the shared settings: `pools/NAME` and `teams/NAME`.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+struct SettingsCommand {
+    #[argh(subcommand)]
+    command: SettingsSubcommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum SettingsSubcommand {
+    Apply(ApplyCommand),
+    Check(CheckCommand),
+    Get(GetCommand),
+    List(ListCommand),
+}
+
+/// Runs the program; returns its exit code.
+pub fn operator_main() -> ExitCode {
+    let command: OperatorCommand = match parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    block_on(async {
+        match run(command.command).await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("error: {error}");
+                match error.is_usage() {
+                    true => ExitCode::from(USAGE),
+                    false => ExitCode::FAILURE,
+                }
+            }
+        }
+    })
+}
+
+async fn run(command: Command) -> Result<(), OperatorError> {
+    match command {
+        Command::Explain(command) => command.run().await,
+        Command::KeyHash(command) => {
+            println!("{}", key_hash(&command.key));
+            Ok(())
+        }
+        Command::Settings(command) => match command.command {
+            SettingsSubcommand::Apply(command) => command.run().await,
+            SettingsSubcommand::Check(command) => command.run(),
+            SettingsSubcommand::Get(command) => command.run().await,
+            SettingsSubcommand::List(command) => command.run().await,
+        },
+        Command::Status(command) => command.run().await,
+    }
+}
--- /dev/null
+++ b/src/operator/operator_error.rs
@@ -0,0 +1,67 @@
+//! Errors that the programs print.
+
+use crate::{
+    base::RequestIdError,
+    platform::{HttpError, StoreError},
+    settings::SettingsError, //
+};
+use snafu::Snafu;
+use std::net::SocketAddr;
+
+/// Why an operator's command failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum OperatorError {
+    #[snafu(display("{address} answered with something that is not understood: {source}"))]
+    Answer {
+        address: SocketAddr,
+        source: serde_json::Error,
+    },
+    #[snafu(display(
+        "`{path}` has changed meanwhile: it is at version {version}, expected {expected}; read it again before you apply"
+    ))]
+    Conflict {
+        expected: u64,
+        path: String,
+        version: u64,
+    },
+    #[snafu(display("{source}"), context(false))]
+    Http { source: HttpError },
+    #[snafu(display("{source}"), context(false))]
+    Id { source: RequestIdError },
+    #[snafu(display(
+        "name the entries' admin addresses with `--entry`, or the platform with `--platform`"
+    ))]
+    NoEntries,
+    #[snafu(display("no settings at `{path}`"))]
+    NoSettings { path: String },
+    #[snafu(display("`{path}` is no path of settings: expected `pools/NAME` or `teams/NAME`"))]
+    Path { path: String },
+    #[snafu(display("can't read `{file}`: {source}"))]
+    Read {
+        file: String,
+        source: std::io::Error,
+    },
+    #[snafu(display("{source}"), context(false))]
+    Settings { source: SettingsError },
+    #[snafu(display("{source}"), context(false))]
+    Store { source: StoreError },
+    #[snafu(display(
+        "no process that was asked knows request `{id}`; it may have run, and that can't be told from here"
+    ))]
+    UnknownRequest { id: String },
+}
+
+impl OperatorError {
+    /// Whether the fault is in what the operator wrote.
+    pub fn is_usage(&self) -> bool {
+        matches!(
+            self,
+            Self::Id { .. }
+                | Self::NoEntries
+                | Self::Path { .. }
+                | Self::Read { .. }
+                | Self::Settings { .. }
+        )
+    }
+}
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -35,6 +35,15 @@
     pub version: u64,
 }
 
+/// Rows as of one revision.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Listing {
+    /// The number of the table's latest commit. Rows' versions are the
+    /// revisions that wrote them.
+    pub revision: u64,
+    pub rows: BTreeMap<String, Row>,
+}
+
 /// A client of the platform's services.
 #[derive(Clone, Debug)]
 pub struct Platform {
@@ -70,7 +79,7 @@
     }
 
     /// All rows whose path begins with `prefix`.
-    pub async fn list(&self, prefix: &str) -> Result<BTreeMap<String, Row>, StoreError> {
+    pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
         let path = format!("/table?prefix={prefix}");
         let rows = self.read(&path).await?;
         rows.context(StatusSnafu {
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -2,6 +2,7 @@
 
 use crate::base::{
     Fence,
+    Incarnation,
     Millis, //
 };
 use serde::{
@@ -17,6 +18,8 @@
     /// Grows with each change of holder; the fencing number of its orders.
     pub epoch: Fence,
     pub holder: String,
+    /// Which life of the holder this is.
+    pub incarnation: Incarnation,
     /// Grows with each renewal, so that a watcher sees a live holder without
     /// comparing two instances' clocks.
     pub renewals: u64,
@@ -36,6 +39,31 @@
     row: Option<Lease>,
 }
 
+/// A process that wants a lease.
+#[derive(Clone, Debug)]
+pub struct Claimant {
+    pub address: String,
+    pub holder: String,
+    pub incarnation: Incarnation,
+}
+
+impl Claimant {
+    /// Whether `row` is this very process's.
+    pub fn holds(&self, row: &Lease) -> bool {
+        row.holder == self.holder && row.incarnation == self.incarnation
+    }
+
+    fn lease(&self, epoch: Fence) -> Lease {
+        Lease {
+            address: self.address.clone(),
+            epoch,
+            holder: self.holder.clone(),
+            incarnation: self.incarnation,
+            renewals: 0,
+        }
+    }
+}
+
 /// What to do about a lease.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -48,19 +76,14 @@
 }
 
 impl Watch {
-    /// Decides for the process `me` at `address`, which wants the lease.
-    pub fn decide(&self, now: Millis, me: &str, address: &str) -> Step {
+    /// Decides for the process `me`, which wants the lease.
+    pub fn decide(&self, now: Millis, me: &Claimant) -> Step {
         let Some(row) = &self.row else {
-            return Step::Write(Lease {
-                address: address.into(),
-                epoch: 1,
-                holder: me.into(),
-                renewals: 0,
-            });
+            return Step::Write(me.lease(1));
         };
         let idle = now.since(self.changed);
 
-        if row.holder == me && row.address == address {
+        if me.holds(row) {
             if idle < RENEW {
                 return Step::Hold(row.clone());
             }
@@ -69,15 +92,13 @@
                 ..row.clone()
             });
         }
-        if idle < LEASE && !row.holder.is_empty() {
+        // An earlier life of this very instance is gone for certain, and its
+        // steps with it; the new epoch fences off what it may have left.
+        let gone = row.holder.is_empty() || row.holder == me.holder;
+        if idle < LEASE && !gone {
             return Step::Defer(row.clone());
         }
-        Step::Write(Lease {
-            address: address.into(),
-            epoch: row.epoch + 1,
-            holder: me.into(),
-            renewals: 0,
-        })
+        Step::Write(me.lease(row.epoch + 1))
     }
 
     /// Notes what the table holds at `now`.
@@ -96,6 +117,7 @@
     struct Test {
         holder: &'static str,
         idle: u64,
+        incarnation: u64,
         writes_epoch: Option<u64>,
     }
 
@@ -106,10 +128,16 @@
                 address: "a".into(),
                 epoch: 7,
                 holder: self.holder.into(),
+                incarnation: Incarnation(self.incarnation),
                 renewals: 3,
             };
             watch.see(Millis(100), Some(row));
-            let step = watch.decide(Millis(100 + self.idle), "me", "a");
+            let me = Claimant {
+                address: "a".into(),
+                holder: "me".into(),
+                incarnation: Incarnation(5),
+            };
+            let step = watch.decide(Millis(100 + self.idle), &me);
             let epoch = match step {
                 Step::Write(lease) => Some(lease.epoch),
                 Step::Defer(_) | Step::Hold(_) => None,
@@ -120,17 +148,19 @@
 
     #[test]
     fn decisions() {
-        for (holder, idle, writes_epoch) in [
-            ("me", 0, None),
-            ("me", RENEW.0, Some(7)),
-            ("other", RENEW.0, None),
-            ("other", LEASE.0 - 1, None),
-            ("other", LEASE.0, Some(8)),
-            ("", 0, Some(8)),
+        for (holder, incarnation, idle, writes_epoch) in [
+            ("me", 5, 0, None),
+            ("me", 5, RENEW.0, Some(7)),
+            ("me", 4, 0, Some(8)),
+            ("other", 5, RENEW.0, None),
+            ("other", 5, LEASE.0 - 1, None),
+            ("other", 5, LEASE.0, Some(8)),
+            ("", 5, 0, Some(8)),
         ] {
             Test {
                 holder,
                 idle,
+                incarnation,
                 writes_epoch,
             }
             .run();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod agent_queue;
 pub mod bitmap;
 pub mod claims;
+pub mod explanation;
 pub mod fences;
 pub mod health;
 pub mod lease;
--- a/src/policy/step_spec.rs
+++ b/src/policy/step_spec.rs
@@ -1,6 +1,9 @@
 //! A step as its trainer submits it.
 
-use crate::base::Millis;
+use crate::base::{
+    Millis,
+    WeightVersion, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -41,6 +44,8 @@
     /// How many versions a delivered sample's oldest token may be behind the
     /// version that the trainer names at the fetch.
     pub staleness: u64,
+    /// The version that the trainer is at when it submits the step.
+    pub weight_version: WeightVersion,
 }
 
 /// Why a submitted step can't be taken.
--- a/src/settings/entry_settings.rs
+++ b/src/settings/entry_settings.rs
@@ -24,6 +24,8 @@
     pub common: Common,
     /// One-way delay to each other data centre.
     pub distances: BTreeMap<String, Millis>,
+    /// Link ports of other entries, for a start while the platform is down.
+    pub peers: Vec<SocketAddr>,
     pub policy: Policy,
 }
 
@@ -54,10 +56,17 @@
         }
         let words = [("baseline", Policy::Baseline), ("current", Policy::Current)];
         let policy = reader.choice("policy", &words, Some(Policy::Current));
+        let peers = reader.texts("peers");
+        let parsed: Vec<SocketAddr> = peers.iter().filter_map(|p| p.parse().ok()).collect();
+        if parsed.len() < peers.len() {
+            let expected = "IP addresses with ports";
+            reader.contradiction("peers", expected, &peers.join(", "));
+        }
         Self {
             callers,
             common,
             distances,
+            peers: parsed,
             policy: policy.unwrap_or_default(),
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -18,6 +18,6 @@
     file::{load, read},
     pool_settings::PoolSettings,
     reader::Reader,
-    shared::{POOLS, Shared, TEAMS},
+    shared::{POOLS, ROOT, Shared, TEAMS},
     team_settings::{Caller, ClassSettings, RolloutSettings, TeamSettings, key_hash}, //
 };
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -8,31 +8,29 @@
 };
 use std::collections::BTreeMap;
 
+/// The path under which all shared settings are.
+pub const ROOT: &str = "settings/";
+
 /// The path under which each pool has its document.
-pub const POOLS: &str = "pools/";
+pub const POOLS: &str = "settings/pools/";
 
 /// The path under which each team has its subtree.
-pub const TEAMS: &str = "teams/";
+pub const TEAMS: &str = "settings/teams/";
 
 /// All teams and pools, as of one read of the table.
 #[derive(Clone, Debug, Default)]
 pub struct Shared {
     pub pools: BTreeMap<String, PoolSettings>,
     pub teams: BTreeMap<String, TeamSettings>,
-    /// The sum of the rows' versions, which only grows.
-    pub version: u64,
 }
 
 impl Shared {
-    /// Reads `rows` of path, version and document. A document with faults is
-    /// left out and its faults are returned beside the rest.
-    pub fn read<'a>(
-        rows: impl Iterator<Item = (&'a str, u64, &'a str)>,
-    ) -> (Self, Vec<SettingsError>) {
+    /// Reads `rows` of path and document. A document with faults is left out
+    /// and its faults are returned beside the rest.
+    pub fn read<'a>(rows: impl Iterator<Item = (&'a str, &'a str)>) -> (Self, Vec<SettingsError>) {
         let mut shared = Self::default();
         let mut errors = Vec::new();
-        for (path, version, text) in rows {
-            shared.version += version;
+        for (path, text) in rows {
             if let Err(error) = shared.add(path, text) {
                 errors.push(error);
             }
