--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -200,7 +200,7 @@
     }
 
     fn on_down(&mut self, link: LinkKey, reason: &'static str) {
-        tracing::warn!(reason, "link down");
+        tracing::info!(reason, "link down");
         let Some(state) = self.links.remove(&link) else {
             return;
         };
--- a/src/duty/supervisor.rs
+++ b/src/duty/supervisor.rs
@@ -81,15 +81,14 @@
                 if state.health.borrow().phase == Phase::Running {
                     state.enter(Phase::Draining);
                     myself.send_after(self.bound.as_duration(), || SupervisorMessage::Stop);
+                    state.stop_if_drained();
                 }
             }
             SupervisorMessage::Drained(name) => {
                 if !state.drained.contains(&name) {
                     state.drained.push(name);
                 }
-                if state.drained.len() == state.duties.len() {
-                    state.enter(Phase::Stopped);
-                }
+                state.stop_if_drained();
             }
             SupervisorMessage::Ended(name) => {
                 state.ended(name);
@@ -122,6 +121,14 @@
         self.enter(Phase::Stopped);
     }
 
+    /// Ends a graceful stop once no duty has anything under way.
+    fn stop_if_drained(&self) {
+        let draining = self.health.borrow().phase == Phase::Draining;
+        if draining && self.drained.len() == self.duties.len() {
+            self.enter(Phase::Stopped);
+        }
+    }
+
     fn enter(&self, phase: Phase) {
         self.health.send_modify(|health| {
             health.phase = health.phase.max(phase);
--- a/src/entry/outcomes.rs
+++ b/src/entry/outcomes.rs
@@ -64,7 +64,7 @@
             return;
         };
         let name = state.instance.name.clone();
-        tracing::warn!(server = name, reason, "link down");
+        tracing::info!(server = name, reason, "link down");
         metrics::counter!("redwing_links_down_total", "reason" => reason).increment(1);
         state.link = None;
         state.health.fail(now);
--- /dev/null
+++ b/standins/src/bin/redwing-demo.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    redwing_standins::demo::demo_main()
+}
--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,227 @@
+//! An application's stand-in: sends calls at a fixed rate and checks answers.
+
+use crate::{
+    balancer::Balancer,
+    client::{Answered, Client},
+    fleet::{CallerPlan, Work},
+    truth, //
+};
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use redwingpond::base::{
+    Clock,
+    Span, //
+};
+use serde::Serialize;
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration, //
+};
+use tokio::task::JoinSet;
+
+/// What became of all calls, as their callers saw it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Calls {
+    pub answered: u64,
+    /// Failures that said that the call may have run, or no answer at all.
+    pub in_doubt: u64,
+    /// Latencies of whole answers, in microseconds.
+    #[serde(skip)]
+    pub latencies: Vec<u64>,
+    /// Request ids and keys of refusals that said "not run".
+    #[serde(skip)]
+    pub refused: Vec<Refused>,
+    pub sent: u64,
+    /// Examples of what went wrong.
+    pub troubles: Vec<String>,
+    /// Answers that were not the caller's own or not whole.
+    pub wrong: u64,
+}
+
+/// A refusal that said that the call did not run.
+#[derive(Clone, Debug)]
+pub struct Refused {
+    pub prompt: Option<(String, u64)>,
+    pub request: String,
+}
+
+/// Where calls go.
+#[derive(Clone)]
+pub struct Target {
+    pub balancer: Arc<Balancer>,
+    /// The model that chats ask for.
+    pub model: String,
+    pub name: String,
+    pub plan: CallerPlan,
+    pub seed: u64,
+    pub team: String,
+}
+
+/// How often a call that did not run is made again.
+const TRIES: u32 = 3;
+
+/// The tokens that a chat asks for at most.
+const CHAT_TOKENS: u32 = 48;
+
+/// How long a caller waits for an answer.
+const WAIT: Duration = Duration::from_secs(15);
+
+/// The examples of trouble that are kept.
+const MAX_TROUBLES: usize = 8;
+
+/// Sends calls on a fixed schedule for `time`, whatever the answers do.
+pub async fn run(target: Target, time: Duration) -> Calls {
+    let calls = Arc::new(Mutex::new(Calls::default()));
+    let client = Client::default();
+    let clock = Clock::open();
+    let mut sent = 0;
+    let mut under_way = JoinSet::new();
+    let total = target.plan.rate * time.as_millis() as u64 / 1_000;
+    while sent < total {
+        let due = sent * 1_000_000 / target.plan.rate;
+        let wait = due.saturating_sub(clock.micros());
+        if wait > 0 {
+            tokio::time::sleep(Duration::from_micros(wait)).await;
+        }
+        let (target, client, calls) = (target.clone(), client.clone(), calls.clone());
+        let number = sent;
+        under_way.spawn(async move { call(&target, &client, number, &calls).await });
+        sent += 1;
+    }
+    under_way.join_all().await;
+    let calls = calls.lock().unwrap_or_else(PoisonError::into_inner);
+    calls.clone()
+}
+
+/// One call with its repeats.
+async fn call(target: &Target, client: &Client, number: u64, calls: &Mutex<Calls>) {
+    let clock = Clock::open();
+    let nonce = format!("{}/{}/{number}", target.name, target.seed);
+    note(calls, |calls| calls.sent += 1);
+    for _ in 0..TRIES {
+        let answer = once(target, client, &nonce, number).await;
+        let wait = match answer {
+            Err(trouble) => {
+                note(calls, |calls| {
+                    calls.in_doubt += 1;
+                    trouble_of(calls, format!("{nonce}: {trouble}"));
+                });
+                return;
+            }
+            Ok(answer) if answer.status == StatusCode::OK => {
+                let whole = is_whole(target, &nonce, number, &answer);
+                let taken = clock.micros();
+                note(calls, |calls| {
+                    calls.answered += u64::from(whole);
+                    calls.wrong += u64::from(!whole);
+                    calls.latencies.push(taken);
+                    if !whole {
+                        let body = String::from_utf8_lossy(&answer.body).into_owned();
+                        trouble_of(calls, format!("{nonce}: wrong answer {body}"));
+                    }
+                });
+                return;
+            }
+            Ok(answer) => match refused(target, &nonce, number, &answer, calls) {
+                Some(wait) => wait,
+                None => return,
+            },
+        };
+        tokio::time::sleep(wait).await;
+    }
+}
+
+async fn once(
+    target: &Target,
+    client: &Client,
+    nonce: &str,
+    number: u64,
+) -> Result<Answered, String> {
+    let entry = target.balancer.next().ok_or("no entry")?;
+    let base = format!("/v1/app/{}/{}", target.team, target.plan.class);
+    let bearer = format!("Bearer {}", target.plan.key);
+    let mut headers = vec![("content-type", "application/json")];
+    if !target.plan.key.is_empty() {
+        headers.push(("authorization", &bearer));
+    }
+    if !target.plan.idempotent {
+        headers.push(("redwing-idempotent", "false"));
+        headers.push(("redwing-request-key", nonce));
+    }
+    let (path, body) = match target.plan.work {
+        Work::Chat => {
+            let body = serde_json::json!({
+                "max_tokens": CHAT_TOKENS,
+                "model": target.model,
+                "prompt": prompt(nonce),
+                "seed": number,
+            });
+            (format!("{base}/v1/completions"), body.to_string())
+        }
+        Work::Plain => (format!("{base}/work"), nonce.to_owned()),
+    };
+    let post = Method::POST;
+    client.call(post, entry, &path, &headers, body, WAIT).await
+}
+
+/// Whether the answer is the whole answer to this very call.
+fn is_whole(target: &Target, nonce: &str, number: u64, answer: &Answered) -> bool {
+    let json = answer.json();
+    if target.plan.work == Work::Plain {
+        return json["body"] == nonce;
+    }
+    let spans = &json["redwing"]["weight_versions"];
+    let Ok(spans) = serde_json::from_value::<Vec<Span>>(spans.clone()) else {
+        return false;
+    };
+    let whole = truth::length(&prompt(nonce), number, CHAT_TOKENS);
+    Span::cover(&spans, whole)
+        && json["choices"][0]["text"] == truth::text(&prompt(nonce), number, &spans)
+}
+
+/// Notes a failure; returns the wait before another try if it did not run.
+fn refused(
+    target: &Target,
+    nonce: &str,
+    number: u64,
+    answer: &Answered,
+    calls: &Mutex<Calls>,
+) -> Option<Duration> {
+    let problem = answer.json();
+    let may_have_run = problem["may_have_run"].as_bool();
+    note(calls, |calls| {
+        trouble_of(calls, format!("{nonce}: {problem}"));
+        match may_have_run {
+            Some(false) => {
+                let request = answer.header("redwing-request-id").unwrap_or_default();
+                let chat = target.plan.work == Work::Chat;
+                calls.refused.push(Refused {
+                    prompt: chat.then(|| (prompt(nonce), number)),
+                    request: request.to_owned(),
+                });
+            }
+            Some(true) | None => calls.in_doubt += 1,
+        }
+    });
+    if may_have_run != Some(false) {
+        return None;
+    }
+    let wait = problem["retry_after_ms"].as_u64().unwrap_or(100);
+    Some(Duration::from_millis(wait))
+}
+
+fn prompt(nonce: &str) -> String {
+    format!("Advise the sorter on bale {nonce}.")
+}
+
+fn note(calls: &Mutex<Calls>, change: impl FnOnce(&mut Calls)) {
+    change(&mut calls.lock().unwrap_or_else(PoisonError::into_inner));
+}
+
+fn trouble_of(calls: &mut Calls, trouble: String) {
+    if calls.troubles.len() < MAX_TROUBLES {
+        calls.troubles.push(trouble);
+    }
+}
--- /dev/null
+++ b/standins/src/client.rs
@@ -0,0 +1,103 @@
+//! An HTTP client for callers, trainers and admin calls.
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    HeaderMap,
+    Method,
+    Request,
+    StatusCode, //
+};
+use hyper_util::{
+    client::legacy::{Client as Pool, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer}, //
+};
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    pub body: Bytes,
+    pub headers: HeaderMap,
+    pub status: StatusCode,
+}
+
+impl Answered {
+    /// The value of a header, if it is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The body as JSON; `Null` when it is none.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+/// A pooled client; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self { pool }
+    }
+}
+
+impl Client {
+    /// Sends a request and reads the whole answer within `wait`.
+    pub async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+        wait: Duration,
+    ) -> Result<Answered, String> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(body.into()))
+            .map_err(|error| error.to_string())?;
+        let exchange = async {
+            let answer = self.pool.request(request).await.map_err(describe)?;
+            let (parts, body) = answer.into_parts();
+            let body = body.collect().await.map_err(|error| error.to_string())?;
+            Ok(Answered {
+                body: body.to_bytes(),
+                headers: parts.headers,
+                status: parts.status,
+            })
+        };
+        match tokio::time::timeout(wait, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err("no whole answer in time".to_owned()),
+        }
+    }
+}
+
+fn describe(error: hyper_util::client::legacy::Error) -> String {
+    use std::error::Error;
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
--- /dev/null
+++ b/standins/src/demo/command.rs
@@ -0,0 +1,110 @@
+//! The command line of `redwing-demo`.
+
+use super::{
+    Settings,
+    run, //
+};
+use argh::FromArgs;
+use redwingpond::{
+    duty::open_log,
+    operator::{USAGE, parse},
+    settings::LogFormat, //
+};
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+/// Shows redwingpond at work in one process over real loopback sockets: a
+/// platform, three entries, both users' deployments scaled down, trainers and
+/// application calls, an engine crash and graceful stops on the way. Exits
+/// with 1 if a promise was broken.
+#[derive(FromArgs)]
+struct DemoCommand {
+    /// only check the deployments' files and the prompts, then exit
+    #[argh(switch)]
+    check: bool,
+
+    /// a deployment's file; may be given again (default: both examples)
+    #[argh(option)]
+    deployment: Vec<PathBuf>,
+
+    /// write the summary to this file as one JSON object
+    #[argh(option)]
+    json: Option<PathBuf>,
+
+    /// a filter for log lines, such as `info` (default: off)
+    #[argh(option, default = "String::from(\"off\")")]
+    log: String,
+
+    /// the prompts, one JSON object with `prompt` a line
+    #[argh(option, default = "PathBuf::from(\"examples/prompts.jsonl\")")]
+    prompts: PathBuf,
+
+    /// the seed of all that is drawn at random (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Runs the program; returns its exit code.
+pub fn demo_main() -> ExitCode {
+    let command: DemoCommand = match parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    let mut plans = command.deployment;
+    if plans.is_empty() {
+        plans = vec![
+            "examples/tema.yaml".into(),
+            "examples/tahtiraita.yaml".into(),
+        ];
+    }
+    let settings = Settings {
+        plans,
+        prompts: command.prompts,
+        seed: command.seed,
+    };
+    if command.check {
+        return match super::run::check(&settings) {
+            Ok(()) => {
+                println!("ok");
+                ExitCode::SUCCESS
+            }
+            Err(error) => fail(&error),
+        };
+    }
+
+    open_log(LogFormat::Text, &command.log);
+    let runtime = tokio::runtime::Runtime::new();
+    let summary = match runtime {
+        Ok(runtime) => runtime.block_on(run(&settings)),
+        Err(error) => {
+            eprintln!("error: no runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let summary = match summary {
+        Ok(summary) => summary,
+        Err(error) => return fail(&error),
+    };
+    summary.print();
+    if let Some(path) = command.json {
+        let json = serde_json::json!(summary).to_string();
+        if let Err(error) = std::fs::write(&path, json) {
+            eprintln!("error: can't write `{}`: {error}", path.display());
+            return ExitCode::FAILURE;
+        }
+    }
+    match summary.broken().is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+fn fail(error: &super::DemoError) -> ExitCode {
+    eprintln!("error: {error}");
+    match error.is_usage() {
+        true => ExitCode::from(USAGE),
+        false => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/standins/src/demo/summary.rs
@@ -0,0 +1,106 @@
+//! What the demo found, by what the stand-ins saw.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// A trainer's staleness.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Staleness {
+    pub max: u64,
+    pub p50: u64,
+}
+
+/// The summary, as `--json` writes it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Summary {
+    pub application_answered: u64,
+    /// Calls that may have run, or that had no answer.
+    pub application_in_doubt: u64,
+    pub application_sent: u64,
+    pub application_wrong: u64,
+    /// Graceful stops that cut something off, or failed.
+    pub cut_by_stops: u64,
+    pub double_runs: u64,
+    pub events: Vec<String>,
+    pub idle_fraction: BTreeMap<String, f64>,
+    pub refused_not_run: u64,
+    pub refused_not_run_false: u64,
+    pub samples_asked: u64,
+    pub samples_delivered: u64,
+    pub samples_duplicate: u64,
+    pub samples_missing: u64,
+    pub samples_misversioned: u64,
+    pub samples_partial: u64,
+    pub samples_regenerated: u64,
+    pub samples_stale: u64,
+    pub samples_unversioned: u64,
+    pub seed: u64,
+    pub staleness: BTreeMap<String, Staleness>,
+    pub steps: u64,
+    pub troubles: Vec<String>,
+    pub wall_ms: u64,
+}
+
+impl Summary {
+    /// The promises that were broken, in words.
+    pub fn broken(&self) -> Vec<String> {
+        let counts = [
+            (self.application_wrong, "answers were wrong or not whole"),
+            (self.cut_by_stops, "graceful stops cut something off"),
+            (self.double_runs, "non-idempotent calls ran twice"),
+            (
+                self.refused_not_run_false,
+                "refusals said `not run` falsely",
+            ),
+            (self.samples_duplicate, "samples came twice"),
+            (self.samples_missing, "samples are missing"),
+            (self.samples_misversioned, "samples name wrong versions"),
+            (self.samples_partial, "samples are not whole"),
+            (self.samples_stale, "samples were too old"),
+            (self.samples_unversioned, "samples name no versions"),
+        ];
+        let broken = counts.iter().filter(|(count, _)| *count > 0);
+        broken
+            .map(|(count, what)| format!("{count} {what}"))
+            .collect()
+    }
+
+    /// The summary for people.
+    pub fn print(&self) {
+        println!("seed {}, {} ms", self.seed, self.wall_ms);
+        for event in &self.events {
+            println!("  {event}");
+        }
+        println!(
+            "rollouts: {} steps, {} of {} samples delivered, {} made anew on the way",
+            self.steps, self.samples_delivered, self.samples_asked, self.samples_regenerated
+        );
+        for (trainer, idle) in &self.idle_fraction {
+            let staleness = self.staleness.get(trainer).copied().unwrap_or_default();
+            println!(
+                "  {trainer}: idle {:.0}% of the time, staleness p50 {} max {}",
+                idle * 100.0,
+                staleness.p50,
+                staleness.max
+            );
+        }
+        println!(
+            "application: {} of {} calls answered, {} refused as not run, {} in doubt",
+            self.application_answered,
+            self.application_sent,
+            self.refused_not_run,
+            self.application_in_doubt
+        );
+        let broken = self.broken();
+        if broken.is_empty() {
+            println!("every promise held, by what the stand-ins saw");
+            return;
+        }
+        for promise in broken {
+            println!("BROKEN: {promise}");
+        }
+        for trouble in &self.troubles {
+            println!("  {trouble}");
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/engine/batch.rs
@@ -0,0 +1,51 @@
+//! The engine's decoding loop.
+
+use super::handle::Inner;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+/// How often a paused or idle engine looks again.
+const IDLE: Duration = Duration::from_millis(20);
+
+/// The load reports kept.
+const MAX_LOADS: usize = 512;
+
+/// Decodes until the engine is dropped.
+pub(super) async fn run(inner: Arc<Inner>) {
+    let mut due = inner.clock.micros();
+    loop {
+        let (batch, slow, paused) = {
+            let mut state = inner.state();
+            state.admit(inner.tuning.max_batch);
+            let now = inner.clock.now().0;
+            let report = (now, state.running.len(), state.waiting.len());
+            state.loads.push_back(report);
+            if state.loads.len() > MAX_LOADS {
+                state.loads.pop_front();
+            }
+            let faults = state.faults;
+            (state.running.len(), faults.slow.max(1), faults.paused)
+        };
+        if paused || batch == 0 {
+            let woken = inner.work.notified();
+            let _ = tokio::time::timeout(IDLE, woken).await;
+            due = inner.clock.micros();
+            continue;
+        }
+
+        // Steps keep to a schedule, so that a late timer is made up for.
+        let step = inner.tuning.step_us + inner.tuning.step_each_us * batch as u64;
+        due += step * slow;
+        let wait = due.saturating_sub(inner.clock.micros());
+        if wait > 500 {
+            tokio::time::sleep(Duration::from_micros(wait)).await;
+        } else {
+            tokio::task::yield_now().await;
+        }
+        let now = inner.clock.micros();
+        due = due.max(now.saturating_sub(20_000));
+        inner.state().step(now);
+    }
+}
--- /dev/null
+++ b/standins/src/engine/cache.rs
@@ -0,0 +1,109 @@
+//! A bounded prefix cache.
+
+use redwingpond::base::stable_hash;
+use serde::Serialize;
+use std::collections::{
+    HashMap,
+    VecDeque, //
+};
+
+/// The characters of one block.
+const BLOCK: usize = 64;
+
+/// The events kept for those who ask.
+const MAX_EVENTS: usize = 4_096;
+
+/// A change of the cache.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct CacheEvent {
+    pub added: bool,
+    pub at: u64,
+    pub block: u64,
+    pub sequence: u64,
+}
+
+/// Blocks of prompts by a hash over all that goes before, least used first out.
+#[derive(Debug)]
+pub struct Cache {
+    /// When each block was used last.
+    blocks: HashMap<u64, u64>,
+    capacity: usize,
+    pub events: VecDeque<CacheEvent>,
+    pub hits: u64,
+    pub misses: u64,
+    sequence: u64,
+    uses: u64,
+}
+
+impl Cache {
+    /// An empty cache of `capacity` blocks.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            blocks: HashMap::new(),
+            capacity,
+            events: VecDeque::new(),
+            hits: 0,
+            misses: 0,
+            sequence: 0,
+            uses: 0,
+        }
+    }
+
+    /// The hashes of a text's blocks, each covering all before it.
+    pub fn hashes(text: &str) -> Vec<u64> {
+        let mut before = 0_u64;
+        text.as_bytes()
+            .chunks(BLOCK)
+            .map(|block| {
+                before = stable_hash(&[&before.to_le_bytes(), block]);
+                before
+            })
+            .collect()
+    }
+
+    /// Those of `hashes` that are here, up to the first that is not.
+    pub fn known(&self, hashes: &[u64]) -> usize {
+        let known = hashes.iter().take_while(|h| self.blocks.contains_key(h));
+        known.count()
+    }
+
+    /// Takes blocks in; returns how many were missing.
+    pub fn take(&mut self, now: u64, hashes: &[u64]) -> usize {
+        let known = self.known(hashes);
+        self.hits += known as u64;
+        self.misses += (hashes.len() - known) as u64;
+        for hash in hashes {
+            self.uses += 1;
+            if self.blocks.insert(*hash, self.uses).is_none() {
+                self.note(now, *hash, true);
+            }
+        }
+        self.evict(now);
+        hashes.len() - known
+    }
+
+    fn evict(&mut self, now: u64) {
+        while self.blocks.len() > self.capacity {
+            let oldest = self.blocks.iter().min_by_key(|(_, used)| **used);
+            let Some(oldest) = oldest.map(|(hash, _)| *hash) else {
+                return;
+            };
+            self.blocks.remove(&oldest);
+            self.note(now, oldest, false);
+        }
+    }
+
+    fn note(&mut self, at: u64, block: u64, added: bool) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.events.push_back(CacheEvent {
+            added,
+            at,
+            block,
+            sequence,
+        });
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/engine/handle.rs
@@ -0,0 +1,299 @@
+//! A running stand-in of a model engine.
+
+use super::{
+    Faults,
+    Tuning,
+    batch,
+    cache::Cache,
+    state::{Produced, Sequence, State}, //
+};
+use crate::{
+    server::{Server, decoded},
+    truth, //
+};
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    StreamBody, //
+};
+use hyper::{
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    body::{Frame, Incoming}, //
+};
+use redwingpond::{
+    base::Clock,
+    duty::{Answer, json, text},
+    engine::{Choice, Chunk, Completion}, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration, //
+};
+use tokio::{
+    sync::{Notify, mpsc, watch},
+    task::JoinHandle, //
+};
+
+/// A running stand-in; dropping it ends it.
+pub struct Engine {
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+    loop_task: JoinHandle<()>,
+    server: Server,
+}
+
+pub(super) struct Inner {
+    pub(super) clock: Clock,
+    state: Mutex<State>,
+    pub(super) tuning: Tuning,
+    pub(super) work: Notify,
+}
+
+/// The tokens that may wait in one stream.
+const STREAM: usize = 256;
+
+#[derive(Deserialize, Serialize)]
+struct Kv {
+    blocks: Vec<u64>,
+}
+
+#[derive(Deserialize)]
+struct KvAsked {
+    prompt: String,
+}
+
+impl Engine {
+    /// Opens an engine.
+    pub async fn open(address: SocketAddr, tuning: Tuning) -> io::Result<Self> {
+        let clock = Clock::open();
+        let state = State::new(&tuning, clock.now().0);
+        let inner = Arc::new(Inner {
+            clock,
+            state: Mutex::new(state),
+            tuning,
+            work: Notify::new(),
+        });
+        let server = Server::open(address, {
+            let inner = inner.clone();
+            move |request| {
+                let inner = inner.clone();
+                async move { inner.answer(request).await }
+            }
+        })
+        .await?;
+        Ok(Self {
+            address: server.address,
+            loop_task: tokio::spawn(batch::run(inner.clone())),
+            inner,
+            server,
+        })
+    }
+
+    /// Prefix blocks found in the cache, and those not found.
+    pub fn cache_hits(&self) -> (u64, u64) {
+        let state = self.inner.state();
+        (state.cache.hits, state.cache.misses)
+    }
+
+    /// Crashes the engine: every connection is cut and everything forgotten.
+    /// It boots again after `down`.
+    pub fn crash(&self, down: Duration) {
+        let (inner, up) = (self.inner.clone(), self.server.switch());
+        crash(&inner, &up, down);
+    }
+
+    /// The tokens made so far.
+    pub fn produced(&self) -> u64 {
+        self.inner.state().produced
+    }
+
+    /// Whether a generation of this prompt and seed was ever begun here.
+    pub fn saw(&self, prompt: &str, seed: u64) -> bool {
+        self.inner.state().seen.contains(&(prompt.to_owned(), seed))
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.inner.set_faults(faults);
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.loop_task.abort();
+    }
+}
+
+fn crash(inner: &Arc<Inner>, up: &Arc<watch::Sender<bool>>, down: Duration) {
+    up.send_replace(false);
+    let boot = inner.clock.now().0;
+    let mut state = inner.state();
+    let seen = std::mem::take(&mut state.seen);
+    *state = State::new(&inner.tuning, boot);
+    state.seen = seen;
+    drop(state);
+    let up = up.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(down).await;
+        up.send_replace(true);
+    });
+}
+
+impl Inner {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_faults(&self, faults: Faults) {
+        let mut state = self.state();
+        if faults.mute {
+            state.running.iter_mut().for_each(|one| one.muted = true);
+        }
+        state.faults = faults;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> io::Result<Answer> {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path();
+        if path == "/admin/faults" {
+            let faults = decoded(body).await?;
+            self.set_faults(faults);
+            return Ok(text(StatusCode::OK, "text/plain", "ok\n"));
+        }
+        while self.state().faults.paused {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        match (&parts.method, path) {
+            (&Method::GET, "/v1/events") => {
+                let query = parts.uri.query().unwrap_or_default();
+                Ok(self.events(query))
+            }
+            (&Method::GET, "/v1/load") => Ok(self.load_report()),
+            (&Method::GET, "/v1/state") => {
+                let told = self.state().told(&self.tuning);
+                Ok(json(StatusCode::OK, &told))
+            }
+            (&Method::POST, "/v1/completions") => Ok(self.complete(decoded(body).await?)),
+            (&Method::POST, "/v1/kv/export") => {
+                let asked: KvAsked = decoded(body).await?;
+                let mut blocks = Cache::hashes(&asked.prompt);
+                let known = self.state().cache.known(&blocks);
+                blocks.truncate(known);
+                Ok(json(StatusCode::OK, &Kv { blocks }))
+            }
+            (&Method::POST, "/v1/kv/import") => {
+                let kv: Kv = decoded(body).await?;
+                let now = self.clock.now().0;
+                self.state().cache.take(now, &kv.blocks);
+                Ok(text(StatusCode::OK, "text/plain", "ok\n"))
+            }
+            (&Method::POST, "/v1/orders") => {
+                let status = self.order(decoded(body).await?).await;
+                let mut state = self.state();
+                if state.faults.lose_orders > 0 {
+                    state.faults.lose_orders -= 1;
+                    return Err(io::Error::other("the answer is lost"));
+                }
+                Ok(text(status, "text/plain", "done\n"))
+            }
+            _ => Ok(text(StatusCode::NOT_FOUND, "text/plain", "no such path\n")),
+        }
+    }
+
+    fn complete(&self, asked: Completion) -> Answer {
+        let (out, tokens) = mpsc::channel(STREAM);
+        let mut state = self.state();
+        if !state.models.contains_key(&asked.model) {
+            return text(StatusCode::NOT_FOUND, "text/plain", "no such model\n");
+        }
+        state.seen.insert((asked.prompt.clone(), asked.seed));
+        let whole = format!("{}{}", asked.prompt, asked.done.concat());
+        let missing = state.cache.take(self.clock.now().0, &Cache::hashes(&whole));
+        let prefill = missing as u64 * self.tuning.prefill_us;
+        state.waiting.push(Sequence {
+            length: truth::length(&asked.prompt, asked.seed, asked.max_tokens),
+            max: asked.max_tokens,
+            model: asked.model,
+            muted: false,
+            next: asked.done.len() as u32,
+            out,
+            priority: asked.priority,
+            prompt: asked.prompt,
+            ready: self.clock.micros() + prefill,
+            seed: asked.seed,
+        });
+        drop(state);
+        self.work.notify_one();
+        stream(tokens)
+    }
+
+    fn events(&self, query: &str) -> Answer {
+        let since = query.strip_prefix("since=").and_then(|n| n.parse().ok());
+        let since: u64 = since.unwrap_or(0);
+        let state = self.state();
+        let faults = state.faults;
+        let until = self.clock.now().0.saturating_sub(faults.event_lag_ms);
+        let told: Vec<_> = state
+            .cache
+            .events
+            .iter()
+            .filter(|event| event.sequence > since && event.at <= until)
+            .filter(|event| faults.event_gap == 0 || event.sequence % faults.event_gap != 0)
+            .collect();
+        json(StatusCode::OK, &told)
+    }
+
+    fn load_report(&self) -> Answer {
+        let state = self.state();
+        let until = self.clock.now().0.saturating_sub(state.faults.load_lag_ms);
+        let mut reports = state.loads.iter().rev();
+        let report = reports.find(|(at, ..)| *at <= until);
+        let (at, running, waiting) = report.copied().unwrap_or_default();
+        let told = serde_json::json!({ "at": at, "running": running, "waiting": waiting });
+        json(StatusCode::OK, &told)
+    }
+}
+
+fn stream(tokens: mpsc::Receiver<Produced>) -> Answer {
+    let frames = futures_util::stream::unfold(Some(tokens), |state| async {
+        let mut tokens = state?;
+        match tokens.recv().await {
+            Some(Produced::Token(text)) => Some((Ok(event(Some(text), None)), Some(tokens))),
+            Some(Produced::Finished(finish)) => {
+                let last = event(None, Some(finish.word()));
+                let done = Bytes::from_static(b"data: [DONE]\n\n");
+                let both = [last.into_data().unwrap_or_default(), done].concat();
+                Some((Ok(Frame::data(Bytes::from(both))), None))
+            }
+            // The engine crashed: the stream is cut without its end marker.
+            None => Some((Err(io::Error::other("crashed")), None)),
+        }
+    });
+    let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
+    let kind = hyper::header::HeaderValue::from_static("text/event-stream");
+    answer
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    answer
+}
+
+fn event(text: Option<String>, finish: Option<&str>) -> Frame<Bytes> {
+    let chunk = Chunk {
+        choices: vec![Choice {
+            finish_reason: finish.map(str::to_owned),
+            text,
+            ..Choice::default()
+        }],
+    };
+    let data = serde_json::to_string(&chunk).unwrap_or_default();
+    Frame::data(Bytes::from(format!("data: {data}\n\n")))
+}
--- /dev/null
+++ b/standins/src/engine/orders.rs
@@ -0,0 +1,84 @@
+//! How a stand-in engine does orders.
+
+use super::{
+    handle::Inner,
+    state::Model, //
+};
+use crate::client::Client;
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use redwingpond::wire::{
+    Order,
+    OrderKind, //
+};
+use std::time::Duration;
+
+/// How long a copy from the weight store may take.
+const COPY: Duration = Duration::from_secs(60);
+
+impl Inner {
+    /// Does an order; returns the status to answer with.
+    pub(super) async fn order(&self, order: Order) -> StatusCode {
+        {
+            let mut state = self.state();
+            if self.tuning.checks_fence && order.fence < state.fence {
+                return StatusCode::CONFLICT;
+            }
+            state.fence = state.fence.max(order.fence);
+        }
+        match order.kind {
+            OrderKind::Load { version } => self.load(&order.model, version.0).await,
+            OrderKind::Role { .. } => StatusCode::OK,
+            OrderKind::Unload => {
+                self.state().models.remove(&order.model);
+                StatusCode::OK
+            }
+        }
+    }
+
+    async fn load(&self, model: &str, version: u64) -> StatusCode {
+        if !self.copy(model, version).await {
+            return StatusCode::BAD_GATEWAY;
+        }
+        let boot = {
+            let mut state = self.state();
+            let known = state.models.contains_key(model);
+            if !known && state.models.len() >= self.tuning.max_models {
+                return StatusCode::INSUFFICIENT_STORAGE;
+            }
+            let slot = state.models.entry(model.to_owned()).or_default();
+            slot.loading = true;
+            slot.loads += 1;
+            state.boot
+        };
+        tokio::time::sleep(Duration::from_millis(self.tuning.swap_ms)).await;
+
+        let mut state = self.state();
+        if state.boot != boot {
+            return StatusCode::BAD_GATEWAY;
+        }
+        let failed = state.faults.fail_swaps > 0;
+        state.faults.fail_swaps = state.faults.fail_swaps.saturating_sub(1);
+        let slot: &mut Model = state.models.entry(model.to_owned()).or_default();
+        slot.loading = false;
+        slot.version = (!failed).then_some(version);
+        match failed {
+            true => StatusCode::INTERNAL_SERVER_ERROR,
+            false => StatusCode::OK,
+        }
+    }
+
+    /// Copies weights from the store, as fast as its rate limit allows.
+    async fn copy(&self, model: &str, version: u64) -> bool {
+        let Some(store) = self.tuning.weights else {
+            return true;
+        };
+        let path = format!("/weights/{model}/{version}");
+        let answer = Client::default()
+            .call(Method::GET, store, &path, &[], "", COPY)
+            .await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/deployment.rs
@@ -0,0 +1,204 @@
+//! Platform, entries and pools, opened together.
+
+use super::{
+    Backend,
+    Member,
+    Plan,
+    settings, //
+};
+use crate::{
+    balancer::Balancer,
+    platform::Platform, //
+};
+use redwingpond::{
+    base::Clock,
+    duty::DutyError,
+    entry::Entry,
+    platform::{Instance, InstanceState},
+    policy::router::Policy, //
+};
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+/// A fleet could not be opened.
+#[derive(Debug, Snafu)]
+pub enum FleetError {
+    #[snafu(display("{source}"), context(false))]
+    Duty { source: DutyError },
+    #[snafu(display("the fleet was not ready after {seconds} s"))]
+    NotReady { seconds: u64 },
+    #[snafu(display("can't open a stand-in: {source}"))]
+    Standin { source: std::io::Error },
+}
+
+/// How a fleet is opened.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    pub entries: u32,
+    pub policy: Policy,
+    /// Whether links pass relays, so that they can be made silent.
+    pub relayed: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            entries: 3,
+            policy: Policy::Current,
+            relayed: false,
+        }
+    }
+}
+
+/// A running fleet.
+pub struct Fleet {
+    pub balancer: Arc<Balancer>,
+    pub entries: Vec<(String, Entry)>,
+    pub members: Vec<Member>,
+    pub options: Options,
+    pub platform: Platform,
+    started: u32,
+}
+
+/// Copies of weights at once, and the time of each.
+const COPIES: usize = 6;
+const COPY: Duration = Duration::from_millis(40);
+
+/// How long a fleet may take to be ready.
+const READY_SECONDS: u64 = 20;
+
+impl Fleet {
+    /// Opens a platform and entries, and all that the plans name.
+    pub async fn open(plans: &[Plan], options: Options) -> Result<Self, FleetError> {
+        let platform = Platform::open(settings::loopback(), COPIES, COPY)
+            .await
+            .context(StandinSnafu)?;
+        let mut fleet = Self {
+            balancer: Arc::new(Balancer::default()),
+            entries: Vec::new(),
+            members: Vec::new(),
+            options,
+            platform,
+            started: 0,
+        };
+        for plan in plans {
+            fleet.add(plan).await?;
+        }
+        let centres: Vec<&String> = plans.iter().flat_map(|plan| &plan.data_centres).collect();
+        for number in 0..options.entries {
+            let centre = centres.get(number as usize % centres.len().max(1));
+            fleet.start_entry(centre.map_or("hall", |c| c.as_str()))?;
+        }
+        fleet.wait_ready(plans).await?;
+        Ok(fleet)
+    }
+
+    /// Starts one more entry and puts it behind the balancer.
+    pub fn start_entry(&mut self, data_centre: &str) -> Result<SocketAddr, FleetError> {
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
+        let common = settings::common(&name, data_centre, self.platform.address);
+        let peers = self.entries.iter().map(|(_, entry)| entry.links).collect();
+        let entry = Entry::open(settings::entry(common, self.options.policy, peers))?;
+        let callers = entry.callers;
+        self.platform.put_instance(Instance {
+            admin: entry.admin,
+            data_centre: data_centre.to_owned(),
+            links: entry.links,
+            name: name.clone(),
+            pool: None,
+            state: InstanceState::Live,
+        });
+        self.balancer.add(callers);
+        self.entries.push((name, entry));
+        Ok(callers)
+    }
+
+    /// Stops the first entry gracefully; false when that failed.
+    pub async fn stop_entry(&mut self) -> bool {
+        let (name, entry) = self.entries.remove(0);
+        // The balancer sees that the entry is not ready and lets go of it.
+        entry.handle.drain();
+        self.balancer.remove(entry.callers);
+        let stopped = entry.handle.wait().await;
+        self.platform.remove_instance(&name);
+        stopped
+    }
+
+    /// The members of `pool`.
+    pub fn pool<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Member> {
+        self.members.iter().filter(move |one| one.pool == pool)
+    }
+
+    async fn add(&mut self, plan: &Plan) -> Result<(), FleetError> {
+        for (path, text) in &plan.settings {
+            self.platform.apply(path, text);
+        }
+        for (pool, pool_plan) in &plan.pools {
+            for number in 0..pool_plan.servers {
+                let centres = &plan.data_centres;
+                let backend = Backend::open(pool_plan, self.platform.address)
+                    .await
+                    .context(StandinSnafu)?;
+                let mut member = Member {
+                    agent: None,
+                    backend,
+                    data_centre: centres[number as usize % centres.len()].clone(),
+                    name: format!("{pool}-{number}"),
+                    plan: pool_plan.clone(),
+                    pool: pool.clone(),
+                    relay: None,
+                };
+                member.start(&self.platform, self.options.relayed).await?;
+                self.members.push(member);
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every entry has its links.
+    async fn wait_ready(&self, plans: &[Plan]) -> Result<(), FleetError> {
+        let servers: u32 = plans
+            .iter()
+            .flat_map(|plan| plan.pools.values())
+            .map(|pool| pool.servers.min(redwingpond::policy::subset::SUBSET as u32))
+            .sum();
+        let clock = Clock::open();
+        let begun = clock.now();
+        let client = crate::client::Client::default();
+        for (_, entry) in &self.entries {
+            while linked(&client, entry.admin).await < servers as usize {
+                if clock.now().since(begun).0 > READY_SECONDS * 1_000 {
+                    return NotReadySnafu {
+                        seconds: READY_SECONDS,
+                    }
+                    .fail();
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// How many usable servers an entry is linked to.
+async fn linked(client: &crate::client::Client, admin: SocketAddr) -> usize {
+    let get = hyper::Method::GET;
+    let wait = Duration::from_secs(2);
+    let Ok(answer) = client.call(get, admin, "/v1/fleet", &[], "", wait).await else {
+        return 0;
+    };
+    let fleet = answer.json();
+    let servers = fleet["servers"].as_array().cloned().unwrap_or_default();
+    let usable = servers
+        .iter()
+        .filter(|server| server["linked"] == true && server["report"]["usable"] == true);
+    usable.count()
+}
--- /dev/null
+++ b/standins/src/fleet/plan.rs
@@ -0,0 +1,156 @@
+//! A deployment as its file describes it.
+
+use redwingpond::settings::{
+    Reader,
+    SettingsError,
+    load, //
+};
+use std::{
+    collections::BTreeMap,
+    path::Path, //
+};
+
+/// What stands in a pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PoolKind {
+    Engine,
+    Scorer,
+    #[default]
+    Service,
+}
+
+/// A pool's servers.
+#[derive(Clone, Debug)]
+pub struct PoolPlan {
+    pub capacity: u32,
+    /// Whether the engines check fencing numbers.
+    pub checks_fence: bool,
+    pub kind: PoolKind,
+    pub queue: usize,
+    pub servers: u32,
+    pub service_ms: u64,
+}
+
+/// What a caller sends.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Work {
+    Chat,
+    #[default]
+    Plain,
+}
+
+/// An application's calls.
+#[derive(Clone, Debug)]
+pub struct CallerPlan {
+    pub class: String,
+    pub idempotent: bool,
+    /// The key shown for internal classes; empty for none.
+    pub key: String,
+    /// Calls a second.
+    pub rate: u64,
+    pub work: Work,
+}
+
+/// A trainer's steps.
+#[derive(Clone, Debug)]
+pub struct TrainerPlan {
+    pub groups: u32,
+    pub max_tokens: u32,
+    pub samples: u32,
+    pub staleness: u64,
+    pub steps: u64,
+    pub train_ms: u64,
+}
+
+/// One user's deployment, scaled down.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub callers: BTreeMap<String, CallerPlan>,
+    pub data_centres: Vec<String>,
+    pub pools: BTreeMap<String, PoolPlan>,
+    /// Shared settings by path.
+    pub settings: BTreeMap<String, String>,
+    pub team: String,
+    pub trainers: BTreeMap<String, TrainerPlan>,
+}
+
+impl Plan {
+    /// Loads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        load(path, Self::read)
+    }
+
+    /// Reads the document's root.
+    pub fn read(reader: &Reader<'_>) -> Self {
+        let settings = reader.section("settings");
+        let paths = reader.keys("settings");
+        let plan = Self {
+            callers: each(reader, "callers", caller),
+            data_centres: reader.texts("data_centres"),
+            pools: each(reader, "pools", pool),
+            settings: paths
+                .into_iter()
+                .map(|path| {
+                    let text = settings.text(&path, None);
+                    (path, text)
+                })
+                .collect(),
+            team: reader.text("team", None),
+            trainers: each(reader, "trainers", trainer),
+        };
+        if plan.data_centres.is_empty() {
+            reader.contradiction("data_centres", "at least one", "none");
+        }
+        plan
+    }
+}
+
+fn each<T>(reader: &Reader<'_>, key: &str, read: impl Fn(&Reader<'_>) -> T) -> BTreeMap<String, T> {
+    let entries = reader.entries(key).into_iter();
+    let all = entries.map(|(name, section)| {
+        let value = read(&section);
+        section.finish();
+        (name, value)
+    });
+    all.collect()
+}
+
+fn caller(section: &Reader<'_>) -> CallerPlan {
+    let words = [("chat", Work::Chat), ("plain", Work::Plain)];
+    CallerPlan {
+        class: section.text("class", None),
+        idempotent: section.value("idempotent", "true or false", Some(true)),
+        key: section.value("key", "a text", Some(String::new())),
+        rate: section.number("rate", 0..=100_000, Some(10)),
+        work: section
+            .choice("work", &words, Some(Work::Plain))
+            .unwrap_or_default(),
+    }
+}
+
+fn pool(section: &Reader<'_>) -> PoolPlan {
+    let words = [
+        ("engine", PoolKind::Engine),
+        ("scorer", PoolKind::Scorer),
+        ("service", PoolKind::Service),
+    ];
+    PoolPlan {
+        capacity: section.number("capacity", 1..=10_000, Some(8)) as u32,
+        checks_fence: section.value("checks_fence", "true or false", Some(false)),
+        kind: section.choice("kind", &words, None).unwrap_or_default(),
+        queue: section.number("queue", 0..=100_000, Some(256)) as usize,
+        servers: section.number("servers", 1..=1_000, Some(1)) as u32,
+        service_ms: section.number("service_ms", 0..=60_000, Some(5)),
+    }
+}
+
+fn trainer(section: &Reader<'_>) -> TrainerPlan {
+    TrainerPlan {
+        groups: section.number("groups", 1..=10_000, Some(8)) as u32,
+        max_tokens: section.number("max_tokens", 1..=100_000, Some(200)) as u32,
+        samples: section.number("samples", 1..=1_000, Some(4)) as u32,
+        staleness: section.number("staleness", 0..=1_000, Some(1)),
+        steps: section.number("steps", 1..=10_000, Some(4)),
+        train_ms: section.number("train_ms", 0..=600_000, Some(1_000)),
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/settings.rs
@@ -0,0 +1,81 @@
+//! The settings that the fleet's processes are opened with.
+
+use super::PoolKind;
+use redwingpond::{
+    base::Millis,
+    policy::router::Policy,
+    settings::{
+        AgentSettings,
+        Backend,
+        BackendKind,
+        Common,
+        DrainSettings,
+        EntrySettings,
+        LogFormat, //
+    },
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+/// The key of all in-process deployments.
+pub(super) const KEY: &str = "loopback only";
+
+/// Any port of the loopback address.
+pub(super) fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// What every process has.
+pub(super) fn common(instance: &str, data_centre: &str, platform: SocketAddr) -> Common {
+    Common {
+        admin: loopback(),
+        data_centre: data_centre.to_owned(),
+        drain: DrainSettings {
+            bound: Millis(30_000),
+            leave: Millis(500),
+        },
+        instance: instance.to_owned(),
+        key: KEY.to_owned(),
+        links: loopback(),
+        log: LogFormat::Text,
+        log_level: "warn".to_owned(),
+        platform,
+    }
+}
+
+/// An agent before `backend`.
+pub(super) fn agent(
+    common: Common,
+    pool: &str,
+    plan: &super::PoolPlan,
+    address: SocketAddr,
+) -> AgentSettings {
+    let kind = match plan.kind {
+        PoolKind::Engine => BackendKind::Engine,
+        PoolKind::Scorer | PoolKind::Service => BackendKind::Service,
+    };
+    AgentSettings {
+        backend: Backend {
+            address,
+            capacity: plan.capacity,
+            checks_fence: plan.checks_fence,
+            kind,
+            pool: pool.to_owned(),
+            queue: plan.queue,
+        },
+        common,
+    }
+}
+
+/// An entry.
+pub(super) fn entry(common: Common, policy: Policy, peers: Vec<SocketAddr>) -> EntrySettings {
+    EntrySettings {
+        callers: loopback(),
+        common,
+        distances: BTreeMap::new(),
+        peers,
+        policy,
+    }
+}
--- /dev/null
+++ b/standins/src/platform/table.rs
@@ -0,0 +1,104 @@
+//! The transactional table.
+
+use redwingpond::platform::{
+    Listing,
+    Row,
+    Transaction,
+    Written, //
+};
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+
+/// Rows by path, and the outcomes of operations by their token.
+#[derive(Debug, Default)]
+pub struct Table {
+    outcomes: HashMap<String, Written>,
+    revision: u64,
+    rows: BTreeMap<String, Row>,
+}
+
+impl Table {
+    /// The row at `path`.
+    pub fn get(&self, path: &str) -> Option<&Row> {
+        self.rows.get(path)
+    }
+
+    /// All rows whose path begins with `prefix`.
+    pub fn list(&self, prefix: &str) -> Listing {
+        let rows = self.rows.iter();
+        let rows = rows.filter(|(path, _)| path.starts_with(prefix));
+        Listing {
+            revision: self.revision,
+            rows: rows
+                .map(|(path, row)| (path.clone(), row.clone()))
+                .collect(),
+        }
+    }
+
+    /// Does all writes or none; a repeated token returns the first outcome.
+    pub fn transact(&mut self, transaction: Transaction) -> Written {
+        if let Some(outcome) = self.outcomes.get(&transaction.token) {
+            return outcome.clone();
+        }
+        let outcome = self.write(&transaction);
+        self.outcomes.insert(transaction.token, outcome.clone());
+        outcome
+    }
+
+    fn write(&mut self, transaction: &Transaction) -> Written {
+        for write in &transaction.writes {
+            let version = self.rows.get(&write.path).map_or(0, |row| row.version);
+            if version != write.expect {
+                let path = write.path.clone();
+                return Written::Conflict { path, version };
+            }
+        }
+
+        self.revision += 1;
+        for write in &transaction.writes {
+            match &write.value {
+                Some(value) => {
+                    let row = Row {
+                        value: value.clone(),
+                        version: self.revision,
+                    };
+                    self.rows.insert(write.path.clone(), row);
+                }
+                None => {
+                    self.rows.remove(&write.path);
+                }
+            }
+        }
+        Written::Committed(vec![self.revision; transaction.writes.len()])
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use redwingpond::platform::Write;
+
+    fn transaction(token: &str, expect: u64) -> Transaction {
+        Transaction {
+            token: token.into(),
+            writes: vec![Write {
+                expect,
+                path: "a".into(),
+                value: Some("x".into()),
+            }],
+        }
+    }
+
+    #[test]
+    fn a_repeated_token_returns_the_first_outcome() {
+        let mut table = Table::default();
+        let first = table.transact(transaction("one", 0));
+        assert_eq!(first, Written::Committed(vec![1]));
+        assert_eq!(table.transact(transaction("one", 0)), first);
+        let path = "a".to_owned();
+        let conflict = Written::Conflict { path, version: 1 };
+        assert_eq!(table.transact(transaction("two", 0)), conflict);
+    }
+}
--- /dev/null
+++ b/standins/src/scorer.rs
@@ -0,0 +1,54 @@
+//! A scoring service's stand-in: `POST /score` with `{prompt, text}`.
+
+use crate::{
+    server::{Server, decoded},
+    truth, //
+};
+use hyper::{
+    Request,
+    StatusCode,
+    body::Incoming, //
+};
+use redwingpond::duty::{
+    Answer,
+    json,
+    text, //
+};
+use serde::Deserialize;
+use std::{
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// A running stand-in.
+pub struct Scorer {
+    pub address: SocketAddr,
+    _server: Server,
+}
+
+#[derive(Deserialize)]
+struct Judged {
+    text: String,
+}
+
+impl Scorer {
+    /// Opens a scorer that takes `time` for each score.
+    pub async fn open(address: SocketAddr, time: Duration) -> io::Result<Self> {
+        let server = Server::open(address, move |request| answer(request, time)).await?;
+        Ok(Self {
+            address: server.address,
+            _server: server,
+        })
+    }
+}
+
+async fn answer(request: Request<Incoming>, time: Duration) -> io::Result<Answer> {
+    if request.uri().path() != "/score" {
+        return Ok(text(StatusCode::NOT_FOUND, "text/plain", "no such path\n"));
+    }
+    let judged: Judged = decoded(request.into_body()).await?;
+    tokio::time::sleep(time).await;
+    let score = truth::score(&judged.text);
+    Ok(json(StatusCode::OK, &serde_json::json!({ "score": score })))
+}
--- /dev/null
+++ b/standins/src/server.rs
@@ -0,0 +1,120 @@
+//! A small HTTP server that can be cut and brought back on command.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    body::Incoming,
+    service::service_fn, //
+};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo},
+    server::conn::auto::Builder, //
+};
+use redwingpond::duty::Answer;
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::Arc, //
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle, //
+};
+
+/// A running server; dropping it ends it and all its connections.
+pub struct Server {
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+    up: Arc<watch::Sender<bool>>,
+}
+
+impl Server {
+    /// Listens at `address` and answers with `handler`; a handler's error
+    /// cuts the connection.
+    pub async fn open<H, Fut>(address: SocketAddr, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+        Fut: Future<Output = io::Result<Answer>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (up, watch) = watch::channel(true);
+        let task = tokio::spawn(serve(listener, address, watch, handler));
+        Ok(Self {
+            address,
+            task,
+            up: Arc::new(up),
+        })
+    }
+
+    /// A switch that cuts (false) or brings back (true) the server.
+    pub fn switch(&self) -> Arc<watch::Sender<bool>> {
+        self.up.clone()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.up.send_replace(false);
+        self.task.abort();
+    }
+}
+
+async fn serve<H, Fut>(
+    listener: TcpListener,
+    address: SocketAddr,
+    mut up: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = io::Result<Answer>> + Send + 'static,
+{
+    let watch = up.clone();
+    let mut listener = Some(listener);
+    loop {
+        let Some(open) = &listener else {
+            if up.wait_for(|up| *up).await.is_err() {
+                return;
+            }
+            listener = TcpListener::bind(address).await.ok();
+            continue;
+        };
+        tokio::select! {
+            accepted = open.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(connection(stream, watch.clone(), handler.clone()));
+                }
+            }
+            Ok(_) = up.wait_for(|up| !*up) => listener = None,
+        }
+    }
+}
+
+async fn connection<H, Fut>(stream: TcpStream, mut up: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = io::Result<Answer>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(handler);
+    let builder = Builder::new(TokioExecutor::new());
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = serving => {}
+        _ = up.wait_for(|up| !*up) => {}
+    }
+}
+
+/// Reads a whole body.
+pub async fn whole(body: Incoming) -> io::Result<Bytes> {
+    let body = body.collect().await.map_err(io::Error::other)?;
+    Ok(body.to_bytes())
+}
+
+/// Reads a whole JSON body.
+pub async fn decoded<T: serde::de::DeserializeOwned>(body: Incoming) -> io::Result<T> {
+    serde_json::from_slice(&whole(body).await?).map_err(io::Error::other)
+}
--- /dev/null
+++ b/standins/src/trainer/run.rs
@@ -0,0 +1,122 @@
+//! A trainer's loop: wait for a step, train on it while the next one is made.
+
+use super::{
+    Config,
+    Report,
+    api::{Api, Fetch, pause},
+    check::check, //
+};
+use redwingpond::{
+    base::Clock,
+    policy::{bitmap::Bitmap, step_spec::StepSpec}, //
+};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+
+/// Runs all steps; `progress` counts samples as they come.
+pub async fn run(config: &Config, progress: &AtomicU64) -> Report {
+    let clock = Clock::open();
+    let begun = clock.now();
+    let api = Api::new(config);
+    let mut trainer = Trainer {
+        api,
+        clock,
+        epoch: 0,
+        progress,
+        report: Report::default(),
+        version: 1,
+    };
+    trainer.api.publish(trainer.version).await;
+    let mut next = config.spec(0, trainer.version);
+    trainer.api.submit(0, &next).await;
+    let mut submitted = clock.now();
+
+    for step in 0..config.steps {
+        let spec = next.clone();
+        let waiting = clock.now();
+        trainer.gather(step, &spec).await;
+        let now = clock.now();
+        trainer.report.idle_ms += now.since(waiting).0;
+        trainer.report.step_ms.push(now.since(submitted).0);
+        if step + 1 < config.steps {
+            next = config.spec(step + 1, trainer.version);
+            trainer.api.submit(step + 1, &next).await;
+            submitted = clock.now();
+        }
+        tokio::time::sleep(config.train).await;
+        trainer.version += 1;
+        trainer.api.publish(trainer.version).await;
+    }
+    trainer.report.wall_ms = clock.now().since(begun).0;
+    trainer.report
+}
+
+struct Trainer<'a> {
+    api: Api<'a>,
+    clock: Clock,
+    /// The highest owner's epoch seen; answers from older ones are refused.
+    epoch: u64,
+    progress: &'a AtomicU64,
+    report: Report,
+    version: u64,
+}
+
+/// A step that is not whole after this long is given up, and counted missing.
+const GIVE_UP_MS: u64 = 60_000;
+
+impl Trainer<'_> {
+    /// Fetches until the step is whole.
+    async fn gather(&mut self, step: u64, spec: &StepSpec) {
+        let mut have = Bitmap::default();
+        let wanted = spec.samples();
+        self.report.asked += u64::from(wanted);
+        let begun = self.clock.now();
+        let mut regenerated = 0;
+        while have.count() < wanted && self.clock.now().since(begun).0 < GIVE_UP_MS {
+            let fetch = self.api.fetch(step, &have, self.version, self.epoch);
+            match fetch.await {
+                Fetch::Again => {
+                    self.report.failed_requests += 1;
+                    pause().await;
+                }
+                Fetch::Got(fetched) if fetched.epoch < self.epoch => {
+                    self.report.failed_requests += 1;
+                }
+                Fetch::Got(fetched) => {
+                    self.epoch = fetched.epoch;
+                    regenerated = fetched.regenerated;
+                    for group in &fetched.groups {
+                        for sample in &group.samples {
+                            self.take(spec, group.group, sample, &mut have);
+                        }
+                    }
+                    if fetched.done && have.count() < wanted {
+                        break;
+                    }
+                }
+                Fetch::Unknown => self.api.submit(step, spec).await,
+            }
+        }
+        self.report.regenerated += regenerated;
+        self.report.missing += u64::from(wanted - have.count());
+    }
+
+    fn take(
+        &mut self,
+        spec: &StepSpec,
+        group: u32,
+        sample: &super::check::Sample,
+        have: &mut Bitmap,
+    ) {
+        if have.holds(sample.number) {
+            self.report.duplicate += 1;
+            return;
+        }
+        have.set(sample.number);
+        self.report.delivered += 1;
+        self.progress.fetch_add(1, Ordering::Relaxed);
+        check(&mut self.report, spec, group, sample, self.version);
+    }
+}
--- /dev/null
+++ b/standins/src/truth.rs
@@ -0,0 +1,58 @@
+//! What the stand-in engines produce, so that answers can be checked from outside.
+//!
+//! A token's text is a function of the prompt, the seed, its index and the
+//! weight version that really made it. So a wrong version, a lost token and a
+//! doubled one each show as a wrong text.
+
+use redwingpond::base::{
+    Span,
+    stable_hash, //
+};
+
+/// The version of tokens made while the weights were no one version.
+pub const MIXED: u64 = u64::MAX;
+
+/// The median length of a sample, in tokens.
+const MEDIAN: f64 = 24.0;
+
+/// The exponent of the lengths' tail; a greater one makes longer stragglers.
+const TAIL: f64 = 0.55;
+
+/// The length in tokens that a generation has when `max` does not cut it.
+pub fn length(prompt: &str, seed: u64, max: u32) -> u32 {
+    let hash = stable_hash(&[b"length", prompt.as_bytes(), &seed.to_le_bytes()]);
+    let draw = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+    let length = MEDIAN * (2.0 * (1.0 - draw).max(1e-6)).powf(-TAIL);
+    (length as u32).clamp(1, max)
+}
+
+/// The text of token `index`.
+pub fn token(prompt: &str, seed: u64, index: u32, version: u64) -> String {
+    let hash = stable_hash(&[
+        prompt.as_bytes(),
+        &seed.to_le_bytes(),
+        &index.to_le_bytes(),
+        &version.to_le_bytes(),
+    ]);
+    let letters = b"abcdefghijklmnopqrstuvwxyz";
+    let mut text = String::from(" ");
+    for shift in [0, 8, 16, 24] {
+        text.push(char::from(letters[(hash >> shift) as usize % 26]));
+    }
+    text
+}
+
+/// The whole text of a generation whose tokens the spans name.
+pub fn text(prompt: &str, seed: u64, spans: &[Span]) -> String {
+    let tokens = spans
+        .iter()
+        .flat_map(|span| (span.from..span.to).map(|index| (index, span.version.0)));
+    tokens
+        .map(|(index, version)| token(prompt, seed, index, version))
+        .collect()
+}
+
+/// The score that the stand-in scorer gives.
+pub fn score(text: &str) -> f64 {
+    (stable_hash(&[b"score", text.as_bytes()]) % 1_000) as f64 / 1_000.0
+}
