Add redwing-load and its first case, and take mimalloc as allocator

Cause: at half of saturation p99 through entry and agent was 55 to 77 ms over a direct call. perf showed malloc_consolidate and cfree on top in the work and traffic threads: messages are allocated on one thread and freed on another. Ruled out: loops of the traffic and work duties (no iteration over 8 ms with work waiting), link framing, the accounts' map. The generator sends from 8 tasks over at most 256 connections (one stall had it open 20,000 sockets on every path, the bare hops too) and takes the medians of 7 rounds.

--- a/src/bin/redwing-agent.rs
+++ b/src/bin/redwing-agent.rs
@@ -1,3 +1,6 @@
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 fn main() -> std::process::ExitCode {
     redwingpond::operator::agent_main()
 }
--- a/src/entry/learner.rs
+++ b/src/entry/learner.rs
@@ -85,9 +85,12 @@
     let listing = platform.list(ROOT).await.ok()?;
     let mut instances = platform.instances().await.ok()?;
     instances.sort_by(|a, b| a.name.cmp(&b.name));
+    // The table's own revision moves with every lease that is renewed; only
+    // the settings' rows count as news.
+    let versions = listing.rows.values().map(|row| row.version);
     Some(News {
         instances: Change::All(instances),
-        revision: listing.revision,
+        revision: versions.max().unwrap_or(0),
         rows: listing.rows,
     })
 }
--- /dev/null
+++ b/standins/src/bin/redwing-load.rs
@@ -0,0 +1,6 @@
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> std::process::ExitCode {
+    redwing_standins::load::load_main()
+}
--- /dev/null
+++ b/standins/src/cli/command.rs
@@ -0,0 +1,173 @@
+//! The stand-ins as programs.
+
+use super::trainer_command::TrainerCommand;
+use crate::{
+    engine::{Engine, Tuning},
+    platform::Platform,
+    scorer::Scorer,
+    service::Service, //
+};
+use argh::FromArgs;
+use redwingpond::operator::parse;
+use std::{
+    net::SocketAddr,
+    process::ExitCode,
+    time::Duration, //
+};
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+/// Runs one stand-in for what redwingpond serves or is served by. SIGTERM or
+/// SIGINT ends it.
+#[derive(FromArgs)]
+struct StandinCommand {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Engine(EngineCommand),
+    Platform(PlatformCommand),
+    Scorer(ScorerCommand),
+    Service(ServiceCommand),
+    Trainer(TrainerCommand),
+}
+
+/// A model engine that batches continuously.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+struct EngineCommand {
+    /// whether orders with an old fencing number are refused
+    #[argh(switch)]
+    checks_fence: bool,
+
+    /// the IP address and port to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// sequences in a batch at most (default: 8)
+    #[argh(option, default = "8")]
+    max_batch: usize,
+
+    /// the platform to copy weights from (default: none is needed)
+    #[argh(option)]
+    platform: Option<SocketAddr>,
+
+    /// the time of one decoding step in microseconds (default: 3000)
+    #[argh(option, default = "3000")]
+    step_us: u64,
+}
+
+/// The platform: table, object store, instance list and weight store.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformCommand {
+    /// copies of weights at once (default: 6)
+    #[argh(option, default = "6")]
+    copies: usize,
+
+    /// the time of one copy in milliseconds (default: 40)
+    #[argh(option, default = "40")]
+    copy_ms: u64,
+
+    /// the IP address and port to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// A scoring service.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scorer")]
+struct ScorerCommand {
+    /// the IP address and port to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// the time of one score in milliseconds (default: 3)
+    #[argh(option, default = "3")]
+    time_ms: u64,
+}
+
+/// A plain service that counts what it ran.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "service")]
+struct ServiceCommand {
+    /// the IP address and port to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// the time of one call to `/work` in milliseconds (default: 4)
+    #[argh(option, default = "4")]
+    time_ms: u64,
+}
+
+/// Runs the program; returns its exit code.
+pub fn standin_main() -> ExitCode {
+    let command: StandinCommand = match parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("error: no runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        match run(command.command).await {
+            Ok(code) => code,
+            Err(error) => {
+                eprintln!("error: {error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
+
+async fn run(command: Command) -> std::io::Result<ExitCode> {
+    match command {
+        Command::Engine(command) => {
+            let tuning = Tuning {
+                checks_fence: command.checks_fence,
+                max_batch: command.max_batch,
+                step_us: command.step_us,
+                weights: command.platform,
+                ..Tuning::default()
+            };
+            let engine = Engine::open(command.listen, tuning).await?;
+            until_stopped("engine", engine.address).await
+        }
+        Command::Platform(command) => {
+            let copy = Duration::from_millis(command.copy_ms);
+            let platform = Platform::open(command.listen, command.copies, copy).await?;
+            until_stopped("platform", platform.address).await
+        }
+        Command::Scorer(command) => {
+            let time = Duration::from_millis(command.time_ms);
+            let scorer = Scorer::open(command.listen, time).await?;
+            until_stopped("scorer", scorer.address).await
+        }
+        Command::Service(command) => {
+            let time = Duration::from_millis(command.time_ms);
+            let service = Service::open(command.listen, time).await?;
+            until_stopped("service", service.address).await
+        }
+        Command::Trainer(command) => Ok(command.run().await),
+    }
+}
+
+async fn until_stopped(what: &str, address: SocketAddr) -> std::io::Result<ExitCode> {
+    eprintln!("{what} listening at {address}");
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/standins/src/cli/trainer_command.rs
@@ -0,0 +1,80 @@
+//! `redwing-standin trainer`.
+
+use crate::{
+    balancer::Balancer,
+    trainer::{self, Config}, //
+};
+use argh::FromArgs;
+use std::{
+    net::SocketAddr,
+    process::ExitCode,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration, //
+};
+
+/// A trainer that runs some steps and checks every sample.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "trainer")]
+pub(super) struct TrainerCommand {
+    /// the callers' address of an entry; may be given again
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+
+    /// groups in a step (default: 8)
+    #[argh(option, default = "8")]
+    groups: u32,
+
+    /// the trainer's name, which its model has too
+    #[argh(option)]
+    name: String,
+
+    /// the platform, where weights are published
+    #[argh(option)]
+    platform: SocketAddr,
+
+    /// samples in a group (default: 4)
+    #[argh(option, default = "4")]
+    samples: u32,
+
+    /// versions that a sample may be behind (default: 1)
+    #[argh(option, default = "1")]
+    staleness: u64,
+
+    /// steps to run (default: 3)
+    #[argh(option, default = "3")]
+    steps: u64,
+
+    /// the team
+    #[argh(option)]
+    team: String,
+
+    /// the time of training on one step in milliseconds (default: 500)
+    #[argh(option, default = "500")]
+    train_ms: u64,
+}
+
+impl TrainerCommand {
+    pub(super) async fn run(self) -> ExitCode {
+        let config = Config {
+            balancer: Arc::new(Balancer::new(self.entry)),
+            groups: self.groups,
+            max_tokens: 160,
+            model: self.name.clone(),
+            name: self.name,
+            platform: self.platform,
+            prompts: vec!["Judge this foam core.".to_owned()],
+            samples: self.samples,
+            seed: 1,
+            staleness: self.staleness,
+            steps: self.steps,
+            team: self.team,
+            train: Duration::from_millis(self.train_ms),
+        };
+        let report = trainer::run(&config, &AtomicU64::new(0)).await;
+        println!("{}", serde_json::json!(report));
+        match report.holds() {
+            true => ExitCode::SUCCESS,
+            false => ExitCode::FAILURE,
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,12 +6,14 @@
 
 pub mod balancer;
 pub mod caller;
+pub mod cli;
 pub mod client;
 pub mod demo;
 
 pub mod engine;
 
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod relay;
 pub mod scorer;
--- /dev/null
+++ b/standins/src/load/case.rs
@@ -0,0 +1,30 @@
+//! One experiment by its name.
+
+use super::{
+    LoadError,
+    Outcome, //
+};
+use std::{
+    future::Future,
+    pin::Pin, //
+};
+
+/// How a case is to be run.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    /// Which policies are measured: baseline, current, or both.
+    pub baseline: bool,
+    pub current: bool,
+    pub seconds: u64,
+    pub seed: u64,
+}
+
+/// A case's function.
+pub type Measure = fn(Run) -> Pin<Box<dyn Future<Output = Result<Outcome, LoadError>>>>;
+
+/// A named experiment.
+pub struct Case {
+    pub about: &'static str,
+    pub measure: Measure,
+    pub name: &'static str,
+}
--- /dev/null
+++ b/standins/src/load/command.rs
@@ -0,0 +1,132 @@
+//! The command line of `redwing-load`.
+
+use super::{
+    LoadError,
+    Outcome,
+    Run,
+    cases::CASES,
+    plot, //
+};
+use argh::FromArgs;
+use redwingpond::{
+    base::Clock,
+    duty::open_log,
+    operator::{USAGE, parse},
+    settings::LogFormat, //
+};
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+/// Measures redwingpond against stand-ins over loopback sockets. Exits with 0
+/// if the case was measured, whatever the figures, and with 1 if it was not.
+#[derive(FromArgs)]
+struct LoadCommand {
+    /// the case to run
+    #[argh(option)]
+    case: Option<String>,
+
+    /// measure both policies in one run (the default)
+    #[argh(switch)]
+    compare: bool,
+
+    /// write the figures to this file as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+
+    /// list the cases
+    #[argh(switch)]
+    list: bool,
+
+    /// a filter for log lines, such as `info` (default: off)
+    #[argh(option, default = "String::from(\"off\")")]
+    log: String,
+
+    /// measure only this policy: baseline or current
+    #[argh(option)]
+    policy: Option<String>,
+
+    /// how long each part of the case lasts (default: 5)
+    #[argh(option, default = "5")]
+    seconds: u64,
+
+    /// the seed of all that is drawn at random (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// draw the case to this file as SVG
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
+/// Runs the program; returns its exit code.
+pub fn load_main() -> ExitCode {
+    let command: LoadCommand = match parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    if command.list {
+        for case in CASES {
+            println!("{:<14} {}", case.name, case.about);
+        }
+        return ExitCode::SUCCESS;
+    }
+    let (baseline, current) = match (command.compare, command.policy.as_deref()) {
+        (_, None) => (true, true),
+        (false, Some("baseline")) => (true, false),
+        (false, Some("current")) => (false, true),
+        (_, Some(other)) => {
+            eprintln!("error: `--policy {other}`: expected baseline or current, no `--compare`");
+            return ExitCode::from(USAGE);
+        }
+    };
+    let named = CASES
+        .iter()
+        .find(|case| Some(case.name) == command.case.as_deref());
+    let Some(case) = named else {
+        eprintln!("error: name a case with `--case`; `--list` tells which there are");
+        return ExitCode::from(USAGE);
+    };
+
+    open_log(LogFormat::Text, &command.log);
+    let run = Run {
+        baseline,
+        current,
+        seconds: command.seconds.clamp(1, 600),
+        seed: command.seed,
+    };
+    let clock = Clock::open();
+    let outcome = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on((case.measure)(run)),
+        Err(source) => Err(LoadError::Io { source }),
+    };
+    let outcome = outcome.map(|outcome| Outcome {
+        case: case.name.to_owned(),
+        seed: command.seed,
+        wall_ms: clock.micros() / 1_000,
+        ..outcome
+    });
+    match outcome.and_then(|outcome| tell(&outcome, command.json, command.svg)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => {
+            eprintln!("error: the case measured nothing");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn tell(outcome: &Outcome, json: Option<PathBuf>, svg: Option<PathBuf>) -> Result<bool, LoadError> {
+    outcome.print();
+    if let Some(path) = json {
+        std::fs::write(path, serde_json::json!(outcome).to_string())?;
+    }
+    if let Some(path) = svg {
+        plot::draw(&path, &outcome.case, &outcome.series)?;
+    }
+    Ok(outcome.is_measured())
+}
--- /dev/null
+++ b/standins/src/load/mod.rs
@@ -0,0 +1,21 @@
+//! The load and experiment tool.
+
+mod case;
+mod cases;
+mod command;
+mod hops;
+mod load_error;
+mod open_loop;
+mod outcome;
+mod plot;
+mod row;
+mod steady;
+mod usage;
+
+pub use self::{
+    case::{Case, Run},
+    command::load_main,
+    load_error::LoadError,
+    outcome::Outcome,
+    row::Row, //
+};
--- /dev/null
+++ b/standins/src/load/open_loop.rs
@@ -0,0 +1,156 @@
+//! Load on a fixed schedule, so that queueing is not hidden.
+
+use crate::client::Client;
+use hdrhistogram::Histogram;
+use hyper::Method;
+use redwingpond::base::Clock;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError,
+        atomic::{AtomicU64, Ordering}, //
+    },
+    time::Duration, //
+};
+use tokio::{
+    sync::Semaphore,
+    task::JoinSet, //
+};
+
+/// Where requests go and what they carry.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub address: SocketAddr,
+    pub body: String,
+    pub path: String,
+}
+
+/// What came back.
+#[derive(Debug)]
+pub struct Measured {
+    pub answered: u64,
+    /// Microseconds from the time a request was due to its whole answer.
+    pub latency: Histogram<u64>,
+    pub sent: u64,
+}
+
+/// How long one request may take.
+const WAIT: Duration = Duration::from_secs(10);
+
+impl Measured {
+    /// A percentile of the latency in milliseconds.
+    pub fn at(&self, percentile: f64) -> f64 {
+        self.latency.value_at_percentile(percentile) as f64 / 1_000.0
+    }
+}
+
+/// The tasks that share the sending: one alone would be the bottleneck.
+const SENDERS: u64 = 8;
+
+/// The requests under way at once. Latency counts from when a request was
+/// due, so those that wait for their turn are not hidden.
+const CONNECTIONS: usize = 256;
+
+/// Sends `rate` requests a second for `time`.
+pub async fn run(client: &Client, target: &Target, rate: u64, time: Duration) -> Measured {
+    let clock = Clock::open();
+    let total = rate * time.as_millis() as u64 / 1_000;
+    // With a connection for each request that waits, one stall becomes a storm
+    // of new connections that keeps itself going, on any path measured.
+    let room = Arc::new(Semaphore::new(CONNECTIONS));
+    let sums = Arc::new(Sums {
+        answered: AtomicU64::new(0),
+        latency: Mutex::new(Histogram::new_with_bounds(1, 60_000_000, 3).ok()),
+    });
+    let mut senders = JoinSet::new();
+    for first in 0..SENDERS {
+        let (client, target, sums) = (client.clone(), target.clone(), sums.clone());
+        let room = room.clone();
+        senders.spawn(async move {
+            let mut under_way = JoinSet::new();
+            for number in (first..total).step_by(SENDERS as usize) {
+                let due = number * 1_000_000 / rate;
+                let wait = due.saturating_sub(clock.micros());
+                if wait > 0 {
+                    tokio::time::sleep(Duration::from_micros(wait)).await;
+                }
+                let (client, target, sums) = (client.clone(), target.clone(), sums.clone());
+                let room = room.clone();
+                under_way.spawn(async move {
+                    let _permit = room.acquire().await;
+                    if once(&client, &target).await {
+                        sums.note(clock.micros().saturating_sub(due));
+                    }
+                });
+                while under_way.try_join_next().is_some() {}
+            }
+            while under_way.join_next().await.is_some() {}
+        });
+    }
+    while senders.join_next().await.is_some() {}
+    let latency = sums
+        .latency
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .take();
+    Measured {
+        answered: sums.answered.load(Ordering::Relaxed),
+        latency: latency.unwrap_or_else(empty),
+        sent: total,
+    }
+}
+
+/// What the senders' requests add up to.
+struct Sums {
+    answered: AtomicU64,
+    latency: Mutex<Option<Histogram<u64>>>,
+}
+
+impl Sums {
+    fn note(&self, micros: u64) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(latency) = latency.as_mut() {
+            latency.saturating_record(micros.max(1));
+        }
+    }
+}
+
+/// Sends as fast as `parallel` callers get answers; returns answers a second.
+pub async fn saturate(client: &Client, target: &Target, parallel: u32, time: Duration) -> f64 {
+    let clock = Clock::open();
+    let mut callers = JoinSet::new();
+    for _ in 0..parallel {
+        let (client, target) = (client.clone(), target.clone());
+        callers.spawn(async move {
+            let mut answered = 0_u64;
+            while clock.micros() < time.as_micros() as u64 {
+                answered += u64::from(once(&client, &target).await);
+            }
+            answered
+        });
+    }
+    let answered: u64 = callers.join_all().await.into_iter().sum();
+    answered as f64 / (clock.micros() as f64 / 1e6)
+}
+
+async fn once(client: &Client, target: &Target) -> bool {
+    let body = target.body.clone();
+    let headers = [("content-type", "text/plain")];
+    let call = client.call(
+        Method::POST,
+        target.address,
+        &target.path,
+        &headers,
+        body,
+        WAIT,
+    );
+    call.await.is_ok_and(|answer| answer.status.is_success())
+}
+
+fn empty() -> Histogram<u64> {
+    // INVARIANT: 1 to 2 with 3 digits is within the histogram's own limits.
+    Histogram::new_with_bounds(1, 2, 3).unwrap_or_else(|_| std::process::abort())
+}
--- /dev/null
+++ b/standins/src/load/steady.rs
@@ -0,0 +1,194 @@
+//! `steady`: what the way through entry and agent costs.
+
+use super::{
+    LoadError,
+    Outcome,
+    Row,
+    Run,
+    hops::{self, Hop},
+    open_loop::{self, Measured, Target},
+    plot::Series,
+    row::Aim,
+    usage, //
+};
+use crate::{
+    client::Client,
+    fleet::{Backend, Fleet, Options, Plan}, //
+};
+use redwingpond::settings::read;
+use std::time::Duration;
+
+/// One service, no wait in it.
+const PLAN: &str = "
+team: bench
+data_centres: [hall]
+pools:
+  echo: {kind: service, servers: 1, capacity: 64, queue: 10000, service_ms: 0}
+settings:
+  pools/echo: |
+    kind: service
+  teams/bench: |
+    classes:
+      plain: {pool: echo, limit: 100000}
+    limit: 100000
+callers: {}
+trainers: {}
+";
+
+/// Callers that saturate a path.
+const PARALLEL: u32 = 64;
+
+/// The body of every request.
+const BODY_BYTES: usize = 256;
+
+/// Runs the case.
+pub async fn measure(run: Run) -> Result<Outcome, LoadError> {
+    let plan = read("steady", PLAN, Plan::read)?;
+    let options = Options {
+        entries: 1,
+        ..Options::default()
+    };
+    let fleet = Fleet::open(&[plan], options).await?;
+    let service = fleet.members.iter().find_map(|one| match &one.backend {
+        Backend::Service(service) => Some(service.address),
+        Backend::Engine(_) | Backend::Scorer(_) => None,
+    });
+    let entry = fleet.balancer.next();
+    let (Some(service), Some(entry)) = (service, entry) else {
+        let what = "a fleet without servers".to_owned();
+        return Err(LoadError::NotMeasured { what });
+    };
+    let second = Hop::open(2, service)?;
+    let first = Hop::open(1, second.address)?;
+    let target = |address, path: &str| Target {
+        address,
+        body: "x".repeat(BODY_BYTES),
+        path: path.to_owned(),
+    };
+    let direct = target(service, "/work");
+    let hops = target(first.address, "/work");
+    let product = target(entry, "/v1/app/bench/plain/work");
+    let client = Client::default();
+
+    let probe = Duration::from_secs(2);
+    let most_hops = open_loop::saturate(&client, &hops, PARALLEL, probe).await;
+    let most_product = open_loop::saturate(&client, &product, PARALLEL, probe).await;
+    let rate = (most_product.min(most_hops) / 2.0) as u64;
+    let time = Duration::from_millis(run.seconds * 1_000 / u64::from(ROUNDS));
+    let mut straight = Path::default();
+    let mut passed = Path::default();
+    let mut through = Path::default();
+    for _ in 0..ROUNDS {
+        straight.add(&client, &direct, rate, time, &[]).await?;
+        passed
+            .add(&client, &hops, rate, time, &[hops::THREADS])
+            .await?;
+        through
+            .add(&client, &product, rate, time, &usage::PRODUCT)
+            .await?;
+    }
+
+    let added = |path: &Path, at: f64| Some(path.median(at) - straight.median(at));
+    Ok(Outcome {
+        results: vec![
+            Row::new(
+                "rate",
+                "req/s",
+                Some(rate as f64),
+                Some(rate as f64),
+                Aim::None,
+            ),
+            Row::new(
+                "saturation",
+                "req/s",
+                Some(most_hops),
+                Some(most_product),
+                Aim::None,
+            ),
+            Row::new(
+                "CPU per request",
+                "us",
+                Some(passed.cpu_each()),
+                Some(through.cpu_each()),
+                Aim::RatioAtMost(2.5),
+            ),
+            Row::new(
+                "added p50",
+                "ms",
+                added(&passed, 50.0),
+                added(&through, 50.0),
+                Aim::None,
+            ),
+            Row::new(
+                "added p99",
+                "ms",
+                added(&passed, 99.0),
+                added(&through, 99.0),
+                Aim::AtMost(3.0),
+            ),
+        ],
+        series: vec![
+            straight.curve("direct"),
+            passed.curve("two hops"),
+            through.curve("redwingpond"),
+        ],
+        ..Outcome::default()
+    })
+}
+
+/// The rounds in which the paths take turns. Figures are the rounds' medians:
+/// on a shared machine a stall of some ms comes along every few seconds.
+const ROUNDS: u32 = 7;
+
+/// The rounds of one path.
+#[derive(Default)]
+struct Path {
+    cpu: u64,
+    rounds: Vec<Measured>,
+}
+
+impl Path {
+    async fn add(
+        &mut self,
+        client: &Client,
+        target: &Target,
+        rate: u64,
+        time: Duration,
+        threads: &[&str],
+    ) -> Result<(), LoadError> {
+        let before = usage::now();
+        let measured = open_loop::run(client, target, rate, time).await;
+        self.cpu += usage::since(&before, threads);
+        if measured.answered < measured.sent {
+            let lost = measured.sent - measured.answered;
+            let what = format!(
+                "{lost} of {} requests got no answer: latency",
+                measured.sent
+            );
+            return Err(LoadError::NotMeasured { what });
+        }
+        self.rounds.push(measured);
+        Ok(())
+    }
+
+    fn cpu_each(&self) -> f64 {
+        let answered: u64 = self.rounds.iter().map(|one| one.answered).sum();
+        self.cpu as f64 / 1e3 / answered.max(1) as f64
+    }
+
+    /// Latency in ms over percentile.
+    fn curve(&self, name: &str) -> Series {
+        let points = (1..200).map(|at| f64::from(at) / 2.0);
+        Series {
+            name: name.to_owned(),
+            points: points.map(|at| (at, self.median(at))).collect(),
+        }
+    }
+
+    /// The median over the rounds of a percentile, in milliseconds.
+    fn median(&self, percentile: f64) -> f64 {
+        let mut figures: Vec<f64> = self.rounds.iter().map(|one| one.at(percentile)).collect();
+        figures.sort_by(f64::total_cmp);
+        figures.get(figures.len() / 2).copied().unwrap_or_default()
+    }
+}
