Claim request keys in the table, and add scripted scenarios

Cause: a key was claimed only in the memory of one agent, so a repeat after that agent was replaced ran a second time. Change: each entry claims keys of non-idempotent calls in the table before the hand-over, many in one transaction, one transaction at a time; without the table the call is refused as not run. Delivery of answers with a known length is noted (hyper drops such a body without asking for its end). Scenarios in a small language under tests/scenarios, and tests of bad input and settings.

--- a/src/agent/jobs.rs
+++ b/src/agent/jobs.rs
@@ -206,9 +206,8 @@
         let Some(key) = start.key.as_deref().filter(|_| !start.idempotent) else {
             return Ok(());
         };
-        // A caller that got no answer sends the same key again, maybe through
-        // another entry. All entries send a key to the same agent, and here
-        // it is claimed before a byte goes to the backend server.
+        // A key is claimed in the table before its call is handed over. This
+        // is a second guard, for an entry that was paused between the two.
         match self.claims.claim(now, &scoped(start, key), start.request) {
             Claim::Fresh => Ok(()),
             Claim::Full => {
--- a/src/entry/app_api.rs
+++ b/src/entry/app_api.rs
@@ -2,6 +2,7 @@
 
 use super::{
     chat_api::{ChatCall, Shape},
+    claimer::{self, Claim},
     command::{Command, NewCall, REPLIES, Reply},
     directory::Directory,
     issue::Issue,
@@ -11,7 +12,7 @@
     agent::run_call::{REQUEST_ID, REQUEST_KEY, is_end_to_end},
     base::{Cause, Clock, Failure, Millis, RequestId, WeightVersion},
     duty::{Answer, problem, text},
-    policy::admission::Limits,
+    policy::{admission::Limits, claim_batch::Wanted},
     settings::{BackendKind, ClassSettings, TeamSettings},
     wire::{CallHead, MAX_CHUNK, MESSAGE_COST, WINDOW, Work}, //
 };
@@ -26,17 +27,18 @@
     Response,
     StatusCode,
     body::{Body as _, Incoming},
-    header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue}, //
+    header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue}, //
 };
 use std::sync::Arc;
 use tokio::{
-    sync::{Semaphore, mpsc, watch},
+    sync::{Semaphore, mpsc, oneshot, watch},
     time::timeout, //
 };
 
 /// What is needed to answer callers.
 #[derive(Clone)]
 pub(super) struct AppApi {
+    pub(super) claims: mpsc::Sender<Claim>,
     pub(super) clock: Clock,
     pub(super) delivered: mpsc::Sender<RequestId>,
     pub(super) directory: watch::Receiver<Arc<Directory>>,
@@ -68,6 +70,7 @@
 
 /// What a caller asks of a class.
 struct Options {
+    /// The point in time at which the call's time is over.
     deadline: Millis,
     idempotent: bool,
     key: Option<String>,
@@ -103,7 +106,8 @@
         let path = request.uri().path_and_query();
         let path = path.map_or("/", |path| path.as_str()).to_owned();
         let (target, rest) = self.target(&path, request.headers())?;
-        let options = options(&target, request.method(), request.headers())?;
+        let now = self.clock.now();
+        let options = options(&target, now, request.method(), request.headers())?;
         match target.kind {
             BackendKind::Engine => self.chat(id, request, target, options, rest).await,
             BackendKind::Service => self.plain(id, request, target, options, rest).await,
@@ -126,22 +130,15 @@
         let body = whole(request.into_body(), CHAT_BODY).await?;
         let call = ChatCall::parse(shape, &body)?;
         let work = Work::Generate(call.generation.clone());
-        let mut replies = self.start(id, target, options, work)?;
-
-        if !call.stream {
-            let body = call.whole(replies).await?;
-            return Ok(text(StatusCode::OK, "application/json", body));
-        }
-        match replies.next().await {
-            Some(Reply::Failed(failure)) => Err(failure),
-            Some(first) => {
-                let mut answer = Response::new(call.events(first, replies));
-                let kind = HeaderValue::from_static("text/event-stream");
-                answer.headers_mut().insert(CONTENT_TYPE, kind);
-                Ok(answer)
-            }
-            None => Err(stopped()),
+        let claimed = self.claim(id, &target, &options).await?;
+        let answer = match self.start(id, target, options, work) {
+            Ok(replies) => generated(call, replies).await,
+            Err(failure) => Err(failure),
+        };
+        if let Err(failure) = &answer {
+            self.release(claimed, failure);
         }
+        answer
     }
 
     async fn plain(
@@ -159,6 +156,7 @@
             true => (whole(body, WHOLE_BODY).await?, None),
             false => (Bytes::new(), Some(body)),
         };
+        let claimed = self.claim(id, &target, &options).await?;
         let work = Work::Call(CallHead {
             body: first,
             headers: passed_on(&parts.headers),
@@ -166,19 +164,73 @@
             path: rest,
             whole: whole_body,
         });
-        let mut replies = self.start(id, target, options, work)?;
+        let mut replies = match self.start(id, target, options, work) {
+            Ok(replies) => replies,
+            Err(failure) => {
+                self.release(claimed, &failure);
+                return Err(failure);
+            }
+        };
         if let Some(body) = streamed {
             let (traffic, window) = (self.traffic.clone(), replies.window.clone());
             tokio::spawn(pump(body, id, traffic, window));
         }
 
         match replies.next().await {
-            Some(Reply::Failed(failure)) => Err(failure),
+            Some(Reply::Failed(failure)) => {
+                self.release(claimed, &failure);
+                Err(failure)
+            }
             Some(Reply::Head { status, headers }) => Ok(answer(status, headers, replies)),
             Some(_) | None => Err(stopped()),
         }
     }
 
+    /// Claims the key of a call that must run at most once, before anything
+    /// of it leaves this process; returns the key's row.
+    async fn claim(
+        &self,
+        request: RequestId,
+        target: &Target,
+        options: &Options,
+    ) -> Result<Option<String>, Failure> {
+        let Some(key) = options.key.as_deref().filter(|_| !options.idempotent) else {
+            return Ok(None);
+        };
+        let path = claimer::path(&target.names.0, key);
+        let wanted = Wanted {
+            path: path.clone(),
+            request,
+        };
+        let (reply, ruling) = oneshot::channel();
+        self.claims
+            .try_send(Claim::Take(wanted, reply))
+            .map_err(|_| {
+                let detail = "too many request keys wait to be claimed";
+                Failure::not_run(Cause::Overloaded, detail).retry_after(Millis(500))
+            })?;
+        let left = options.deadline.since(self.clock.now());
+        match timeout(left.as_duration(), ruling).await {
+            Ok(Ok(ruling)) => ruling.map(|()| Some(path)),
+            Ok(Err(_)) => Err(Failure::not_run(Cause::Draining, "the entry is stopping")),
+            Err(_) => {
+                let detail = "the deadline passed before the key was claimed";
+                Err(Failure::not_run(Cause::DeadlinePassed, detail))
+            }
+        }
+    }
+
+    /// Gives a claimed key back if its call did not run.
+    fn release(&self, claimed: Option<String>, failure: &Failure) {
+        if let Some(path) = claimed
+            && !failure.verdict.may_have_run()
+        {
+            // If the ring is full the key stays claimed: the caller's repeat
+            // is refused as a duplicate, which errs on the safe side.
+            let _ = self.claims.try_send(Claim::Release(path));
+        }
+    }
+
     fn start(
         &self,
         request: RequestId,
@@ -190,7 +242,7 @@
         let (team, class) = target.names;
         let call = NewCall {
             class,
-            deadline: self.clock.now() + options.deadline,
+            deadline: options.deadline,
             idempotent: options.idempotent,
             key: options.key,
             least: WeightVersion(0),
@@ -213,7 +265,9 @@
             })?;
         Ok(Replies {
             delivered: self.delivered.clone(),
+            expected: None,
             owed: 0,
+            passed: 0,
             request,
             ring,
             traffic: self.traffic.clone(),
@@ -260,7 +314,12 @@
     }
 }
 
-fn answer(status: u16, headers: Vec<(String, Bytes)>, replies: Replies) -> Answer {
+fn answer(status: u16, headers: Vec<(String, Bytes)>, mut replies: Replies) -> Answer {
+    let length = headers
+        .iter()
+        .find(|(name, _)| name == CONTENT_LENGTH.as_str());
+    let length = length.and_then(|(_, value)| std::str::from_utf8(value).ok()?.parse().ok());
+    replies.expected = length;
     let mut answer = Response::new(replies.into_body());
     *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in headers {
@@ -272,6 +331,24 @@
     answer
 }
 
+/// The answer of a generation, whole or streamed.
+async fn generated(call: ChatCall, mut replies: Replies) -> Result<Answer, Failure> {
+    if !call.stream {
+        let body = call.whole(replies).await?;
+        return Ok(text(StatusCode::OK, "application/json", body));
+    }
+    match replies.next().await {
+        Some(Reply::Failed(failure)) => Err(failure),
+        Some(first) => {
+            let mut answer = Response::new(call.events(first, replies));
+            let kind = HeaderValue::from_static("text/event-stream");
+            answer.headers_mut().insert(CONTENT_TYPE, kind);
+            Ok(answer)
+        }
+        None => Err(stopped()),
+    }
+}
+
 fn may_call(team: &TeamSettings, class: &str, headers: &HeaderMap) -> bool {
     let value = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
     let key = value.and_then(|value| value.strip_prefix("Bearer "));
@@ -279,7 +356,12 @@
 }
 
 /// Reads what the caller says about the call itself.
-fn options(target: &Target, method: &Method, headers: &HeaderMap) -> Result<Options, Failure> {
+fn options(
+    target: &Target,
+    now: Millis,
+    method: &Method,
+    headers: &HeaderMap,
+) -> Result<Options, Failure> {
     let refuse = |detail: String| Failure::not_run(Cause::BadRequest, detail);
     let header = |name: &str| headers.get(name).map(|value| value.to_str().unwrap_or("?"));
     let deadline = match header(DEADLINE) {
@@ -314,7 +396,7 @@
         )));
     }
     Ok(Options {
-        deadline,
+        deadline: now + deadline,
         idempotent,
         key,
     })
--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -8,10 +8,7 @@
 };
 use crate::{
     base::{Cause, Event, Failure, Millis, RequestId, stable_hash},
-    policy::{
-        router::{self, Candidate, Reason},
-        subset, //
-    },
+    policy::router::{self, Candidate, Reason},
     wire::{Slot, Start, ToAgent}, //
 };
 use bytes::Bytes;
@@ -110,9 +107,6 @@
         call: &Call,
         candidates: &[Candidate<ServerKey>],
     ) -> Option<(ServerKey, Reason)> {
-        if let Some(key) = call.new.key.as_deref().filter(|_| !call.new.idempotent) {
-            return self.key_owner(call, key);
-        }
         let request = call.new.request;
         let draw = stable_hash(&[
             &request.sequence.to_le_bytes(),
@@ -122,21 +116,6 @@
         router::choose(self.settings.policy, candidates, self.turn, draw)
     }
 
-    /// The one server that may run calls with this key: all entries agree on
-    /// it, so a repeat through another entry meets the first one's claim.
-    fn key_owner(&self, call: &Call, key: &str) -> Option<(ServerKey, Reason)> {
-        let in_pool = || {
-            self.servers.iter().filter(|(_, server)| {
-                server.listed && server.instance.pool.as_deref() == Some(&call.new.pool)
-            })
-        };
-        let names = in_pool().map(|(_, server)| server.instance.name.as_str());
-        let scoped = format!("{}/{key}", call.new.team);
-        let owner = *subset::choose(&scoped, names, 1).first()?;
-        let (owner, server) = in_pool().find(|(_, server)| server.instance.name == owner)?;
-        server.takes_work().then_some((owner, Reason::KeyOwner))
-    }
-
     fn hand_over(&mut self, key: CallKey, server: ServerKey, reason: Reason, now: Millis) {
         let attempt = self.attempts.insert(Handover { call: key, server });
         let (Some(call), Some(target)) = (self.calls.get_mut(key), self.servers.get_mut(server))
--- a/src/entry/entry_handle.rs
+++ b/src/entry/entry_handle.rs
@@ -2,6 +2,7 @@
 
 use super::{
     app_api::AppApi,
+    claimer,
     command,
     directory::Directory,
     explain,
@@ -69,7 +70,9 @@
         let (delivered_ring, delivered) = mpsc::channel(DELIVERED);
         let (directory_sender, directory) = watch::channel(Arc::new(Directory::default()));
         let (view_sender, view) = watch::channel(Arc::new(View::default()));
+        let (claim_ring, claims) = mpsc::channel(claimer::RING);
         let app = AppApi {
+            claims: claim_ring,
             clock,
             delivered: delivered_ring,
             directory: directory.clone(),
@@ -100,24 +103,23 @@
 
         let supervisor = handle.supervisor().clone();
         let leave = common.drain.leave;
-        handle.add(duty::spawn("traffic", &supervisor, {
-            let (settings, directory, issue) = (settings.clone(), directory.clone(), issue.clone());
-            move |context| {
-                traffic::run(
-                    context,
-                    settings,
-                    hello,
-                    issue,
-                    commands,
-                    directory,
-                    view_sender,
-                )
-            }
-        })?);
+        let traffic = traffic::Seed {
+            commands,
+            directory: directory.clone(),
+            hello,
+            issue: issue.clone(),
+            settings: settings.clone(),
+            view: view_sender,
+        };
+        handle.add(traffic.spawn(&supervisor)?);
         handle.add(duty::spawn("learner", &supervisor, {
             let settings = settings.clone();
             move |context| learner::run(context, settings, forward, directory_sender)
         })?);
+        handle.add(duty::spawn("claims", &supervisor, {
+            let (platform, instance) = (common.platform, common.instance.clone());
+            move |context| claimer::run(context, platform, instance, claims)
+        })?);
         handle.add(duty::spawn("peers", &supervisor, move |context| {
             peer_door::run(context, door, peers)
         })?);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod arrival;
 mod call;
 mod chat_api;
+mod claimer;
 mod command;
 mod dialer;
 mod directory;
--- a/src/entry/reply_body.rs
+++ b/src/entry/reply_body.rs
@@ -31,7 +31,11 @@
 pub(super) struct Replies {
     /// Told of requests whose whole answer was handed over.
     pub(super) delivered: mpsc::Sender<RequestId>,
+    /// The body's length, once it is known.
+    pub(super) expected: Option<u64>,
     pub(super) owed: u32,
+    /// The bytes of the body handed over so far.
+    pub(super) passed: u64,
     pub(super) ring: mpsc::Receiver<Reply>,
     pub(super) request: RequestId,
     pub(super) traffic: mpsc::Sender<Command>,
@@ -68,7 +72,8 @@
     }
 
     /// The whole answer was handed over.
-    pub(super) fn whole(&self) {
+    pub(super) fn whole(&mut self) {
+        self.expected = None;
         // Full only under extreme load: the account then says that delivery
         // is not known, which is true.
         let _ = self.delivered.try_send(self.request);
@@ -80,6 +85,7 @@
             let mut replies = state?;
             match replies.next().await {
                 Some(Reply::Data(bytes)) => {
+                    replies.passed += bytes.len() as u64;
                     replies.took(bytes.len()).await;
                     Some((Ok(Frame::data(bytes)), Some(replies)))
                 }
@@ -95,6 +101,16 @@
     }
 }
 
+impl Drop for Replies {
+    /// A body of known length is dropped as soon as its last byte was taken,
+    /// without being asked for its end.
+    fn drop(&mut self) {
+        if self.expected == Some(self.passed) {
+            self.whole();
+        }
+    }
+}
+
 /// The error that ends a body early: the connection is closed before the
 /// body's end marker, so nobody takes the part for the whole.
 pub(super) fn cut(detail: &str) -> io::Error {
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     base::{Failure, Incarnation, Millis, RequestId},
-    duty::{Context, Phase},
+    duty::{self, Context, Duty, DutyError, Phase, SupervisorMessage},
     platform::Instance,
     policy::{
         admission::Admission,
@@ -23,6 +23,7 @@
     settings::EntrySettings,
     wire::{EngineState, FromAgent, Hello, LinkEvent, Report, Slot, ToAgent}, //
 };
+use ractor::ActorRef;
 use slotmap::{
     Key,
     KeyData,
@@ -79,16 +80,33 @@
 /// The accounts kept for the support engineer.
 const MAX_ACCOUNTS: usize = 20_000;
 
+/// What the traffic duty begins with.
+pub(super) struct Seed {
+    pub(super) commands: mpsc::Receiver<Command>,
+    pub(super) directory: watch::Receiver<Arc<Directory>>,
+    pub(super) hello: Hello,
+    pub(super) issue: Issue,
+    pub(super) settings: EntrySettings,
+    pub(super) view: watch::Sender<Arc<View>>,
+}
+
+impl Seed {
+    /// Starts the duty.
+    pub(super) fn spawn(self, supervisor: &ActorRef<SupervisorMessage>) -> Result<Duty, DutyError> {
+        duty::spawn("traffic", supervisor, move |context| run(context, self))
+    }
+}
+
 /// Runs until the program stops.
-pub(super) async fn run(
-    context: Context,
-    settings: EntrySettings,
-    hello: Hello,
-    issue: Issue,
-    mut commands: mpsc::Receiver<Command>,
-    mut directory: watch::Receiver<Arc<Directory>>,
-    view: watch::Sender<Arc<View>>,
-) {
+async fn run(context: Context, seed: Seed) {
+    let Seed {
+        mut commands,
+        mut directory,
+        hello,
+        issue,
+        settings,
+        view,
+    } = seed;
     let (inbox, mut events) = mpsc::channel(EVENTS);
     let mut traffic = Traffic::new(context.clone(), settings, hello, issue, inbox, view);
     let mut tick = interval(TICK.as_duration());
--- /dev/null
+++ b/src/policy/claim_batch.rs
@@ -0,0 +1,224 @@
+//! Which claims of request keys go into the next transaction, and what its
+//! outcome means for each.
+
+use crate::base::{
+    Millis,
+    RequestId, //
+};
+use std::collections::{
+    HashMap,
+    VecDeque, //
+};
+
+/// A key that a request wants for itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wanted {
+    pub path: String,
+    pub request: RequestId,
+}
+
+/// What is to be written in one transaction.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Batch {
+    pub claims: Vec<Wanted>,
+    /// Rows to remove, with the versions they must have.
+    pub removals: Vec<(String, u64)>,
+}
+
+/// What became of one claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ruling {
+    /// The key is this request's; nobody else will get it within the window.
+    Granted,
+    /// The key belongs to another request, begun here or elsewhere.
+    Taken(Option<RequestId>),
+    /// The table gave no answer; the claim may or may not stand.
+    Undecided,
+}
+
+/// The claims of one entry, one transaction at a time.
+///
+/// # Invariants
+///
+/// A claim is granted only after a transaction that requires its row to be
+/// absent was committed with this request's name in it. So over all entries
+/// and all their lives a key is granted once within the window.
+#[derive(Debug)]
+pub struct Claims {
+    /// Keys granted here: row version and when.
+    granted: HashMap<String, (u64, Millis)>,
+    order: VecDeque<(Millis, String)>,
+    removals: VecDeque<(String, u64)>,
+    waiting: VecDeque<Wanted>,
+    window: Millis,
+}
+
+/// The rows of one transaction; the platform's are small.
+pub const MOST: usize = 16;
+
+/// The claims that may wait; further ones are refused.
+pub const MAX_WAITING: usize = 512;
+
+impl Claims {
+    /// Claims that are kept for `window`.
+    pub fn new(window: Millis) -> Self {
+        Self {
+            granted: HashMap::new(),
+            order: VecDeque::new(),
+            removals: VecDeque::new(),
+            waiting: VecDeque::new(),
+            window,
+        }
+    }
+
+    /// Queues a claim; false when too many wait.
+    pub fn want(&mut self, wanted: Wanted) -> bool {
+        if self.waiting.len() >= MAX_WAITING {
+            return false;
+        }
+        self.waiting.push_back(wanted);
+        true
+    }
+
+    /// The next transaction; `None` when there is nothing to write.
+    pub fn next(&mut self, now: Millis) -> Option<Batch> {
+        self.expire(now);
+        let mut batch = Batch::default();
+        while batch.claims.len() < MOST {
+            let Some(wanted) = self.waiting.pop_front() else {
+                break;
+            };
+            // Two writes of one row don't fit into one transaction: the later
+            // claim waits, and then finds the row.
+            if batch.claims.iter().any(|one| one.path == wanted.path) {
+                self.waiting.push_front(wanted);
+                break;
+            }
+            batch.claims.push(wanted);
+        }
+        while batch.claims.len() + batch.removals.len() < MOST {
+            let Some(removal) = self.removals.pop_front() else {
+                break;
+            };
+            if batch.claims.iter().any(|one| one.path == removal.0) {
+                self.removals.push_front(removal);
+                break;
+            }
+            batch.removals.push(removal);
+        }
+        let empty = batch.claims.is_empty() && batch.removals.is_empty();
+        (!empty).then_some(batch)
+    }
+
+    /// The batch was committed; `versions` are those of its claims' rows.
+    pub fn committed(&mut self, now: Millis, batch: &Batch, versions: &[u64]) {
+        for (wanted, version) in batch.claims.iter().zip(versions) {
+            // INVARIANT: the transaction required the row to be absent.
+            self.granted.insert(wanted.path.clone(), (*version, now));
+            self.order.push_back((now, wanted.path.clone()));
+        }
+    }
+
+    /// The batch was refused because of the row at `path`; the rest waits for
+    /// another transaction. Returns the claim that lost, if it was one.
+    pub fn conflicted(&mut self, batch: Batch, path: &str) -> Option<Wanted> {
+        let mut lost = None;
+        for wanted in batch.claims.into_iter().rev() {
+            if wanted.path == path {
+                lost = Some(wanted);
+            } else {
+                self.waiting.push_front(wanted);
+            }
+        }
+        let kept = batch.removals.into_iter().filter(|(row, _)| row != path);
+        self.removals.extend(kept);
+        lost
+    }
+
+    /// A request that did not run gives its key back.
+    pub fn release(&mut self, path: &str) {
+        if let Some((version, _)) = self.granted.remove(path) {
+            self.removals.push_back((path.to_owned(), version));
+        }
+    }
+
+    fn expire(&mut self, now: Millis) {
+        while let Some((at, _)) = self.order.front() {
+            if now.since(*at) < self.window {
+                return;
+            }
+            let Some((at, path)) = self.order.pop_front() else {
+                return;
+            };
+            let same = self
+                .granted
+                .get(&path)
+                .is_some_and(|(_, since)| *since == at);
+            if same {
+                self.release(&path);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::base::{
+        Incarnation,
+        Issuer, //
+    };
+
+    fn wanted(path: &str, sequence: u32) -> Wanted {
+        Wanted {
+            path: path.into(),
+            request: RequestId {
+                incarnation: Incarnation(1),
+                issuer: Issuer(1),
+                second: 0,
+                sequence,
+            },
+        }
+    }
+
+    #[test]
+    fn one_conflict_costs_only_its_own_claim() {
+        let mut claims = Claims::new(Millis(1_000));
+        for (path, sequence) in [("a", 1), ("b", 2), ("c", 3)] {
+            assert!(claims.want(wanted(path, sequence)));
+        }
+        let batch = claims.next(Millis(0)).unwrap();
+        assert_eq!(batch.claims.len(), 3);
+        assert_eq!(claims.conflicted(batch, "b"), Some(wanted("b", 2)));
+        let batch = claims.next(Millis(0)).unwrap();
+        assert_eq!(batch.claims, [wanted("a", 1), wanted("c", 3)]);
+    }
+
+    #[test]
+    fn the_same_key_twice_takes_two_transactions() {
+        let mut claims = Claims::new(Millis(1_000));
+        claims.want(wanted("a", 1));
+        claims.want(wanted("a", 2));
+        let first = claims.next(Millis(0)).unwrap();
+        assert_eq!(first.claims, [wanted("a", 1)]);
+        claims.committed(Millis(0), &first, &[7]);
+        let second = claims.next(Millis(0)).unwrap();
+        assert_eq!(claims.conflicted(second, "a"), Some(wanted("a", 2)));
+    }
+
+    #[test]
+    fn keys_are_removed_after_the_window_or_when_released() {
+        let mut claims = Claims::new(Millis(1_000));
+        for path in ["a", "b"] {
+            claims.want(wanted(path, 1));
+        }
+        let batch = claims.next(Millis(0)).unwrap();
+        claims.committed(Millis(0), &batch, &[7, 7]);
+        claims.release("b");
+        let batch = claims.next(Millis(10)).unwrap();
+        assert_eq!(batch.removals, [("b".to_owned(), 7)]);
+        assert_eq!(claims.next(Millis(999)), None);
+        let batch = claims.next(Millis(1_000)).unwrap();
+        assert_eq!(batch.removals, [("a".to_owned(), 7)]);
+    }
+}
--- a/src/policy/explanation.rs
+++ b/src/policy/explanation.rs
@@ -33,9 +33,8 @@
     let agent_events = || agents.iter().flat_map(|account| &account.events);
     let entry_events = || entry.iter().flat_map(|account| &account.events);
     let started = agent_events().any(|(_, event)| matches!(event, Event::Started { .. }));
-    let finished = entry_events()
-        .chain(agent_events())
-        .any(|(_, event)| *event == Event::Finished);
+    let arrived = entry_events().any(|(_, event)| *event == Event::Finished);
+    let finished = arrived || agent_events().any(|(_, event)| *event == Event::Finished);
     let delivered = entry_events().any(|(_, event)| *event == Event::Delivered);
     let ended = entry_events().any(|(_, event)| {
         matches!(
@@ -47,7 +46,7 @@
     let (verdict, why) = verdict(entry.as_ref(), started, finished, ended);
     let delivered = match (&entry, delivered) {
         (_, true) => Some(true),
-        (Some(_), false) if ended && !finished => Some(false),
+        (Some(_), false) if ended && !arrived => Some(false),
         (Some(_) | None, false) => None,
     };
     Explanation {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod agent_queue;
 pub mod bitmap;
+pub mod claim_batch;
 pub mod claims;
 pub mod explanation;
 pub mod fences;
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -40,8 +40,6 @@
 /// Why the chosen server was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
-    /// The keyed request belongs to this server.
-    KeyOwner,
     /// The better of two drawn at random by expected wait.
     LeastWait,
     /// All were out of trust, so the best of all was taken.
@@ -54,7 +52,6 @@
     /// The word used in decision lines and accounts.
     pub fn word(self) -> &'static str {
         match self {
-            Self::KeyOwner => "key-owner",
             Self::LeastWait => "least-wait",
             Self::NoneTrusted => "none-trusted",
             Self::OnlyOne => "only-one",
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -175,7 +175,10 @@
     }
 
     fn missing(&self, key: &str, expected: &str) {
-        let span = self.mapping.map(MarkedMappingNode::span);
+        let mapping = self.mapping;
+        let first = mapping.and_then(|mapping| mapping.keys().next());
+        let span = first.map(marked_yaml::types::MarkedScalarNode::span);
+        let span = span.or(mapping.map(MarkedMappingNode::span));
         self.push(key, span, expected, "nothing".into());
     }
 
--- a/standins/src/load/usage.rs
+++ b/standins/src/load/usage.rs
@@ -9,8 +9,9 @@
 pub type Usage = BTreeMap<String, u64>;
 
 /// The threads of entries and agents.
-pub const PRODUCT: [&str; 10] = [
+pub const PRODUCT: [&str; 11] = [
     "admin",
+    "claims",
     "door",
     "front",
     "learner",
--- /dev/null
+++ b/standins/tests/integration.rs
@@ -0,0 +1,7 @@
+//! Tests over real loopback sockets: scripted scenarios and bad input.
+
+mod integration {
+    mod bad_input;
+    mod scenarios;
+    mod stage;
+}
--- /dev/null
+++ b/standins/tests/integration/bad_input.rs
@@ -0,0 +1,222 @@
+use redwing_standins::fleet::{Fleet, Options, Plan};
+use redwingpond::{
+    base::Incarnation,
+    settings::read,
+    wire::{Frame, Hello, Role, ToAgent, encode},
+};
+use std::net::SocketAddr;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    runtime::Runtime,
+};
+
+const PLAN: &str = "
+team: plant
+data_centres: [hall]
+pools:
+  ledger: {kind: service, servers: 1}
+settings:
+  pools/ledger: |
+    kind: service
+  teams/plant: |
+    classes:
+      entry: {pool: ledger}
+      nowhere: {pool: missing}
+callers: {}
+trainers: {}
+";
+
+async fn open() -> Fleet {
+    let plan = read("plan", PLAN, Plan::read).unwrap();
+    let options = Options {
+        entries: 1,
+        ..Options::default()
+    };
+    Fleet::open(&[plan], options).await.unwrap()
+}
+
+/// Sends raw bytes and reads until the other end closes or falls quiet.
+async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let mut part = [0; 4_096];
+    let quiet = std::time::Duration::from_millis(400);
+    while let Ok(Ok(read)) = tokio::time::timeout(quiet, stream.read(&mut part)).await {
+        if read == 0 {
+            break;
+        }
+        answer.extend_from_slice(&part[..read]);
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn still_serves(fleet: &Fleet) {
+    let entry = fleet.balancer.next().unwrap();
+    let good = "POST /v1/app/plant/entry/work HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nok";
+    let answer = raw(entry, good.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Requests of every bad kind reach an entry. Its user must get a clear 4xx
+/// that says that nothing ran, and its other users must not notice.
+#[test]
+fn bad_requests() {
+    struct Test {
+        request: String,
+        told: &'static str,
+    }
+
+    let post = |path: &str, headers: &str, body: &str| {
+        let length = body.len();
+        format!(
+            "POST {path} HTTP/1.1\r\nhost: x\r\n{headers}content-length: {length}\r\n\r\n{body}"
+        )
+    };
+    let tests = [
+        Test {
+            request: "nonsense\r\n\r\n".into(),
+            told: "HTTP/1.1 400",
+        },
+        Test {
+            request: format!(
+                "GET / HTTP/1.1\r\nhost: x\r\nbig: {}\r\n\r\n",
+                "x".repeat(80_000)
+            ),
+            told: "HTTP/1.1 431",
+        },
+        Test {
+            request: post("/elsewhere", "", ""),
+            told: "urn:redwing:problem:not-found",
+        },
+        Test {
+            request: post("/v1/app/nobody/entry/work", "", ""),
+            told: "no team `nobody`",
+        },
+        Test {
+            request: post("/v1/app/plant/none/work", "", ""),
+            told: "no class `none`",
+        },
+        Test {
+            request: post("/v1/app/plant/nowhere/work", "", ""),
+            told: "no pool `missing`",
+        },
+        Test {
+            request: post(
+                "/v1/app/plant/entry/work",
+                "redwing-deadline-ms: soon\r\n",
+                "",
+            ),
+            told: "expected 1 to 3600000",
+        },
+        Test {
+            request: post(
+                "/v1/app/plant/entry/work",
+                "redwing-idempotent: maybe\r\n",
+                "",
+            ),
+            told: "expected true or false",
+        },
+        Test {
+            request: post(
+                "/v1/app/plant/entry/work",
+                "redwing-request-key: a b\r\n",
+                "",
+            ),
+            told: "visible characters",
+        },
+        Test {
+            request: post("/v1/teams/plant/trainers/t/steps/1", "", "{}"),
+            told: "may_have_run\":false",
+        },
+        Test {
+            request: post("/v1/teams/plant/trainers/t/steps/one", "", "{}"),
+            told: "missing field",
+        },
+        Test {
+            request: post(
+                "/v1/teams/plant/trainers/t/steps/1/fetch",
+                "",
+                "{\"have\":\"xyz\",\"weight_version\":1}",
+            ),
+            told: "no bitmap",
+        },
+        Test {
+            request: post(
+                "/v1/teams/nobody/trainers/t/version",
+                "",
+                "{\"model\":\"m\",\"weight_version\":1}",
+            ),
+            told: "no team `nobody` with rollouts",
+        },
+    ];
+    Runtime::new().unwrap().block_on(async {
+        let fleet = open().await;
+        let entry = fleet.balancer.next().unwrap();
+        for test in tests {
+            let answer = raw(entry, test.request.as_bytes()).await;
+            let start: String = test.request.chars().take(60).collect();
+            assert!(answer.contains(test.told), "{start}: {answer}");
+        }
+        still_serves(&fleet).await;
+    });
+}
+
+/// Clients send half a request and stall, or open many connections and send
+/// nothing. Others' calls go on meanwhile.
+#[test]
+fn half_sent_requests() {
+    Runtime::new().unwrap().block_on(async {
+        let fleet = open().await;
+        let entry = fleet.balancer.next().unwrap();
+        let mut held = Vec::new();
+        for bytes in [
+            &b""[..],
+            b"POST /v1/app/plant",
+            b"POST /v1/app/plant/entry/work HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nab",
+        ] {
+            for _ in 0..50 {
+                let mut stream = TcpStream::connect(entry).await.unwrap();
+                stream.write_all(bytes).await.unwrap();
+                held.push(stream);
+            }
+        }
+        still_serves(&fleet).await;
+    });
+}
+
+/// Somebody who is not of the deployment reaches an agent's link port: with
+/// garbage, with another version, with a huge announced length, or with a
+/// well-formed hello but another key. Nothing gets through, and the entries'
+/// links stay up.
+#[test]
+fn bad_links() {
+    Runtime::new().unwrap().block_on(async {
+        let fleet = open().await;
+        let links = fleet.members[0].agent.as_ref().unwrap().links;
+        let mut forged = bytes::BytesMut::new();
+        let hello = Hello {
+            incarnation: Incarnation(1),
+            instance: "stranger".into(),
+            key: "guess".into(),
+            role: Role::Entry,
+        };
+        encode(&Frame::Message(hello), &mut forged).unwrap();
+        let order = Frame::Message(ToAgent::Cancel {
+            slot: redwingpond::wire::Slot(1),
+        });
+        let mut unasked = bytes::BytesMut::new();
+        encode(&order, &mut unasked).unwrap();
+        for bytes in [
+            &[0xff; 64][..],
+            &[2, 0, 0, 0, 9, 0],
+            &[0xff, 0xff, 0xff, 0x7f, 1],
+            &forged,
+            &unasked,
+        ] {
+            raw(links, bytes).await;
+        }
+        still_serves(&fleet).await;
+    });
+}
