Add fair queues, baseline policies and seven load cases

Cause: claims about limits and faults had nothing to be measured with, and one team could fill the queue of an agent. Change: teams take turns in an agent's queue and a full one is shared out; what can't be answered in time is shed; policy: baseline keeps round robin, a fixed queue and three plain retries. Cases overload, slow-server, crash, silent, retry-storm, noisy-team, drain.

--- a/src/agent/jobs.rs
+++ b/src/agent/jobs.rs
@@ -9,9 +9,9 @@
     work::Work, //
 };
 use crate::{
-    base::{Cause, Event, Failure, Millis, Span, Verdict},
+    base::{Cause, Event, Failure, Millis, Span, Verdict, stable_hash},
     policy::{
-        agent_queue::{Item, Offer},
+        agent_queue::{self, Item, Offer},
         claims::Claim, //
     },
     wire::{FromAgent, Slot, Start, WINDOW, Work as Task}, //
@@ -53,6 +53,7 @@
         };
         let deadline = now + start.budget;
         let (attempt, priority) = (start.attempt, start.priority);
+        let team = stable_hash(&[start.team.as_bytes()]);
         let key = self.jobs.insert(Job {
             body,
             deadline,
@@ -69,9 +70,16 @@
             key,
             priority,
             request,
+            team,
         };
         match self.queue.offer(now, item) {
-            Offer::Queued => self.ledger.note(now, request, Event::Queued),
+            Offer::Queued(displaced) => {
+                self.ledger.note(now, request, Event::Queued);
+                if let Some(item) = displaced {
+                    let limit = self.settings.backend.queue;
+                    self.refuse(item.key, agent_queue::full(limit));
+                }
+            }
             Offer::Refused(failure) => {
                 self.refuse(key, failure);
                 return;
@@ -311,7 +319,16 @@
         Some(job)
     }
 
+    /// Refuses the waiting requests that can't be answered in time.
+    pub(super) fn shed(&mut self, now: Millis) {
+        let service = Millis(self.service_time as u64);
+        for item in self.queue.shed(now, service) {
+            self.refuse(item.key, agent_queue::late());
+        }
+    }
+
     fn run_next(&mut self) {
+        self.shed(self.context.clock.now());
         while let Some(item) = self.queue.next(self.turn) {
             self.turn += 1;
             self.launch(item.key);
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -133,7 +133,7 @@
             ledger: Ledger::new(MAX_ACCOUNTS),
             links: HashMap::new(),
             platform: Platform::open(settings.common.platform),
-            queue: AgentQueue::new(backend.capacity, backend.queue),
+            queue: AgentQueue::new(settings.policy, backend.capacity, backend.queue),
             reported: (Millis(0), Report::default()),
             service: run_call::client(),
             service_time: 0.0,
@@ -217,9 +217,7 @@
                 self.context.drained();
             }
         }
-        for item in self.queue.shed(now) {
-            self.refuse(item.key, crate::policy::agent_queue::late());
-        }
+        self.shed(now);
         self.expire(now);
         self.report_if_due(now);
     }
--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     base::{Cause, Event, Failure, Millis, RequestId, stable_hash},
-    policy::router::{self, Candidate, Reason},
+    policy::router::{self, Candidate, Policy, Reason},
     wire::{Slot, Start, ToAgent}, //
 };
 use bytes::Bytes;
@@ -97,7 +97,11 @@
                 let unfit = call
                     .model()
                     .is_some_and(|model| !server.has(model, call.new.least));
-                server.candidate(key, now, tried || unfit)
+                let mut candidate = server.candidate(key, now, tried || unfit);
+                if self.settings.policy == Policy::Baseline {
+                    candidate.eligible = server.link.is_some() && server.listed && !unfit;
+                }
+                candidate
             })
             .collect()
     }
--- a/src/entry/outcomes.rs
+++ b/src/entry/outcomes.rs
@@ -10,7 +10,8 @@
     base::{Cause, Event, Failure, Millis, RequestId, Span, Verdict},
     policy::{
         retry::{self, Decision},
-        retry_budget::RetryBudget, //
+        retry_budget::RetryBudget,
+        router::Policy, //
     },
     wire::{FromAgent, Slot, ToAgent}, //
 };
@@ -101,7 +102,10 @@
         call.in_doubt |= failure.verdict.may_have_run();
         call.tried.push(handover.server);
 
-        let decision = retry::decide(now, call.attempt(), &failure);
+        let decision = match self.settings.policy {
+            Policy::Baseline => retry::decide_baseline(now, call.attempt(), &failure),
+            Policy::Current => retry::decide(now, call.attempt(), &failure),
+        };
         let pool = (call.new.team.clone(), call.new.pool.clone());
         let share = call.new.retry_share as f64 / 100.0;
         let decision = match decision {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -30,7 +30,8 @@
 }
 
 impl Server {
-    /// The server as the router sees it.
+    /// The server as the router sees it. The baseline goes by the platform's
+    /// list alone.
     pub(super) fn candidate(
         &self,
         key: ServerKey,
--- a/src/policy/agent_queue.rs
+++ b/src/policy/agent_queue.rs
@@ -1,5 +1,9 @@
 //! The queue before one backend server.
 
+use super::{
+    fair_line::FairLine,
+    router::Policy, //
+};
 use crate::base::{
     Cause,
     Failure,
@@ -21,18 +25,24 @@
     pub key: K,
     pub priority: Priority,
     pub request: RequestId,
+    /// A hash of the team's name.
+    pub team: u64,
 }
 
 /// What becomes of an offered request.
-#[derive(Debug, PartialEq)]
-pub enum Offer {
-    Queued,
+#[derive(Debug)]
+pub enum Offer<K> {
+    /// It waits; in a full queue it took the place of another team's.
+    Queued(Option<Item<K>>),
     Refused(Failure),
     Run,
 }
 
 /// Requests waiting for and running at one backend server.
 ///
+/// Under [`Policy::Baseline`] it is one line, first in first out, of a fixed
+/// length, and what waited too long is run all the same.
+///
 /// # Invariants
 ///
 /// `running` never exceeds `capacity` by offers or by [`AgentQueue::next`].
@@ -42,10 +52,11 @@
     capacity: u32,
     draining: bool,
     limit: usize,
+    policy: Policy,
     running: u32,
     tombstones: Tombstones,
     /// One line for each priority, indexed by it.
-    waiting: [VecDeque<Item<K>>; Priority::ALL.len()],
+    waiting: [FairLine<Item<K>>; Priority::ALL.len()],
 }
 
 /// Of this many starts, one goes to the lowest waiting priority, so that
@@ -55,11 +66,12 @@
 impl<K: Copy + PartialEq> AgentQueue<K> {
     /// A queue for a server that takes `capacity` requests at once, in which
     /// at most `limit` wait.
-    pub fn new(capacity: u32, limit: usize) -> Self {
+    pub fn new(policy: Policy, capacity: u32, limit: usize) -> Self {
         Self {
             capacity,
             draining: false,
             limit,
+            policy,
             running: 0,
             tombstones: Tombstones::default(),
             waiting: Default::default(),
@@ -88,17 +100,17 @@
         }
 
         let floor = turn % FLOOR_SHARE == FLOOR_SHARE - 1;
-        let mut lines: Vec<&mut VecDeque<Item<K>>> = self.waiting.iter_mut().collect();
+        let mut lines: Vec<&mut FairLine<Item<K>>> = self.waiting.iter_mut().collect();
         if !floor {
             lines.reverse();
         }
-        let item = lines.into_iter().find_map(VecDeque::pop_front)?;
+        let item = lines.into_iter().find_map(FairLine::pop)?;
         self.running += 1;
         Some(item)
     }
 
     /// Takes `item` in, runs it at once, or refuses it.
-    pub fn offer(&mut self, now: Millis, item: Item<K>) -> Offer {
+    pub fn offer(&mut self, now: Millis, item: Item<K>) -> Offer<K> {
         if self.tombstones.holds(item.request, item.attempt) {
             let detail = "the request was revoked before this copy of it arrived";
             return Offer::Refused(Failure::not_run(Cause::Cancelled, detail));
@@ -107,26 +119,31 @@
             let detail = "the backend server is leaving";
             return Offer::Refused(Failure::not_run(Cause::Draining, detail));
         }
-        if item.deadline <= now {
+        if item.deadline <= now && self.policy == Policy::Current {
             return Offer::Refused(late());
         }
         if self.running < self.capacity && self.queued() == 0 {
             self.running += 1;
             return Offer::Run;
         }
-        if self.queued() >= self.limit {
-            let detail = format!("{} requests wait for the backend server", self.limit);
-            let failure = Failure::not_run(Cause::Overloaded, detail);
-            return Offer::Refused(failure.retry_after(Millis(100)));
+        if self.policy == Policy::Baseline {
+            return self.offer_baseline(item);
         }
 
-        self.waiting[item.priority as usize].push_back(item);
-        Offer::Queued
+        let displaced = match self.queued() >= self.limit {
+            true => match self.displace(&item) {
+                Some(displaced) => Some(displaced),
+                None => return Offer::Refused(full(self.limit)),
+            },
+            false => None,
+        };
+        self.waiting[item.priority as usize].push(item.team, item);
+        Offer::Queued(displaced)
     }
 
     /// The requests that wait.
     pub fn queued(&self) -> usize {
-        self.waiting.iter().map(VecDeque::len).sum()
+        self.waiting.iter().map(FairLine::len).sum()
     }
 
     /// Withdraws `request`, and refuses every later copy of this attempt.
@@ -135,16 +152,6 @@
         self.withdraw(request)
     }
 
-    /// Removes `request` if it waits.
-    pub fn withdraw(&mut self, request: RequestId) -> Option<Item<K>> {
-        for line in &mut self.waiting {
-            if let Some(at) = line.iter().position(|item| item.request == request) {
-                return line.remove(at);
-            }
-        }
-        None
-    }
-
     /// The requests that run.
     pub fn running(&self) -> u32 {
         self.running
@@ -155,26 +162,57 @@
         self.capacity = capacity;
     }
 
-    /// Takes out the waiting requests whose deadline has passed.
-    pub fn shed(&mut self, now: Millis) -> Vec<Item<K>> {
-        let mut late = Vec::new();
-        for line in &mut self.waiting {
-            line.retain(|item| {
-                let keep = item.deadline > now;
-                if !keep {
-                    late.push(*item);
-                }
-                keep
-            });
+    /// Takes out the waiting requests that are hopeless: their deadline comes
+    /// before they could be answered, `service` after a start at the earliest.
+    ///
+    /// To run them would use the server's time for answers that nobody waits
+    /// for any more, which is how an overload keeps itself going.
+    pub fn shed(&mut self, now: Millis, service: Millis) -> Vec<Item<K>> {
+        if self.policy == Policy::Baseline {
+            return Vec::new();
         }
-        late
+        let lines = self.waiting.iter_mut();
+        lines
+            .flat_map(|line| line.take_if(|item| item.deadline <= now + service))
+            .collect()
     }
 
-    /// Takes out all waiting requests, for a stop.
-    pub fn take_all(&mut self) -> Vec<Item<K>> {
-        let lines = self.waiting.iter_mut();
-        lines.flat_map(|line| line.drain(..)).collect()
+    /// Removes `request` if it waits.
+    pub fn withdraw(&mut self, request: RequestId) -> Option<Item<K>> {
+        let mut lines = self.waiting.iter_mut();
+        lines.find_map(|line| line.take_if(|item| item.request == request).pop())
+    }
+
+    /// Makes room for `item` in a full queue: a lower priority's newest goes
+    /// first, else the newest of the team that waits with the most, if that
+    /// team has more than the item's own.
+    fn displace(&mut self, item: &Item<K>) -> Option<Item<K>> {
+        for line in &mut self.waiting[..item.priority as usize] {
+            if let Some((team, _)) = line.longest() {
+                return line.pop_newest(team);
+            }
+        }
+        let line = &mut self.waiting[item.priority as usize];
+        let (team, length) = line.longest()?;
+        match length > line.of(item.team) + 1 {
+            true => line.pop_newest(team),
+            false => None,
+        }
     }
+
+    fn offer_baseline(&mut self, item: Item<K>) -> Offer<K> {
+        if self.queued() >= self.limit {
+            return Offer::Refused(full(self.limit));
+        }
+        self.waiting[0].push(0, item);
+        Offer::Queued(None)
+    }
+}
+
+/// The failure of a request for which the queue has no room.
+pub fn full(limit: usize) -> Failure {
+    let detail = format!("{limit} requests wait for the backend server");
+    Failure::not_run(Cause::Overloaded, detail).retry_after(Millis(100))
 }
 
 /// The failure of a request whose deadline passed while it waited.
@@ -212,3 +250,115 @@
         self.known.contains(&(request, attempt))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::base::{
+        Incarnation,
+        Issuer, //
+    };
+
+    fn item(sequence: u32, team: u64, priority: Priority) -> Item<u32> {
+        Item {
+            attempt: 0,
+            deadline: Millis(1_000),
+            key: sequence,
+            priority,
+            request: RequestId {
+                incarnation: Incarnation(1),
+                issuer: Issuer(1),
+                second: 0,
+                sequence,
+            },
+            team,
+        }
+    }
+
+    fn full_queue() -> AgentQueue<u32> {
+        let mut queue = AgentQueue::new(Policy::Current, 1, 4);
+        assert!(matches!(
+            queue.offer(Millis(0), item(0, 1, Priority::Live)),
+            Offer::Run
+        ));
+        for sequence in 1..=4 {
+            let offer = queue.offer(Millis(0), item(sequence, 1, Priority::Background));
+            assert!(matches!(offer, Offer::Queued(None)));
+        }
+        queue
+    }
+
+    struct Test {
+        displaced: Option<u32>,
+        offered: Item<u32>,
+        refused: bool,
+    }
+
+    impl Test {
+        fn run(self) {
+            let mut queue = full_queue();
+            let (displaced, refused) = match queue.offer(Millis(0), self.offered) {
+                Offer::Queued(displaced) => (displaced.map(|item| item.key), false),
+                Offer::Refused(_) => (None, true),
+                Offer::Run => panic!("run beyond the capacity"),
+            };
+            assert_eq!((displaced, refused), (self.displaced, self.refused));
+            assert_eq!(queue.queued(), 4);
+        }
+    }
+
+    #[test]
+    fn a_full_queue_is_shared() {
+        for (offered, displaced, refused) in [
+            (item(9, 1, Priority::Background), None, true),
+            (item(9, 2, Priority::Background), Some(4), false),
+            (item(9, 1, Priority::Live), Some(4), false),
+            (item(9, 2, Priority::Rollout), None, true),
+        ] {
+            Test {
+                displaced,
+                offered,
+                refused,
+            }
+            .run();
+        }
+    }
+
+    /// A revoke races the start of its request: the caller is told that it did
+    /// not run. The revoke comes first, the start late, over another path.
+    /// Without the tombstone the late copy would run after all.
+    #[test]
+    fn a_revoked_request_never_runs() {
+        let mut queue = AgentQueue::new(Policy::Current, 4, 4);
+        let late = item(7, 1, Priority::Live);
+        assert!(queue.revoke(late.request, late.attempt).is_none());
+        assert!(matches!(queue.offer(Millis(0), late), Offer::Refused(_)));
+        let next = Item { attempt: 1, ..late };
+        assert!(matches!(queue.offer(Millis(0), next), Offer::Run));
+    }
+
+    #[test]
+    fn the_hopeless_are_shed() {
+        let mut queue = full_queue();
+        assert!(queue.shed(Millis(900), Millis(50)).is_empty());
+        assert_eq!(queue.shed(Millis(900), Millis(100)).len(), 4);
+        assert_eq!(queue.queued(), 0);
+    }
+
+    #[test]
+    fn rollouts_keep_a_floor() {
+        let mut queue = AgentQueue::new(Policy::Current, 1, 100);
+        queue.offer(Millis(0), item(0, 1, Priority::Live));
+        for sequence in 1..=40 {
+            queue.offer(Millis(0), item(sequence, 1, Priority::Live));
+            queue.offer(Millis(0), item(100 + sequence, 1, Priority::Rollout));
+        }
+        let mut rollouts = 0;
+        for turn in 0..16 {
+            queue.finish();
+            let next = queue.next(turn).unwrap();
+            rollouts += u32::from(next.priority == Priority::Rollout);
+        }
+        assert_eq!(rollouts, 2);
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod claim_batch;
 pub mod claims;
 pub mod explanation;
+pub mod fair_line;
 pub mod fences;
 pub mod health;
 pub mod lease;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -32,6 +32,19 @@
 /// The attempts made for one call at most.
 pub const MAX_ATTEMPTS: u8 = 4;
 
+/// Decides as [`super::router::Policy::Baseline`] does: a plain retry, three times.
+pub fn decide_baseline(now: Millis, attempt: Attempt, failure: &Failure) -> Decision {
+    let safe = attempt.idempotent || !failure.verdict.may_have_run();
+    let hopeless = attempt.attempts >= MAX_ATTEMPTS || now >= attempt.deadline;
+    if hopeless || !safe || !attempt.replayable || attempt.visible {
+        return Decision::GiveUp;
+    }
+    Decision::Retry {
+        paid: false,
+        wait: Millis(0),
+    }
+}
+
 /// Decides on a failed attempt of a call.
 ///
 /// An attempt that did not run is repeated freely within the attempts. One
--- a/src/settings/agent_settings.rs
+++ b/src/settings/agent_settings.rs
@@ -4,9 +4,10 @@
     Common,
     Reader,
     SettingsError,
-    common::address,
+    common::{address, policy},
     file, //
 };
+use crate::policy::router::Policy;
 use std::{
     net::SocketAddr,
     path::Path, //
@@ -39,6 +40,7 @@
 pub struct AgentSettings {
     pub backend: Backend,
     pub common: Common,
+    pub policy: Policy,
 }
 
 impl AgentSettings {
@@ -76,6 +78,7 @@
                 queue: backend.number("queue", 0..=1_000_000, Some(256)) as usize,
             },
             common,
+            policy: policy(reader),
         };
         backend.finish();
         settings
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -1,7 +1,10 @@
 //! What entries and agents have in common.
 
 use super::Reader;
-use crate::base::Millis;
+use crate::{
+    base::Millis,
+    policy::router::Policy, //
+};
 use std::net::SocketAddr;
 
 /// How log lines are written.
@@ -63,6 +66,13 @@
     })
 }
 
+/// The policies by which a process decides.
+pub(super) fn policy(reader: &Reader<'_>) -> Policy {
+    let words = [("baseline", Policy::Baseline), ("current", Policy::Current)];
+    let policy = reader.choice("policy", &words, Some(Policy::Current));
+    policy.unwrap_or_default()
+}
+
 impl Common {
     /// What this process shows on a link as proof of knowing the key.
     pub fn link_key(&self) -> String {
--- a/src/settings/entry_settings.rs
+++ b/src/settings/entry_settings.rs
@@ -4,7 +4,7 @@
     Common,
     Reader,
     SettingsError,
-    common::{address, any_port},
+    common::{address, any_port, policy},
     file, //
 };
 use crate::{
@@ -54,8 +54,6 @@
             let delay = section.number(&name, 0..=10_000, None);
             distances.insert(name, Millis(delay));
         }
-        let words = [("baseline", Policy::Baseline), ("current", Policy::Current)];
-        let policy = reader.choice("policy", &words, Some(Policy::Current));
         let peers = reader.texts("peers");
         let parsed: Vec<SocketAddr> = peers.iter().filter_map(|p| p.parse().ok()).collect();
         if parsed.len() < peers.len() {
@@ -67,7 +65,7 @@
             common,
             distances,
             peers: parsed,
-            policy: policy.unwrap_or_default(),
+            policy: policy(reader),
         }
     }
 
--- a/standins/src/demo/director.rs
+++ b/standins/src/demo/director.rs
@@ -53,7 +53,7 @@
         let name = member.name.clone();
         tell(format!("agent `{name}` stops gracefully"));
         cut += u64::from(!member.stop().await);
-        let restarted = member.start(&fleet.platform, fleet.options.relayed).await;
+        let restarted = member.start(&fleet.platform, fleet.options).await;
         tell(match restarted {
             Ok(()) => format!("agent `{name}` was replaced"),
             Err(error) => format!("agent `{name}` was not replaced: {error}"),
--- a/standins/src/fleet/deployment.rs
+++ b/standins/src/fleet/deployment.rs
@@ -156,7 +156,7 @@
                     pool: pool.clone(),
                     relay: None,
                 };
-                member.start(&self.platform, self.options.relayed).await?;
+                member.start(&self.platform, self.options).await?;
                 self.members.push(member);
             }
         }
--- a/standins/src/fleet/member.rs
+++ b/standins/src/fleet/member.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Backend,
+    Options,
     PoolPlan,
     settings, //
 };
@@ -29,13 +30,21 @@
 
 impl Member {
     /// Starts a new agent in the slot and lists it.
-    pub async fn start(&mut self, platform: &Platform, relayed: bool) -> Result<(), DutyError> {
+    pub async fn start(&mut self, platform: &Platform, options: Options) -> Result<(), DutyError> {
         let common = settings::common(&self.name, &self.data_centre, platform.address);
         let address = self.backend.address();
-        let agent = Agent::open(settings::agent(common, &self.pool, &self.plan, address))?;
+        let agent = Agent::open(settings::agent(
+            common,
+            &self.pool,
+            &self.plan,
+            address,
+            options.policy,
+        ))?;
         let mut links = agent.links;
         self.relay = None;
-        if relayed && let Ok(relay) = Relay::open(agent.links).await {
+        if options.relayed
+            && let Ok(relay) = Relay::open(agent.links).await
+        {
             links = relay.address;
             self.relay = Some(relay);
         }
--- a/standins/src/fleet/settings.rs
+++ b/standins/src/fleet/settings.rs
@@ -51,6 +51,7 @@
     pool: &str,
     plan: &super::PoolPlan,
     address: SocketAddr,
+    policy: Policy,
 ) -> AgentSettings {
     let kind = match plan.kind {
         PoolKind::Engine => BackendKind::Engine,
@@ -66,6 +67,7 @@
             queue: plan.queue,
         },
         common,
+        policy,
     }
 }
 
--- a/standins/src/load/cases.rs
+++ b/standins/src/load/cases.rs
@@ -2,12 +2,50 @@
 
 use super::{
     Case,
+    faults,
     steady, //
 };
 
 /// The cases, sorted by name.
-pub const CASES: &[Case] = &[Case {
-    about: "what the way through entry and agent costs, against two bare hops",
-    measure: |run| Box::pin(steady::measure(run)),
-    name: "steady",
-}];
+pub const CASES: &[Case] = &[
+    Case {
+        about: "two of nine servers crash and return",
+        measure: |run| Box::pin(faults::crash(run)),
+        name: "crash",
+    },
+    Case {
+        about: "every agent and entry is replaced under load",
+        measure: |run| Box::pin(faults::drain(run)),
+        name: "drain",
+    },
+    Case {
+        about: "one team offers ten times its share",
+        measure: |run| Box::pin(faults::noisy_team(run)),
+        name: "noisy-team",
+    },
+    Case {
+        about: "three times the capacity, then 0.7 of it",
+        measure: |run| Box::pin(faults::overload(run)),
+        name: "overload",
+    },
+    Case {
+        about: "a pool fails every call for a while at 0.8 of its load",
+        measure: |run| Box::pin(faults::retry_storm(run)),
+        name: "retry-storm",
+    },
+    Case {
+        about: "half of the links go silent",
+        measure: |run| Box::pin(faults::silent(run)),
+        name: "silent",
+    },
+    Case {
+        about: "one of nine servers is ten times slower",
+        measure: |run| Box::pin(faults::slow_server(run)),
+        name: "slow-server",
+    },
+    Case {
+        about: "what the way through entry and agent costs, against two bare hops",
+        measure: |run| Box::pin(steady::measure(run)),
+        name: "steady",
+    },
+];
--- /dev/null
+++ b/standins/src/load/faults.rs
@@ -0,0 +1,434 @@
+//! Cases in which something goes wrong under application calls.
+
+use super::{
+    LoadError,
+    Outcome,
+    Row,
+    Run,
+    plot::Series,
+    row::Aim,
+    scene::{self, End, Flow, Judged, Pool, Sent}, //
+};
+use crate::{
+    fleet::{Backend, Fleet, Options},
+    relay::Silence,
+    service, //
+};
+use redwingpond::policy::router::Policy;
+use std::{
+    future::Future,
+    time::Duration, //
+};
+
+/// What one policy did in a case.
+struct Trial {
+    judged: Judged,
+    sent: Vec<Sent>,
+}
+
+/// Nine servers, as Tahtiraita's ledger has.
+const NINE: Pool = Pool {
+    capacity: 8,
+    queue: 256,
+    servers: 9,
+    service_ms: 20,
+};
+
+fn flow(rate: f64, begin: u64, end: u64) -> Flow {
+    Flow {
+        begin,
+        deadline: 1_000,
+        end,
+        keyed: false,
+        rate: rate as u64,
+        team: "a",
+    }
+}
+
+/// Runs `flows` while `script` makes things go wrong.
+async fn trial<F, Fut>(
+    pool: Pool,
+    policy: Policy,
+    options: Options,
+    flows: &[Flow],
+    script: F,
+) -> Result<Trial, LoadError>
+where
+    F: FnOnce(Fleet) -> Fut,
+    Fut: Future<Output = Fleet>,
+{
+    let fleet = scene::open(pool, policy, options).await?;
+    let balancer = fleet.balancer.clone();
+    let sending = scene::send(&balancer, flows);
+    let (sent, fleet) = tokio::join!(sending, script(fleet));
+    let judged = scene::judge(&fleet, &sent);
+    Ok(Trial { judged, sent })
+}
+
+/// Runs a case under the policies that are asked for.
+async fn both<F, Fut>(
+    run: Run,
+    pool: Pool,
+    options: Options,
+    flows: &[Flow],
+    script: F,
+) -> Result<[Option<Trial>; 2], LoadError>
+where
+    F: Fn(Fleet) -> Fut,
+    Fut: Future<Output = Fleet>,
+{
+    let mut trials = [None, None];
+    let wanted = [
+        (run.baseline, Policy::Baseline),
+        (run.current, Policy::Current),
+    ];
+    for (at, (wanted, policy)) in wanted.into_iter().enumerate() {
+        if wanted {
+            trials[at] = Some(trial(pool, policy, options, flows, &script).await?);
+        }
+    }
+    Ok(trials)
+}
+
+/// A row of what `figure` finds in each trial.
+fn row(
+    name: &str,
+    unit: &'static str,
+    trials: &[Option<Trial>; 2],
+    aim: Aim,
+    figure: impl Fn(&Trial) -> Option<f64>,
+) -> Row {
+    let [baseline, current] = trials;
+    let baseline = baseline.as_ref().and_then(&figure);
+    let current = current.as_ref().and_then(&figure);
+    Row::new(name, unit, baseline, current, aim)
+}
+
+/// The promises that every case holds to.
+fn promises(trials: &[Option<Trial>; 2]) -> [Row; 2] {
+    [
+        row("double runs", "calls", trials, Aim::AtMost(0.0), |trial| {
+            Some(trial.judged.double_runs as f64)
+        }),
+        row(
+            "false refusals",
+            "calls",
+            trials,
+            Aim::AtMost(0.0),
+            |trial| Some(trial.judged.false_refusals as f64),
+        ),
+    ]
+}
+
+fn count(trial: &Trial, end: End) -> f64 {
+    trial.sent.iter().filter(|one| one.end == end).count() as f64
+}
+
+fn series(trials: &[Option<Trial>; 2]) -> Vec<Series> {
+    let named = ["baseline", "current"].into_iter().zip(trials);
+    let drawn = named.filter_map(|(name, trial)| {
+        let trial = trial.as_ref()?;
+        Some(scene::timeline(name, &trial.sent))
+    });
+    drawn.collect()
+}
+
+fn outcome(trials: &[Option<Trial>; 2], rows: Vec<Row>) -> Outcome {
+    let mut results = rows;
+    results.extend(promises(trials));
+    Outcome {
+        results,
+        series: series(trials),
+        ..Outcome::default()
+    }
+}
+
+fn services(fleet: &Fleet) -> impl Iterator<Item = &service::Service> {
+    fleet.members.iter().filter_map(|one| match &one.backend {
+        Backend::Service(service) => Some(service),
+        Backend::Engine(_) | Backend::Scorer(_) => None,
+    })
+}
+
+async fn sleep(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// `overload`: three times the capacity for a while, then 0.7 of it.
+pub async fn overload(run: Run) -> Result<Outcome, LoadError> {
+    let pool = Pool { servers: 4, ..NINE };
+    let most = run.seconds * 1_000;
+    let (begin, end) = (1_000, 1_000 + most);
+    let after = end + 6_000;
+    let capacity = pool.rate();
+    let flows = [
+        flow(capacity * 0.7, 0, begin),
+        flow(capacity * 3.0, begin, end),
+        flow(capacity * 0.7, end, after),
+    ];
+    let trials = both(run, pool, Options::default(), &flows, |fleet| async {
+        fleet
+    })
+    .await?;
+    let goodput = |trial: &Trial| Some(scene::goodput(&trial.sent, begin, end) / capacity);
+    let late = |trial: &Trial| {
+        let due = trial.sent.iter().filter(|one| one.due >= end + 2_000);
+        scene::percentile(due, 0.99)
+    };
+    Ok(outcome(
+        &trials,
+        vec![
+            row(
+                "goodput / capacity",
+                "",
+                &trials,
+                Aim::AtLeast(0.9),
+                goodput,
+            ),
+            row(
+                "p99 from 2 s after",
+                "ms",
+                &trials,
+                Aim::AtMost(100.0),
+                late,
+            ),
+            row("refused as not run", "calls", &trials, Aim::None, |trial| {
+                Some(count(trial, End::NotRun))
+            }),
+        ],
+    ))
+}
+
+/// `slow-server`: one of nine is ten times slower.
+pub async fn slow_server(run: Run) -> Result<Outcome, LoadError> {
+    let end = 1_000 + run.seconds * 1_000;
+    let flows = [flow(NINE.rate() * 0.5, 0, end)];
+    let trials = both(run, NINE, Options::default(), &flows, |fleet| async {
+        sleep(1_000).await;
+        if let Some(service) = services(&fleet).next() {
+            service.set_faults(service::Faults {
+                delay_ms: NINE.service_ms * 9,
+                ..service::Faults::default()
+            });
+        }
+        sleep(end - 1_000).await;
+        fleet
+    })
+    .await?;
+    let p99 = |trial: &Trial| {
+        let due = trial.sent.iter().filter(|one| one.due >= 2_000);
+        scene::percentile(due, 0.99)
+    };
+    Ok(outcome(
+        &trials,
+        vec![row("p99", "ms", &trials, Aim::RatioAtMost(1.0 / 3.0), p99)],
+    ))
+}
+
+/// `crash`: two of nine crash and return, under calls of both kinds.
+pub async fn crash(run: Run) -> Result<Outcome, LoadError> {
+    let end = run.seconds * 1_000;
+    let keyed = Flow {
+        keyed: true,
+        ..flow(NINE.rate() * 0.02, 0, end)
+    };
+    let flows = [flow(NINE.rate() * 0.5, 0, end), keyed];
+    let trials = both(run, NINE, Options::default(), &flows, |fleet| async {
+        sleep(end / 4).await;
+        for service in services(&fleet).take(2) {
+            service.switch().send_replace(false);
+        }
+        sleep(end / 4).await;
+        for service in services(&fleet).take(2) {
+            service.switch().send_replace(true);
+        }
+        sleep(end / 2).await;
+        fleet
+    })
+    .await?;
+    let lost = |trial: &Trial| {
+        let lost = trial.sent.iter();
+        let lost = lost.filter(|one| one.end != End::Answered && one.request.is_some());
+        Some(lost.count() as f64)
+    };
+    Ok(outcome(
+        &trials,
+        vec![
+            row("p99", "ms", &trials, Aim::RatioAtMost(0.5), |trial| {
+                scene::percentile(trial.sent.iter(), 0.99)
+            }),
+            row("not answered", "calls", &trials, Aim::None, lost),
+        ],
+    ))
+}
+
+/// `silent`: half of the links go silent.
+pub async fn silent(run: Run) -> Result<Outcome, LoadError> {
+    let end = 1_000 + run.seconds * 1_000;
+    let options = Options {
+        relayed: true,
+        ..Options::default()
+    };
+    let flows = [flow(NINE.rate() * 0.3, 0, end)];
+    let trials = both(run, NINE, options, &flows, |fleet| async {
+        sleep(1_000).await;
+        for member in fleet.members.iter().step_by(2) {
+            if let Some(relay) = &member.relay {
+                relay.silence(Silence {
+                    from_target: true,
+                    to_target: true,
+                });
+            }
+        }
+        sleep(end - 1_000).await;
+        fleet
+    })
+    .await?;
+    let slowest = |trial: &Trial| {
+        let times = trial.sent.iter().map(|one| one.taken);
+        Some(times.fold(0.0, f64::max))
+    };
+    Ok(outcome(
+        &trials,
+        vec![
+            // 1.5 s of silence, one beat, and the grace after a deadline.
+            row(
+                "slowest settled",
+                "ms",
+                &trials,
+                Aim::AtMost(2_000.0),
+                slowest,
+            ),
+            row("not answered", "calls", &trials, Aim::None, |trial| {
+                Some(count(trial, End::InDoubt) + count(trial, End::NotRun))
+            }),
+        ],
+    ))
+}
+
+/// `retry-storm`: the pool is out for a while at 0.8 of its load.
+pub async fn retry_storm(run: Run) -> Result<Outcome, LoadError> {
+    let out = run.seconds * 1_000;
+    let end = 2_000 + out + 5_000;
+    let flows = [flow(NINE.rate() * 0.8, 0, end)];
+    let trials = both(run, NINE, Options::default(), &flows, |fleet| async {
+        sleep(2_000).await;
+        for service in services(&fleet) {
+            service.set_faults(service::Faults {
+                delay_ms: 0,
+                lose_answers: u32::MAX,
+            });
+        }
+        sleep(out).await;
+        for service in services(&fleet) {
+            service.set_faults(service::Faults::default());
+        }
+        sleep(end - out - 2_000).await;
+        fleet
+    })
+    .await?;
+    let attempts =
+        |trial: &Trial| Some(trial.judged.attempts as f64 / trial.sent.len().max(1) as f64);
+    let recovered = |trial: &Trial| {
+        let rate = scene::goodput(&trial.sent, 2_000 + out + 3_000, end);
+        Some(rate / (NINE.rate() * 0.8))
+    };
+    Ok(outcome(
+        &trials,
+        vec![
+            row("attempts / calls", "", &trials, Aim::AtMost(1.2), attempts),
+            row(
+                "goodput 3 s after",
+                "",
+                &trials,
+                Aim::AtLeast(0.95),
+                recovered,
+            ),
+        ],
+    ))
+}
+
+/// `noisy-team`: one team offers ten times its share.
+pub async fn noisy_team(run: Run) -> Result<Outcome, LoadError> {
+    let pool = Pool { servers: 4, ..NINE };
+    let share = pool.rate() / 3.0;
+    let (begin, end) = (3_000, 3_000 + run.seconds * 1_000);
+    let quiet = |team| Flow {
+        team,
+        ..flow(share * 0.6, 0, end)
+    };
+    let noisy = flow(share * 10.0, begin, end);
+    let flows = [flow(share * 0.6, 0, begin), noisy, quiet("b"), quiet("c")];
+    let trials = both(run, pool, Options::default(), &flows, |fleet| async {
+        fleet
+    })
+    .await?;
+    let others = |trial: &Trial, begin: u64, end: u64| {
+        let others = trial.sent.iter().filter(|one| one.team != "a");
+        let due = others.filter(|one| (begin..end).contains(&one.due));
+        scene::percentile(due, 0.99)
+    };
+    let worse = |trial: &Trial| {
+        let quiet = others(trial, 1_000, begin)?;
+        Some(others(trial, begin + 500, end)? / quiet)
+    };
+    let answered = |trial: &Trial| {
+        let due = || {
+            let others = trial.sent.iter().filter(|one| one.team != "a");
+            others.filter(|one| one.due >= begin)
+        };
+        let answered = due().filter(|one| one.end == End::Answered).count();
+        Some(answered as f64 / due().count().max(1) as f64)
+    };
+    Ok(outcome(
+        &trials,
+        vec![
+            row("others' p99 / quiet", "", &trials, Aim::AtMost(1.3), worse),
+            row("others answered", "", &trials, Aim::AtLeast(0.99), answered),
+        ],
+    ))
+}
+
+/// `drain`: every agent and every entry is replaced, one after another.
+pub async fn drain(run: Run) -> Result<Outcome, LoadError> {
+    let end = run.seconds * 1_000 + 6_000;
+    let keyed = Flow {
+        keyed: true,
+        ..flow(40.0, 0, end)
+    };
+    let flows = [flow(NINE.rate() * 0.3, 0, end), keyed];
+    let trials = both(run, NINE, Options::default(), &flows, |mut fleet| async {
+        sleep(500).await;
+        for at in 0..fleet.members.len() {
+            let (platform, options) = (&fleet.platform, fleet.options);
+            let member = &mut fleet.members[at];
+            member.stop().await;
+            let _ = member.start(platform, options).await;
+        }
+        for _ in 0..fleet.entries.len() {
+            let _ = fleet.start_entry("hall");
+            sleep(1_500).await;
+            fleet.stop_entry().await;
+        }
+        fleet
+    })
+    .await?;
+    Ok(outcome(
+        &trials,
+        vec![
+            row(
+                "in doubt (cut)",
+                "calls",
+                &trials,
+                Aim::AtMost(0.0),
+                |trial| Some(count(trial, End::InDoubt)),
+            ),
+            row("refused as not run", "calls", &trials, Aim::None, |trial| {
+                Some(count(trial, End::NotRun))
+            }),
+            row("answered", "calls", &trials, Aim::None, |trial| {
+                Some(count(trial, End::Answered))
+            }),
+        ],
+    ))
+}
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -3,12 +3,14 @@
 mod case;
 mod cases;
 mod command;
+mod faults;
 mod hops;
 mod load_error;
 mod open_loop;
 mod outcome;
 mod plot;
 mod row;
+mod scene;
 mod steady;
 mod usage;
 
--- /dev/null
+++ b/standins/src/load/scene.rs
@@ -0,0 +1,240 @@
+//! A fleet of plain services under calls on a fixed schedule.
+
+use super::LoadError;
+use crate::{
+    balancer::Balancer,
+    client::Client,
+    fleet::{Backend, Fleet, Options, Plan}, //
+};
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use redwingpond::{
+    base::Clock,
+    policy::router::Policy,
+    settings::read, //
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration, //
+};
+use tokio::task::JoinSet;
+
+/// The servers of the fleet's one pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Pool {
+    pub capacity: u32,
+    pub queue: u32,
+    pub servers: u32,
+    pub service_ms: u64,
+}
+
+impl Pool {
+    /// The calls a second that the pool can answer.
+    pub fn rate(&self) -> f64 {
+        f64::from(self.servers * self.capacity) * 1_000.0 / self.service_ms as f64
+    }
+}
+
+/// One team's calls at a fixed rate for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct Flow {
+    /// When it begins and ends, in ms from the scene's start.
+    pub begin: u64,
+    pub deadline: u64,
+    pub end: u64,
+    /// Each call has a key and must run at most once.
+    pub keyed: bool,
+    pub rate: u64,
+    pub team: &'static str,
+}
+
+/// How one call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    Answered,
+    /// It may have run, or there was no answer.
+    InDoubt,
+    NotRun,
+}
+
+/// One call of a scene.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub deadline: u64,
+    /// When it was due, in ms from the scene's start.
+    pub due: u64,
+    pub end: End,
+    /// The id of the request, where an answer told it.
+    pub request: Option<String>,
+    /// From when it was due to its answer, in ms.
+    pub taken: f64,
+    pub team: &'static str,
+}
+
+/// The teams that scenes may use.
+const TEAMS: [&str; 3] = ["a", "b", "c"];
+
+/// How long past its deadline a caller waits for the answer.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Opens a fleet with one pool of services and three teams.
+pub async fn open(pool: Pool, policy: Policy, options: Options) -> Result<Fleet, LoadError> {
+    let mut settings = String::from("  pools/pool: |\n    kind: service\n");
+    for team in TEAMS {
+        let classes = "classes: {plain: {pool: pool, limit: 100000}}";
+        let text = format!("  teams/{team}: |\n    {classes}\n    limit: 100000\n");
+        settings.push_str(&text);
+    }
+    let Pool {
+        capacity,
+        queue,
+        servers,
+        service_ms,
+    } = pool;
+    let plan = format!(
+        "team: a\ndata_centres: [hall]\npools:\n  pool: {{kind: service, servers: {servers}, \
+         capacity: {capacity}, queue: {queue}, service_ms: {service_ms}}}\n\
+         settings:\n{settings}callers: {{}}\ntrainers: {{}}\n"
+    );
+    let plan = read("scene", &plan, Plan::read)?;
+    Ok(Fleet::open(&[plan], Options { policy, ..options }).await?)
+}
+
+/// Sends all flows; returns every call once the last has ended.
+pub async fn send(balancer: &Arc<Balancer>, flows: &[Flow]) -> Vec<Sent> {
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let clock = Clock::open();
+    let client = Client::default();
+    let mut flows_under_way = JoinSet::new();
+    for (number, flow) in flows.iter().copied().enumerate() {
+        let (calls, client) = (calls.clone(), client.clone());
+        let balancer = balancer.clone();
+        flows_under_way.spawn(async move {
+            let mut under_way = JoinSet::new();
+            let total = flow.rate * (flow.end - flow.begin) / 1_000;
+            for call in 0..total {
+                let due = flow.begin * 1_000 + call * 1_000_000 / flow.rate;
+                let wait = due.saturating_sub(clock.micros());
+                if wait > 0 {
+                    tokio::time::sleep(Duration::from_micros(wait)).await;
+                }
+                let Some(entry) = balancer.next() else {
+                    continue;
+                };
+                let (calls, client) = (calls.clone(), client.clone());
+                let key = format!("{number}-{call}");
+                under_way.spawn(async move {
+                    let (end, request) = once(&client, entry, flow, &key).await;
+                    let sent = Sent {
+                        deadline: flow.deadline,
+                        due: due / 1_000,
+                        end,
+                        request,
+                        taken: clock.micros().saturating_sub(due) as f64 / 1e3,
+                        team: flow.team,
+                    };
+                    calls
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .push(sent);
+                });
+                while under_way.try_join_next().is_some() {}
+            }
+            while under_way.join_next().await.is_some() {}
+        });
+    }
+    while flows_under_way.join_next().await.is_some() {}
+    std::mem::take(&mut *calls.lock().unwrap_or_else(PoisonError::into_inner))
+}
+
+async fn once(client: &Client, entry: SocketAddr, flow: Flow, key: &str) -> (End, Option<String>) {
+    let path = format!("/v1/app/{}/plain/work", flow.team);
+    let deadline = flow.deadline.to_string();
+    let mut headers = vec![("redwing-deadline-ms", deadline.as_str())];
+    if flow.keyed {
+        headers.push(("redwing-request-key", key));
+        headers.push(("redwing-idempotent", "false"));
+    } else {
+        headers.push(("redwing-idempotent", "true"));
+    }
+    let wait = Duration::from_millis(flow.deadline) + PATIENCE;
+    let post = Method::POST;
+    let answer = client.call(post, entry, &path, &headers, key.to_owned(), wait);
+    let Ok(answer) = answer.await else {
+        return (End::InDoubt, None);
+    };
+    let request = answer.header("redwing-request-id").map(str::to_owned);
+    if answer.status == StatusCode::OK {
+        return (End::Answered, request);
+    }
+    match answer.json()["may_have_run"].as_bool() {
+        Some(false) => (End::NotRun, request),
+        Some(true) | None => (End::InDoubt, request),
+    }
+}
+
+/// What the services ran, beside what the callers were told.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Judged {
+    /// Runs in all.
+    pub attempts: u64,
+    /// Keys that ran twice.
+    pub double_runs: u64,
+    /// Calls told "not run" that ran.
+    pub false_refusals: u64,
+}
+
+/// Holds what callers were told against what the services ran.
+pub fn judge(fleet: &Fleet, sent: &[Sent]) -> Judged {
+    let mut judged = Judged::default();
+    let mut ran = std::collections::HashSet::new();
+    for member in &fleet.members {
+        let Backend::Service(service) = &member.backend else {
+            continue;
+        };
+        let runs = service.runs();
+        judged.attempts += runs.requests.values().map(|n| u64::from(*n)).sum::<u64>();
+        judged.double_runs += runs.keys.values().filter(|n| **n > 1).count() as u64;
+        ran.extend(runs.requests.into_keys());
+    }
+    let refused = sent.iter().filter(|one| one.end == End::NotRun);
+    let lies = refused.filter(|one| one.request.as_ref().is_some_and(|id| ran.contains(id)));
+    judged.false_refusals = lies.count() as u64;
+    judged
+}
+
+/// A percentile of the times of answered calls, in ms; `None` without any.
+pub fn percentile<'a>(sent: impl Iterator<Item = &'a Sent>, share: f64) -> Option<f64> {
+    let answered = sent.filter(|one| one.end == End::Answered);
+    let mut times: Vec<f64> = answered.map(|one| one.taken).collect();
+    times.sort_by(f64::total_cmp);
+    let at = (times.len() as f64 * share) as usize;
+    times.get(at.min(times.len().saturating_sub(1))).copied()
+}
+
+/// The calls answered within their deadline, a second, among those due
+/// between `begin` and `end`.
+pub fn goodput(sent: &[Sent], begin: u64, end: u64) -> f64 {
+    let good = sent.iter().filter(|one| {
+        (begin..end).contains(&one.due)
+            && one.end == End::Answered
+            && one.taken <= one.deadline as f64
+    });
+    good.count() as f64 * 1_000.0 / (end - begin).max(1) as f64
+}
+
+/// Calls a second answered in time, by second, for a plot.
+pub fn timeline(name: &str, sent: &[Sent]) -> super::plot::Series {
+    let last = sent.iter().map(|one| one.due).max().unwrap_or(0);
+    let points = (0..=last / 250).map(|quarter| {
+        let begin = quarter * 250;
+        (begin as f64 / 1e3, goodput(sent, begin, begin + 250))
+    });
+    super::plot::Series {
+        name: name.to_owned(),
+        points: points.collect(),
+    }
+}
--- a/standins/tests/integration/stage.rs
+++ b/standins/tests/integration/stage.rs
@@ -243,7 +243,7 @@
         let Some(fleet) = self.fleet.as_mut() else {
             panic!("`fleet` comes first");
         };
-        let relayed = fleet.options.relayed;
+        let options = fleet.options;
         let member = &mut fleet.members[at];
         if case.args.contains_key("kill") {
             self.runtime.block_on(member.kill());
@@ -255,7 +255,7 @@
         }
         if case.args.contains_key("start") {
             self.runtime
-                .block_on(member.start(&fleet.platform, relayed))
+                .block_on(member.start(&fleet.platform, options))
                 .unwrap();
         }
         "done".into()
