Keep a draining agent for its leave time; measure the cost of links

Cause: drain once cut one call: an agent that was idle when told to stop ended at once, before entries had heard, and a call sent meanwhile was told as may_have_run though it never ran. Change: a draining agent reports at once and refuses truthfully for its leave time. The team with the least running goes first in an agent.

--- a/src/agent/job.rs
+++ b/src/agent/job.rs
@@ -34,6 +34,8 @@
     pub(super) start: Box<Start>,
     pub(super) started: Option<Millis>,
     pub(super) task: Option<JoinHandle<()>>,
+    /// A hash of the team's name.
+    pub(super) team: u64,
 }
 
 /// What a job's task tells when it ends.
--- a/src/agent/jobs.rs
+++ b/src/agent/jobs.rs
@@ -63,6 +63,7 @@
             start,
             started: None,
             task: None,
+            team,
         });
         let item = Item {
             arrived: now,
@@ -98,7 +99,7 @@
             return;
         };
         let now = self.context.clock.now();
-        self.queue.finish();
+        self.queue.finish(job.team);
         if let Some(started) = job.started {
             let taken = now.since(started).0 as f64;
             self.service_time += NEWEST * (taken - self.service_time);
@@ -234,7 +235,7 @@
         let now = self.context.clock.now();
         if started {
             let failure = Failure::may_have_run(cause, "");
-            self.queue.finish();
+            self.queue.finish(job.team);
             self.note_failure(now, &job.start, &failure);
             self.run_next();
         } else {
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -54,6 +54,8 @@
     /// Present before a model engine.
     pub(super) gate: Option<Rc<Gate>>,
     pub(super) jobs: SlotMap<JobKey, Job>,
+    /// When the drain began.
+    leaving: Option<Millis>,
     pub(super) ledger: Ledger,
     pub(super) links: HashMap<LinkKey, LinkState>,
     pub(super) platform: Platform,
@@ -130,6 +132,7 @@
             fences: Rc::default(),
             gate: engine.then(|| Rc::new(Gate::new(Engine::open(backend.address)))),
             jobs: SlotMap::with_key(),
+            leaving: None,
             ledger: Ledger::new(MAX_ACCOUNTS),
             links: HashMap::new(),
             platform: Platform::open(settings.common.platform),
@@ -212,16 +215,35 @@
     fn on_tick(&mut self) {
         let now = self.context.clock.now();
         if self.context.phase() >= Phase::Draining {
-            self.queue.drain();
-            if self.queue.is_idle() {
-                self.context.drained();
-            }
+            self.drain(now);
         }
         self.shed(now);
         self.expire(now);
         self.report_if_due(now);
     }
 
+    /// Tells all entries at once, refuses what still comes, and ends only
+    /// after the leave time.
+    ///
+    /// An agent that ended as soon as it was idle would take requests with it
+    /// that entries had sent before they knew: their links would break, and
+    /// calls that never ran would be told as `may_have_run`.
+    fn drain(&mut self, now: Millis) {
+        let began = match self.leaving {
+            Some(began) => began,
+            None => {
+                self.queue.drain();
+                self.report_now(now);
+                self.leaving = Some(now);
+                now
+            }
+        };
+        let left = now.since(began) >= self.settings.common.drain.leave;
+        if left && self.queue.is_idle() {
+            self.context.drained();
+        }
+    }
+
     fn report_if_due(&mut self, now: Millis) {
         let since = now.since(self.reported.0);
         if since < REPORT_LEAST {
@@ -231,6 +253,11 @@
         if since < REPORT_MOST && report == self.reported.1 {
             return;
         }
+        self.report_now(now);
+    }
+
+    fn report_now(&mut self, now: Millis) {
+        let report = self.report();
         for state in self.links.values() {
             let _ = state.sender.try_send(FromAgent::Report(report.clone()));
         }
--- a/src/policy/agent_queue.rs
+++ b/src/policy/agent_queue.rs
@@ -12,6 +12,7 @@
     RequestId, //
 };
 use std::collections::{
+    HashMap,
     HashSet,
     VecDeque, //
 };
@@ -53,7 +54,8 @@
 ///
 /// # Invariants
 ///
-/// `running` never exceeds `capacity` by offers or by [`AgentQueue::next`].
+/// `running` never exceeds `capacity` by offers or by [`AgentQueue::next`], and
+/// is the sum over `teams`.
 /// A request whose tombstone is kept is never run.
 #[derive(Debug)]
 pub struct AgentQueue<K> {
@@ -62,6 +64,8 @@
     limit: usize,
     policy: Policy,
     running: u32,
+    /// How many of each team run.
+    teams: HashMap<u64, u32>,
     tombstones: Tombstones,
     /// One line for each priority, indexed by it.
     waiting: [FairLine<Item<K>>; Priority::ALL.len()],
@@ -81,6 +85,7 @@
             limit,
             policy,
             running: 0,
+            teams: HashMap::new(),
             tombstones: Tombstones::default(),
             waiting: Default::default(),
         }
@@ -91,9 +96,15 @@
         self.draining = true;
     }
 
-    /// Gives back the place of a finished request.
-    pub fn finish(&mut self) {
+    /// Gives back the place of a finished request of `team`.
+    pub fn finish(&mut self, team: u64) {
         self.running = self.running.saturating_sub(1);
+        if let Some(count) = self.teams.get_mut(&team) {
+            *count -= 1;
+            if *count == 0 {
+                self.teams.remove(&team);
+            }
+        }
     }
 
     /// Whether nothing waits or runs.
@@ -118,8 +129,11 @@
         }
         let current = self.policy == Policy::Current;
         let newest = |oldest: &Item<K>| current && oldest.is_half_over(now);
-        let item = lines.into_iter().find_map(|line| line.pop(newest))?;
-        self.running += 1;
+        let running = |team| self.teams.get(&team).copied().unwrap_or(0);
+        let item = lines
+            .into_iter()
+            .find_map(|line| line.pop(running, newest))?;
+        self.start(item.team);
         Some(item)
     }
 
@@ -137,7 +151,7 @@
             return Offer::Refused(late());
         }
         if self.running < self.capacity && self.queued() == 0 {
-            self.running += 1;
+            self.start(item.team);
             return Offer::Run;
         }
         if self.policy == Policy::Baseline {
@@ -214,6 +228,11 @@
         }
     }
 
+    fn start(&mut self, team: u64) {
+        self.running += 1;
+        *self.teams.entry(team).or_default() += 1;
+    }
+
     fn offer_baseline(&mut self, item: Item<K>) -> Offer<K> {
         if self.queued() >= self.limit {
             return Offer::Refused(full(self.limit));
@@ -356,7 +375,7 @@
     fn in_an_overload_the_newest_goes_first() {
         for (now, key) in [(Millis(100), 1), (Millis(501), 4)] {
             let mut queue = full_queue();
-            queue.finish();
+            queue.finish(1);
             assert_eq!(queue.next(now, 0).unwrap().key, key);
         }
     }
@@ -379,7 +398,7 @@
         }
         let mut rollouts = 0;
         for turn in 0..16 {
-            queue.finish();
+            queue.finish(1);
             let next = queue.next(Millis(1), turn).unwrap();
             rollouts += u32::from(next.priority == Priority::Rollout);
         }
--- a/src/policy/fair_line.rs
+++ b/src/policy/fair_line.rs
@@ -1,8 +1,9 @@
-//! A waiting line in which teams take turns.
+//! A waiting line that is shared between teams.
 
 use std::collections::VecDeque;
 
-/// Items by team; each pop takes the next team's oldest one.
+/// Items by team; a pop goes to the team that has the least, and to each in
+/// turn among equals.
 ///
 /// # Invariants
 ///
@@ -50,10 +51,12 @@
         line.map_or(0, |(_, line)| line.len())
     }
 
-    /// Takes the next team's oldest item, or its newest if `newest` holds for
-    /// the oldest.
-    pub fn pop(&mut self, newest: impl Fn(&T) -> bool) -> Option<T> {
-        let (team, mut line) = self.teams.pop_front()?;
+    /// Takes the oldest item of the team for which `running` is least, or its
+    /// newest if `newest` holds for the oldest.
+    pub fn pop(&mut self, running: impl Fn(u64) -> u32, newest: impl Fn(&T) -> bool) -> Option<T> {
+        let teams = self.teams.iter().enumerate();
+        let (at, _) = teams.min_by_key(|(_, (team, _))| running(*team))?;
+        let (team, mut line) = self.teams.remove(at)?;
         let item = match line.front().is_some_and(newest) {
             true => line.pop_back(),
             false => line.pop_front(),
@@ -115,11 +118,21 @@
         }
         line.push(2, 100);
         line.push(3, 200);
-        let order: Vec<i32> = std::iter::from_fn(|| line.pop(|_| false)).collect();
+        let order: Vec<i32> = std::iter::from_fn(|| line.pop(|_| 0, |_| false)).collect();
         assert_eq!(order, [0, 100, 200, 1, 2, 3, 4, 5]);
         assert!(line.is_empty());
     }
 
+    #[test]
+    fn the_team_with_the_least_goes_first() {
+        let mut line = FairLine::default();
+        for team in [1, 2, 3] {
+            line.push(team, team);
+        }
+        let running = |team| if team == 2 { 0 } else { 5 };
+        assert_eq!(line.pop(running, |_| false), Some(2));
+    }
+
     #[test]
     fn counts_follow_every_change() {
         let mut line = FairLine::default();
--- a/standins/src/load/cases.rs
+++ b/standins/src/load/cases.rs
@@ -3,6 +3,7 @@
 use super::{
     Case,
     faults,
+    fleet,
     steady, //
 };
 
@@ -18,6 +19,11 @@
         measure: |run| Box::pin(faults::drain(run)),
         name: "drain",
     },
+    Case {
+        about: "what one entry's control work costs for each linked agent",
+        measure: |run| Box::pin(fleet::measure(run)),
+        name: "fleet",
+    },
     Case {
         about: "one team offers ten times its share",
         measure: |run| Box::pin(faults::noisy_team(run)),
--- /dev/null
+++ b/standins/src/load/fleet.rs
@@ -0,0 +1,226 @@
+//! `fleet`: what one entry's control work costs for each linked agent.
+
+use super::{
+    LoadError,
+    Outcome,
+    Row,
+    Run,
+    plot::Series,
+    row::Aim,
+    usage, //
+};
+use crate::platform::Platform;
+use redwingpond::{
+    base::{Incarnation, Millis},
+    entry::Entry,
+    platform::{Instance, InstanceState},
+    policy::{router::Policy, subset::SUBSET},
+    settings::{Common, DrainSettings, EntrySettings, LogFormat},
+    wire::{
+        FromAgent,
+        Hello,
+        LinkEvent,
+        LinkTuning,
+        Report,
+        Role,
+        ToAgent,
+        handshake,
+        run_link, //
+    },
+};
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::mpsc,
+    task::JoinSet, //
+};
+
+/// The numbers of agents.
+const SIZES: [usize; 4] = [50, 100, 200, 400];
+
+/// How often each agent reports; real ones do so at most this often.
+const REPORT: Duration = Duration::from_millis(500);
+
+const KEY: &str = "fleet";
+
+/// What an entry used at one size.
+struct Used {
+    agents: f64,
+    /// Bytes a second received and sent over all links.
+    bytes: f64,
+    /// Milliseconds of processor time a second.
+    cpu: f64,
+    memory: f64,
+}
+
+/// Runs the case.
+pub async fn measure(run: Run) -> Result<Outcome, LoadError> {
+    let mut used = Vec::new();
+    for agents in SIZES {
+        used.push(at(agents, Duration::from_secs(run.seconds)).await?);
+    }
+    let slope = |figure: fn(&Used) -> f64| {
+        let (first, last) = (used.first()?, used.last()?);
+        Some((figure(last) - figure(first)) / (last.agents - first.agents))
+    };
+    let last = used.last();
+    Ok(Outcome {
+        results: vec![
+            Row::new(
+                "CPU for each agent",
+                "us/s",
+                None,
+                slope(|u| u.cpu * 1e3),
+                Aim::None,
+            ),
+            Row::new(
+                "bytes for each agent",
+                "B/s",
+                None,
+                slope(|u| u.bytes),
+                Aim::None,
+            ),
+            Row::new(
+                "memory for each agent",
+                "B",
+                None,
+                slope(|u| u.memory),
+                Aim::None,
+            ),
+            Row::new(
+                "CPU of a core at 400",
+                "%",
+                None,
+                last.map(|u| u.cpu / 10.0),
+                Aim::AtMost(2.8),
+            ),
+            Row::new(
+                "bytes at 400",
+                "KB/s",
+                None,
+                last.map(|u| u.bytes / 1e3),
+                Aim::AtMost(14.0),
+            ),
+        ],
+        series: vec![Series {
+            name: "ms of CPU a second over linked agents".to_owned(),
+            points: used.iter().map(|u| (u.agents, u.cpu)).collect(),
+        }],
+        ..Outcome::default()
+    })
+}
+
+async fn at(agents: usize, time: Duration) -> Result<Used, LoadError> {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = Platform::open(loopback, 1, Duration::ZERO).await?;
+    platform.apply("pools/any", "kind: service\n");
+    let mut tasks = JoinSet::new();
+    for number in 0..agents {
+        let listener = TcpListener::bind(loopback).await?;
+        platform.put_instance(Instance {
+            admin: loopback,
+            data_centre: "hall".to_owned(),
+            links: listener.local_addr()?,
+            name: format!("agent-{number}"),
+            pool: Some(format!("pool-{}", number / SUBSET)),
+            state: InstanceState::Live,
+        });
+        tasks.spawn(agent(listener, number));
+    }
+    let before = usage::resident();
+    let common = common(platform.address);
+    let entry = Entry::open(EntrySettings {
+        callers: loopback,
+        common,
+        distances: BTreeMap::new(),
+        peers: Vec::new(),
+        policy: Policy::Current,
+    })
+    .map_err(|source| LoadError::Fleet {
+        source: source.into(),
+    })?;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    let cpu = usage::now();
+    let bytes = traffic();
+    tokio::time::sleep(time).await;
+    let seconds = time.as_secs_f64();
+    let used = Used {
+        agents: agents as f64,
+        bytes: (traffic() - bytes) as f64 / seconds,
+        cpu: usage::since(&cpu, &usage::PRODUCT) as f64 / 1e6 / seconds,
+        memory: usage::resident().saturating_sub(before) as f64,
+    };
+    drop(entry);
+    Ok(used)
+}
+
+/// The bytes received over the loopback interface: every byte of the links
+/// and of the platform's answers, with their TCP and IP headers, once.
+fn traffic() -> u64 {
+    let text = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find_map(|l| l.trim().strip_prefix("lo:"));
+    let first = line.and_then(|line| line.split_whitespace().next());
+    first.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn common(platform: SocketAddr) -> Common {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    Common {
+        admin: loopback,
+        data_centre: "hall".to_owned(),
+        drain: DrainSettings {
+            bound: Millis(1_000),
+            leave: Millis(0),
+        },
+        instance: "entry".to_owned(),
+        key: KEY.to_owned(),
+        links: loopback,
+        log: LogFormat::Text,
+        log_level: "off".to_owned(),
+        platform,
+    }
+}
+
+/// An agent that only beats and reports, each report another one.
+async fn agent(listener: TcpListener, number: usize) {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let hello = Hello {
+        incarnation: Incarnation(1),
+        instance: format!("agent-{number}"),
+        key: common(loopback).link_key(),
+        role: Role::Agent,
+    };
+    while let Ok((stream, _)) = listener.accept().await {
+        let Ok(opened) = handshake(stream, &hello).await else {
+            continue;
+        };
+        let (inbox, mut events) = mpsc::channel::<LinkEvent<(), ToAgent, FromAgent>>(16);
+        let reports = async {
+            let Some(LinkEvent::Up { sender, .. }) = events.recv().await else {
+                return;
+            };
+            let mut report = Report {
+                capacity: 8,
+                usable: true,
+                ..Report::default()
+            };
+            loop {
+                report.running = (report.running + 1) % 8;
+                if !sender.send(FromAgent::Report(report.clone())).await {
+                    return;
+                }
+                tokio::time::sleep(REPORT).await;
+            }
+        };
+        tokio::select! {
+            () = run_link(opened, (), inbox, LinkTuning::default()) => {}
+            () = reports => {}
+        }
+    }
+}
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod command;
 mod faults;
+mod fleet;
 mod hops;
 mod load_error;
 mod open_loop;
--- a/standins/src/load/usage.rs
+++ b/standins/src/load/usage.rs
@@ -49,3 +49,10 @@
         .map(|(name, nanos)| nanos.saturating_sub(before.get(name).copied().unwrap_or(0)));
     used.sum()
 }
+/// The resident memory of this process, in bytes.
+pub fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1_024
+}
