Fit the control budget and the memory aims: jemalloc, beats, subsets, ETags

Cause: one link cost 984 B/s and 77 us/s, most of it beats every 300 ms that went out beside other messages, and a reader of the list took it whole every second; with mimalloc an idle agent held 20 MB, an entry 30 MB, 91 MB with 1,000 streams (mimalloc keeps segments for each thread). Change: a beat only after 750 ms without another message, silence found after 2.5 s (was 1.5 s), reports at most once a second, 16 links to a pool (was 24), list and settings read with If-None-Match, jemalloc in all binaries. Tried and dropped: mimalloc.

--- a/src/agent/door.rs
+++ b/src/agent/door.rs
@@ -18,8 +18,8 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct LinkKey(pub u64);
 
-/// The links open at once. 460 entries with 24 of a pool's samplers each make
-/// some 33 links to an agent; the rest is room for reconnects.
+/// The links open at once. 460 entries with 16 of a pool's samplers each make
+/// some 18 links to an agent; the rest is room for reconnects.
 const MAX_LINKS: usize = 512;
 
 /// A bound link port.
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -70,9 +70,9 @@
 /// How often deadlines are looked at.
 const TICK: Millis = Millis(25);
 
-/// The least and the most time between two reports. At 33 links and some
-/// 60 bytes the fastest pace is 4 KB/s, within the control budget.
-const REPORT_LEAST: Millis = Millis(500);
+/// The least and the most time between two reports. A report takes the place
+/// of a beat, see `docs/CAPACITY.md` for what both cost.
+const REPORT_LEAST: Millis = Millis(1_000);
 const REPORT_MOST: Millis = Millis(2_000);
 
 /// How long a request key is remembered, and how many are.
--- a/src/entry/learner.rs
+++ b/src/entry/learner.rs
@@ -8,7 +8,7 @@
 use crate::{
     base::{Millis, stable_hash},
     duty::{Context, Phase},
-    platform::Platform,
+    platform::{Platform, Tag},
     policy::subset,
     settings::{EntrySettings, ROOT}, //
 };
@@ -41,11 +41,12 @@
     context.drained();
     let platform = Platform::open(settings.common.platform);
     let mut failed = 0;
+    let mut tags = (Tag::default(), Tag::default());
     loop {
         let known = directory.borrow().clone();
         let peer = peer(&settings, &known, failed);
         let learned = tokio::select! {
-            learned = learn(&platform, &forward, &known, peer) => learned,
+            learned = learn(&platform, &forward, &known, peer, &mut tags) => learned,
             () = context.reached(Phase::Stopped) => return,
         };
         let told = learned.is_some() && peer.is_some();
@@ -75,6 +76,7 @@
     forward: &Forward,
     known: &Directory,
     peer: Option<SocketAddr>,
+    tags: &mut (Tag, Tag),
 ) -> Option<News> {
     if let Some(peer) = peer {
         let (revision, stamp) = (known.revision(), known.stamp());
@@ -82,15 +84,16 @@
         let answer = forward::get(forward, peer, &path, HOLD + READ).await.ok()?;
         return serde_json::from_slice(&answer).ok();
     }
-    let listing = platform.list(ROOT).await.ok()?;
-    let mut instances = platform.instances().await.ok()?;
-    instances.sort_by(|a, b| a.name.cmp(&b.name));
-    // The table's own revision moves with every lease that is renewed; only
-    // the settings' rows count as news.
-    let versions = listing.rows.values().map(|row| row.version);
+    let listing = platform.list(ROOT, &mut tags.0).await.ok()?;
+    let instances = platform.instances(&mut tags.1).await.ok()?;
+    let instances = instances.map_or(Change::Same, |mut list| {
+        list.sort_by(|a, b| a.name.cmp(&b.name));
+        Change::All(list)
+    });
+    let listing = listing.unwrap_or_default();
     Some(News {
-        instances: Change::All(instances),
-        revision: versions.max().unwrap_or(0),
+        instances,
+        revision: listing.revision,
         rows: listing.rows,
     })
 }
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::Millis,
-    platform::{JsonClient, Platform}, //
+    platform::{JsonClient, Platform, Tag}, //
 };
 use argh::FromArgs;
 use hyper::Method;
@@ -60,8 +60,13 @@
 ) -> Result<Vec<SocketAddr>, OperatorError> {
     let mut all = named;
     if let Some(platform) = platform {
-        let listed = Platform::open(platform).instances().await?;
-        let entries = listed.into_iter().filter(|one| one.pool.is_none());
+        let listed = Platform::open(platform)
+            .instances(&mut Tag::default())
+            .await?;
+        let entries = listed
+            .unwrap_or_default()
+            .into_iter()
+            .filter(|one| one.pool.is_none());
         all.extend(entries.map(|one| one.admin));
     }
     ensure!(!all.is_empty(), NoEntriesSnafu);
--- a/src/operator/shared_settings.rs
+++ b/src/operator/shared_settings.rs
@@ -5,7 +5,7 @@
     operator_error::{NoSettingsSnafu, PathSnafu}, //
 };
 use crate::{
-    platform::Platform,
+    platform::{Platform, Tag},
     settings::{POOLS, ROOT, TEAMS}, //
 };
 use argh::FromArgs;
@@ -63,8 +63,10 @@
 
 impl ListCommand {
     pub(super) async fn run(self) -> Result<(), OperatorError> {
-        let listing = Platform::open(self.platform).list(ROOT).await?;
-        for (path, row) in listing.rows {
+        let listing = Platform::open(self.platform)
+            .list(ROOT, &mut Tag::default())
+            .await?;
+        for (path, row) in listing.unwrap_or_default().rows {
             let path = path.strip_prefix(ROOT).unwrap_or(&path);
             println!("{:>8}  {path}", row.version);
         }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -12,17 +12,15 @@
 use bytes::Bytes;
 use hyper::{
     Method,
-    StatusCode, //
+    StatusCode,
+    header::HeaderValue, //
 };
 use serde::{
     Deserialize,
     Serialize,
     de::DeserializeOwned, //
 };
-use snafu::{
-    OptionExt,
-    ResultExt, //
-};
+use snafu::ResultExt;
 use std::{
     collections::BTreeMap,
     net::SocketAddr, //
@@ -35,11 +33,14 @@
     pub version: u64,
 }
 
+/// Names what was read last, so that it is sent again only when it changed.
+#[derive(Clone, Debug, Default)]
+pub struct Tag(Option<HeaderValue>);
+
 /// Rows as of one revision.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Listing {
-    /// The number of the table's latest commit. Rows' versions are the
-    /// revisions that wrote them.
+    /// The highest of the rows' versions, which count the table's commits.
     pub revision: u64,
     pub rows: BTreeMap<String, Row>,
 }
@@ -69,23 +70,15 @@
         self.read(&format!("/table/{path}")).await
     }
 
-    /// The list of instances.
-    pub async fn instances(&self) -> Result<Vec<Instance>, StoreError> {
-        let path = "/instances";
-        self.read(path).await?.context(StatusSnafu {
-            path,
-            status: 404_u16,
-        })
+    /// The list of instances, unless it still is what `tag` names.
+    pub async fn instances(&self, tag: &mut Tag) -> Result<Option<Vec<Instance>>, StoreError> {
+        self.changed("/instances", tag).await
     }
 
-    /// All rows whose path begins with `prefix`.
-    pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
-        let path = format!("/table?prefix={prefix}");
-        let rows = self.read(&path).await?;
-        rows.context(StatusSnafu {
-            path,
-            status: 404_u16,
-        })
+    /// All rows whose path begins with `prefix`, unless they still are what
+    /// `tag` names.
+    pub async fn list(&self, prefix: &str, tag: &mut Tag) -> Result<Option<Listing>, StoreError> {
+        self.changed(&format!("/table?prefix={prefix}"), tag).await
     }
 
     /// The object `key`.
@@ -136,12 +129,30 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        metrics::counter!("redwing_platform_requests_total", "method" => method.to_string())
-            .increment(1);
+        count(&method);
         let answer = self.http.call(method, path, body).await;
         answer.context(UnavailableSnafu)
     }
 
+    async fn changed<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        tag: &mut Tag,
+    ) -> Result<Option<T>, StoreError> {
+        count(&Method::GET);
+        let answer = self.http.get_changed(path, tag.0.as_ref()).await;
+        let (status, body, now) = answer.context(UnavailableSnafu)?;
+        match status {
+            StatusCode::NOT_MODIFIED => Ok(None),
+            StatusCode::OK => {
+                let value = serde_json::from_slice(&body).context(AnswerSnafu { path })?;
+                tag.0 = now;
+                Ok(Some(value))
+            }
+            _ => unexpected(path, status),
+        }
+    }
+
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<Option<T>, StoreError> {
         let (status, body) = self.call(Method::GET, path, Vec::new()).await?;
         match status {
@@ -154,6 +165,11 @@
     }
 }
 
+fn count(method: &Method) {
+    let method = method.to_string();
+    metrics::counter!("redwing_platform_requests_total", "method" => method).increment(1);
+}
+
 fn unexpected<T>(path: &str, status: StatusCode) -> Result<T, StoreError> {
     StatusSnafu {
         path,
--- a/src/platform/json_client.rs
+++ b/src/platform/json_client.rs
@@ -14,7 +14,8 @@
     Method,
     Request,
     StatusCode,
-    header::CONTENT_TYPE, //
+    header::{CONTENT_TYPE, ETAG, HeaderValue, IF_NONE_MATCH},
+    http::request::Builder, //
 };
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -76,16 +77,48 @@
         }
     }
 
+    /// Reads `path` unless it still is what `tag` names (RFC 9110, `ETag`).
+    pub async fn get_changed(
+        &self,
+        path: &str,
+        tag: Option<&HeaderValue>,
+    ) -> Result<(StatusCode, Bytes, Option<HeaderValue>), HttpError> {
+        let mut builder = self.builder(Method::GET, path);
+        if let Some(tag) = tag {
+            builder = builder.header(IF_NONE_MATCH, tag);
+        }
+        let answer = self.exchange(builder, path, Vec::new());
+        match tokio::time::timeout(self.timeout.as_duration(), answer).await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.error(path, Verdict::MayHaveRun, &"no answer in time")),
+        }
+    }
+
     async fn send(
         &self,
         method: Method,
         path: &str,
         body: Vec<u8>,
     ) -> Result<(StatusCode, Bytes), HttpError> {
-        let request = Request::builder()
+        let builder = self.builder(method, path);
+        let (status, body, _) = self.exchange(builder, path, body).await?;
+        Ok((status, body))
+    }
+
+    fn builder(&self, method: Method, path: &str) -> Builder {
+        Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header(CONTENT_TYPE, "application/json")
+    }
+
+    async fn exchange(
+        &self,
+        builder: Builder,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes, Option<HeaderValue>), HttpError> {
+        let request = builder
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| self.error(path, Verdict::NotRun, &error))?;
         let answer = self.client.request(request).await.map_err(|error| {
@@ -96,9 +129,10 @@
             self.error(path, verdict, &error)
         })?;
         let status = answer.status();
+        let tag = answer.headers().get(ETAG).cloned();
         let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
         let body = body.map_err(|error| self.error(path, Verdict::MayHaveRun, &error))?;
-        Ok((status, body.to_bytes()))
+        Ok((status, body.to_bytes(), tag))
     }
 
     fn error(&self, path: &str, verdict: Verdict, message: &dyn ToString) -> HttpError {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,7 +7,7 @@
 mod write;
 
 pub use self::{
-    client::{Listing, Platform, Row},
+    client::{Listing, Platform, Row, Tag},
     instance::{Instance, InstanceState},
     json_client::{HttpError, JsonClient},
     store_error::StoreError,
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -31,7 +31,7 @@
 /// How a link finds out that the other end is silent.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkTuning {
-    /// How often a beat is sent.
+    /// A beat is sent when nothing else was sent for this long.
     pub beat: Millis,
     /// A link on which nothing was heard for this long is given up.
     pub silence: Millis,
@@ -40,8 +40,8 @@
 impl Default for LinkTuning {
     fn default() -> Self {
         Self {
-            beat: Millis(300),
-            silence: Millis(1_500),
+            beat: Millis(750),
+            silence: Millis(2_500),
         }
     }
 }
@@ -184,6 +184,7 @@
     let mut buffer = BytesMut::with_capacity(16 * 1024);
     let mut beat = interval(tuning.beat.as_duration());
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    beat.reset();
 
     loop {
         tokio::select! {
@@ -212,7 +213,10 @@
             return "silent";
         }
         match timeout(tuning.silence.as_duration(), writer.write_all(&buffer)).await {
-            Ok(Ok(())) => buffer.clear(),
+            Ok(Ok(())) => {
+                buffer.clear();
+                beat.reset();
+            }
             Ok(Err(_)) => return "broken",
             Err(_) => return "silent",
         }
--- a/standins/src/bin/redwing-standin.rs
+++ b/standins/src/bin/redwing-standin.rs
@@ -1,5 +1,5 @@
 #[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
 
 fn main() -> std::process::ExitCode {
     redwing_standins::cli::standin_main()
--- a/standins/src/load/case.rs
+++ b/standins/src/load/case.rs
@@ -6,6 +6,7 @@
 };
 use std::{
     future::Future,
+    net::SocketAddr,
     pin::Pin, //
 };
 
@@ -15,6 +16,8 @@
     /// Which policies are measured: baseline, current, or both.
     pub baseline: bool,
     pub current: bool,
+    /// An entry that runs as a process, and its process id.
+    pub process: Option<(SocketAddr, u32)>,
     pub seconds: u64,
     pub seed: u64,
 }
--- a/standins/src/load/cases.rs
+++ b/standins/src/load/cases.rs
@@ -4,7 +4,8 @@
     Case,
     faults,
     fleet,
-    steady, //
+    steady,
+    streams, //
 };
 
 /// The cases, sorted by name.
@@ -54,4 +55,9 @@
         measure: |run| Box::pin(steady::measure(run)),
         name: "steady",
     },
+    Case {
+        about: "the memory of an entry process with 1,000 open streams",
+        measure: |run| Box::pin(streams::measure(run)),
+        name: "streams",
+    },
 ];
--- a/standins/src/load/command.rs
+++ b/standins/src/load/command.rs
@@ -15,6 +15,7 @@
     settings::LogFormat, //
 };
 use std::{
+    net::SocketAddr,
     path::PathBuf,
     process::ExitCode, //
 };
@@ -31,6 +32,10 @@
     #[argh(switch)]
     compare: bool,
 
+    /// the callers' address of an entry that runs as a process, for `streams`
+    #[argh(option)]
+    entry: Option<SocketAddr>,
+
     /// write the figures to this file as JSON
     #[argh(option)]
     json: Option<PathBuf>,
@@ -43,6 +48,10 @@
     #[argh(option, default = "String::from(\"off\")")]
     log: String,
 
+    /// the process id of that entry
+    #[argh(option)]
+    pid: Option<u32>,
+
     /// measure only this policy: baseline or current
     #[argh(option)]
     policy: Option<String>,
@@ -93,6 +102,7 @@
     let run = Run {
         baseline,
         current,
+        process: command.entry.zip(command.pid),
         seconds: command.seconds.clamp(1, 600),
         seed: command.seed,
     };
--- a/standins/src/load/faults.rs
+++ b/standins/src/load/faults.rs
@@ -295,7 +295,7 @@
     Ok(outcome(
         &trials,
         vec![
-            // 1.5 s of silence, one beat, and the grace after a deadline.
+            // 2.5 s of silence, one beat, and the grace after a deadline.
             row(
                 "slowest settled",
                 "ms",
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -13,6 +13,7 @@
 mod row;
 mod scene;
 mod steady;
+mod streams;
 mod usage;
 
 pub use self::{
--- a/standins/src/load/usage.rs
+++ b/standins/src/load/usage.rs
@@ -51,7 +51,12 @@
 }
 /// The resident memory of this process, in bytes.
 pub fn resident() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    resident_of("self")
+}
+
+/// The resident memory of process `pid`, in bytes; 0 when there is none.
+pub fn resident_of(pid: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
     kilobytes.unwrap_or(0) * 1_024
--- a/standins/src/platform/table.rs
+++ b/standins/src/platform/table.rs
@@ -29,11 +29,12 @@
     pub fn list(&self, prefix: &str) -> Listing {
         let rows = self.rows.iter();
         let rows = rows.filter(|(path, _)| path.starts_with(prefix));
+        let rows: BTreeMap<String, Row> = rows
+            .map(|(path, row)| (path.clone(), row.clone()))
+            .collect();
         Listing {
-            revision: self.revision,
-            rows: rows
-                .map(|(path, row)| (path.clone(), row.clone()))
-                .collect(),
+            revision: rows.values().map(|row| row.version).max().unwrap_or(0),
+            rows,
         }
     }
 
