--- a/src/entry/app_api.rs
+++ b/src/entry/app_api.rs
@@ -1,33 +1,32 @@
 //! HTTP towards callers: one application call from its arrival to its answer.
 
 use super::{
+    call_options::{Options, options, passed_on},
+    call_target::Target,
     chat_api::{ChatCall, Shape},
     claimer::{self, Claim},
     command::{Command, NewCall, REPLIES, Reply},
     directory::Directory,
     issue::Issue,
-    reply_body::Replies, //
+    reply_body::Replies,
+    request_body::{pump, whole}, //
 };
 use crate::{
-    agent::run_call::{REQUEST_ID, REQUEST_KEY, is_end_to_end},
+    agent::run_call::REQUEST_ID,
     base::{Cause, Clock, Failure, Millis, RequestId, WeightVersion},
     duty::{Answer, problem, text},
-    policy::{admission::Limits, claim_batch::Wanted},
-    settings::{BackendKind, ClassSettings, TeamSettings},
-    wire::{CallHead, MAX_CHUNK, MESSAGE_COST, WINDOW, Work}, //
+    policy::claim_batch::Wanted,
+    settings::BackendKind,
+    wire::{CallHead, WINDOW, Work}, //
 };
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::{
     Method,
     Request,
     Response,
     StatusCode,
     body::{Body as _, Incoming},
-    header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue}, //
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue}, //
 };
 use std::sync::Arc;
 use tokio::{
@@ -46,12 +45,6 @@
     pub(super) traffic: mpsc::Sender<Command>,
 }
 
-/// The header with which a caller says whether a call may be repeated.
-const IDEMPOTENT: &str = "redwing-idempotent";
-
-/// The header with a call's time in milliseconds.
-const DEADLINE: &str = "redwing-deadline-ms";
-
 /// The header of an answer that names the settings it was made under.
 const REVISION: &str = "redwing-settings-revision";
 
@@ -62,29 +55,6 @@
 /// The bytes of a request to an engine.
 const CHAT_BODY: usize = 160 * 1024;
 
-/// How long a body, or the next part of a streamed one, may take to arrive.
-const BODY_TIME: Millis = Millis(10_000);
-
-/// The bytes of a request key.
-const MAX_KEY: usize = 128;
-
-/// What a caller asks of a class.
-struct Options {
-    /// The point in time at which the call's time is over.
-    deadline: Millis,
-    idempotent: bool,
-    key: Option<String>,
-}
-
-/// A class and its team, as found for a call.
-struct Target {
-    class: ClassSettings,
-    kind: BackendKind,
-    limits: Limits,
-    names: (String, String),
-    retry_share: u64,
-}
-
 impl AppApi {
     /// Answers one call at `/v1/app/TEAM/CLASS/REST`.
     pub(super) async fn handle(&self, request: Request<Incoming>) -> Answer {
@@ -105,7 +75,8 @@
     async fn call(&self, id: RequestId, request: Request<Incoming>) -> Result<Answer, Failure> {
         let path = request.uri().path_and_query();
         let path = path.map_or("/", |path| path.as_str()).to_owned();
-        let (target, rest) = self.target(&path, request.headers())?;
+        let directory = self.directory.borrow().clone();
+        let (target, rest) = Target::find(&directory, &path, request.headers())?;
         let now = self.clock.now();
         let options = options(&target, now, request.method(), request.headers())?;
         match target.kind {
@@ -274,44 +245,6 @@
             window: Arc::new(Semaphore::new(WINDOW as usize)),
         })
     }
-
-    /// Finds the class that `path` names, and the path behind it.
-    fn target(&self, path: &str, headers: &HeaderMap) -> Result<(Target, String), Failure> {
-        let not_found = |detail: String| Failure::not_run(Cause::NotFound, detail);
-        let mut parts = path.splitn(6, '/').skip(3);
-        let team_name = parts.next().unwrap_or_default();
-        let class_name = parts.next().unwrap_or_default();
-        let class_name = class_name.split('?').next().unwrap_or_default();
-        let rest = format!("/{}", parts.next().unwrap_or_default());
-
-        let directory = self.directory.borrow().clone();
-        if !directory.is_known() {
-            let failure = Failure::not_run(Cause::Unknown, "this entry has no settings yet");
-            return Err(failure.retry_after(Millis(500)));
-        }
-        let shared = &directory.shared;
-        let team = shared.teams.get(team_name);
-        let team = team.ok_or_else(|| not_found(format!("no team `{team_name}`")))?;
-        let class = team.classes.get(class_name);
-        let class = class.ok_or_else(|| not_found(format!("no class `{class_name}`")))?;
-        if class.internal && !may_call(team, class_name, headers) {
-            let detail = format!("class `{class_name}` is internal: the call's key is not for it");
-            return Err(Failure::not_run(Cause::Forbidden, detail));
-        }
-        let pool = shared.pools.get(&class.pool);
-        let pool = pool.ok_or_else(|| not_found(format!("no pool `{}`", class.pool)))?;
-        let target = Target {
-            class: class.clone(),
-            kind: pool.kind,
-            limits: Limits {
-                class: class.limit,
-                team: team.limit,
-            },
-            names: (team_name.to_owned(), class_name.to_owned()),
-            retry_share: team.retry_share,
-        };
-        Ok((target, rest))
-    }
 }
 
 fn answer(status: u16, headers: Vec<(String, Bytes)>, mut replies: Replies) -> Answer {
@@ -349,136 +282,6 @@
     }
 }
 
-fn may_call(team: &TeamSettings, class: &str, headers: &HeaderMap) -> bool {
-    let value = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
-    let key = value.and_then(|value| value.strip_prefix("Bearer "));
-    key.is_some_and(|key| team.may_call(key, class))
-}
-
-/// Reads what the caller says about the call itself.
-fn options(
-    target: &Target,
-    now: Millis,
-    method: &Method,
-    headers: &HeaderMap,
-) -> Result<Options, Failure> {
-    let refuse = |detail: String| Failure::not_run(Cause::BadRequest, detail);
-    let header = |name: &str| headers.get(name).map(|value| value.to_str().unwrap_or("?"));
-    let deadline = match header(DEADLINE) {
-        None => target.class.deadline,
-        Some(value) => {
-            let number = value.parse().ok().filter(|ms| (1..=3_600_000).contains(ms));
-            let number = number.ok_or_else(|| {
-                refuse(format!("`{DEADLINE}` is `{value}`, expected 1 to 3600000"))
-            })?;
-            Millis(number)
-        }
-    };
-    // Engines' answers have no effects; for services the method decides, as
-    // HTTP defines it, unless the caller says otherwise.
-    let by_method = target.kind == BackendKind::Engine || method.is_idempotent();
-    let idempotent = match header(IDEMPOTENT) {
-        None => by_method,
-        Some("true") => true,
-        Some("false") => false,
-        Some(value) => {
-            return Err(refuse(format!(
-                "`{IDEMPOTENT}` is `{value}`, expected true or false"
-            )));
-        }
-    };
-    let key = header(REQUEST_KEY).map(str::to_owned);
-    if key.as_ref().is_some_and(|key| {
-        key.is_empty() || key.len() > MAX_KEY || !key.bytes().all(|b| b.is_ascii_graphic())
-    }) {
-        return Err(refuse(format!(
-            "`{REQUEST_KEY}` is not 1 to {MAX_KEY} visible characters"
-        )));
-    }
-    Ok(Options {
-        deadline: now + deadline,
-        idempotent,
-        key,
-    })
-}
-
-/// The caller's headers that a service gets to see.
-fn passed_on(headers: &HeaderMap) -> Vec<(String, Bytes)> {
-    headers
-        .iter()
-        .filter(|(name, _)| {
-            let name = name.as_str();
-            is_end_to_end(name) && !name.starts_with("redwing-") && *name != AUTHORIZATION
-        })
-        .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
-        .collect()
-}
-
-/// Sends a streamed body on as fast as the service takes it.
-async fn pump(
-    mut body: Incoming,
-    request: RequestId,
-    traffic: mpsc::Sender<Command>,
-    window: Arc<Semaphore>,
-) {
-    loop {
-        let frame = timeout(BODY_TIME.as_duration(), body.frame()).await;
-        let mut data = match frame {
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => data,
-                Err(_) => continue,
-            },
-            Ok(None) => break,
-            // The caller went away or stalled: the service gets no end of the
-            // body, so it can't take the part for the whole.
-            Ok(Some(Err(_))) | Err(_) => return,
-        };
-        while !data.is_empty() {
-            let bytes = data.split_to(data.len().min(MAX_CHUNK));
-            let cost = bytes.len() as u32 + MESSAGE_COST;
-            let Ok(permit) = window.acquire_many(cost).await else {
-                return;
-            };
-            permit.forget();
-            let part = Command::Body {
-                request,
-                bytes,
-                last: false,
-            };
-            if traffic.send(part).await.is_err() {
-                return;
-            }
-        }
-    }
-    let last = Command::Body {
-        bytes: Bytes::new(),
-        last: true,
-        request,
-    };
-    let _ = traffic.send(last).await;
-}
-
 fn stopped() -> Failure {
     Failure::may_have_run(Cause::LinkLost, "this entry ended the call without a word")
 }
-
-/// Gathers a body of at most `limit` bytes.
-async fn whole(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    let gathered = Limited::new(body, limit).collect();
-    match timeout(BODY_TIME.as_duration(), gathered).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => {
-            let too_large = error.is::<http_body_util::LengthLimitError>();
-            let cause = if too_large {
-                Cause::TooLarge
-            } else {
-                Cause::BadRequest
-            };
-            Err(Failure::not_run(cause, error.to_string()))
-        }
-        Err(_) => Err(Failure::not_run(
-            Cause::BadRequest,
-            "the body did not arrive in time",
-        )),
-    }
-}
--- /dev/null
+++ b/src/entry/call_options.rs
@@ -0,0 +1,89 @@
+//! What a caller says about its call, in headers.
+
+use super::call_target::Target;
+use crate::{
+    agent::run_call::{REQUEST_KEY, is_end_to_end},
+    base::{Cause, Failure, Millis},
+    settings::BackendKind, //
+};
+use bytes::Bytes;
+use hyper::{
+    Method,
+    header::{AUTHORIZATION, HeaderMap}, //
+};
+
+/// The header with which a caller says whether a call may be repeated.
+const IDEMPOTENT: &str = "redwing-idempotent";
+
+/// The header with a call's time in milliseconds.
+const DEADLINE: &str = "redwing-deadline-ms";
+
+/// The bytes of a request key.
+const MAX_KEY: usize = 128;
+
+/// What a caller asks of a class.
+pub(super) struct Options {
+    /// The point in time at which the call's time is over.
+    pub(super) deadline: Millis,
+    pub(super) idempotent: bool,
+    pub(super) key: Option<String>,
+}
+
+/// Reads what the caller says about the call itself.
+pub(super) fn options(
+    target: &Target,
+    now: Millis,
+    method: &Method,
+    headers: &HeaderMap,
+) -> Result<Options, Failure> {
+    let refuse = |detail: String| Failure::not_run(Cause::BadRequest, detail);
+    let header = |name: &str| headers.get(name).map(|value| value.to_str().unwrap_or("?"));
+    let deadline = match header(DEADLINE) {
+        None => target.class.deadline,
+        Some(value) => {
+            let number = value.parse().ok().filter(|ms| (1..=3_600_000).contains(ms));
+            let number = number.ok_or_else(|| {
+                refuse(format!("`{DEADLINE}` is `{value}`, expected 1 to 3600000"))
+            })?;
+            Millis(number)
+        }
+    };
+    // Engines' answers have no effects; for services the method decides, as
+    // HTTP defines it, unless the caller says otherwise.
+    let by_method = target.kind == BackendKind::Engine || method.is_idempotent();
+    let idempotent = match header(IDEMPOTENT) {
+        None => by_method,
+        Some("true") => true,
+        Some("false") => false,
+        Some(value) => {
+            return Err(refuse(format!(
+                "`{IDEMPOTENT}` is `{value}`, expected true or false"
+            )));
+        }
+    };
+    let key = header(REQUEST_KEY).map(str::to_owned);
+    if key.as_ref().is_some_and(|key| {
+        key.is_empty() || key.len() > MAX_KEY || !key.bytes().all(|b| b.is_ascii_graphic())
+    }) {
+        return Err(refuse(format!(
+            "`{REQUEST_KEY}` is not 1 to {MAX_KEY} visible characters"
+        )));
+    }
+    Ok(Options {
+        deadline: now + deadline,
+        idempotent,
+        key,
+    })
+}
+
+/// The caller's headers that a service gets to see.
+pub(super) fn passed_on(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            let name = name.as_str();
+            is_end_to_end(name) && !name.starts_with("redwing-") && *name != AUTHORIZATION
+        })
+        .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect()
+}
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -43,6 +43,14 @@
 /// The messages that may wait on that connection.
 const RING: usize = 64;
 
+/// Questions are held for long while nothing is new, so their connections
+/// beat slowly; a silent end is found in time for settings to be learned
+/// elsewhere within 8 s.
+pub(super) const TUNING: LinkTuning = LinkTuning {
+    beat: Millis(2_500),
+    silence: Millis(6_000),
+};
+
 /// The largest answer that is passed on.
 const MAX_ANSWER: usize = 32 * 1024 * 1024;
 
@@ -79,7 +87,7 @@
         .map_err(|error| Failure::not_run(Cause::LinkLost, error.to_string()))?;
 
     let (inbox, mut events) = mpsc::channel(RING);
-    let link = run_link(opened, (), inbox, LinkTuning::default());
+    let link = run_link(opened, (), inbox, TUNING);
     let exchange = async {
         let Some(LinkEvent::Up { sender, .. }) = events.recv().await else {
             return Err(lost());
--- a/src/entry/learner.rs
+++ b/src/entry/learner.rs
@@ -20,13 +20,13 @@
 
 /// The entries that read the platform. All others learn from these, so that
 /// the platform's reads don't grow with the fleet.
-const READERS: usize = 4;
+const READERS: usize = 24;
 
 /// How often a reader reads, and the wait after a failure.
 const READ: Millis = Millis(1_000);
 
 /// How long a reader holds a peer's question while nothing is new.
-pub(super) const HOLD: Millis = Millis(8_000);
+pub(super) const HOLD: Millis = Millis(20_000);
 
 /// The path of the question to a reader.
 pub(super) const PATH: &str = "/internal/directory";
--- /dev/null
+++ b/src/entry/links.rs
@@ -0,0 +1,103 @@
+//! How the traffic duty follows the platform's list.
+
+use super::{
+    dialer,
+    directory::Directory,
+    server::Server,
+    traffic::Traffic, //
+};
+use crate::{
+    base::{Incarnation, Millis},
+    platform::Instance,
+    policy::{
+        health::Health,
+        latency::Latency,
+        subset, //
+    },
+    wire::Report, //
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+impl Traffic {
+    /// Follows the platform's list: links to the chosen subset of each pool.
+    pub(super) fn on_directory(&mut self, directory: &Directory) {
+        let wanted = self.wanted(&directory.instances);
+        for server in self.servers.values_mut() {
+            match wanted.get(server.instance.name.as_str()) {
+                Some(instance) if instance.links == server.instance.links => {
+                    server.instance = (*instance).clone();
+                    server.listed = true;
+                }
+                Some(_) | None => server.listed = false,
+            }
+        }
+
+        let linked: BTreeSet<(String, std::net::SocketAddr)> = self
+            .servers
+            .values()
+            .map(|server| (server.instance.name.clone(), server.instance.links))
+            .collect();
+        for instance in wanted.into_values() {
+            if !linked.contains(&(instance.name.clone(), instance.links)) {
+                self.add_server(instance.clone());
+            }
+        }
+        self.drop_unlisted();
+    }
+
+    fn wanted<'a>(&self, instances: &'a [Instance]) -> BTreeMap<&'a str, &'a Instance> {
+        let mut pools: BTreeMap<&str, Vec<&Instance>> = BTreeMap::new();
+        for instance in instances {
+            if let Some(pool) = &instance.pool {
+                pools.entry(pool).or_default().push(instance);
+            }
+        }
+        let me = &self.settings.common.instance;
+        let mut wanted = BTreeMap::new();
+        for pool in pools.into_values() {
+            let names = pool.iter().map(|instance| instance.name.as_str());
+            let chosen: BTreeSet<&str> = subset::choose(me, names, subset::SUBSET)
+                .into_iter()
+                .collect();
+            let kept = pool
+                .into_iter()
+                .filter(|instance| chosen.contains(instance.name.as_str()));
+            wanted.extend(kept.map(|instance| (instance.name.as_str(), instance)));
+        }
+        wanted
+    }
+
+    fn add_server(&mut self, instance: Instance) {
+        let (hello, inbox) = (self.hello.clone(), self.inbox.clone());
+        let distance = self.settings.distance(&instance.data_centre);
+        self.servers.insert_with_key(|key| Server {
+            dialer: tokio::task::spawn_local(dialer::dial(key, instance.links, hello, inbox)),
+            distance,
+            health: Health::default(),
+            in_flight: 0,
+            incarnation: Incarnation::default(),
+            instance,
+            link: None,
+            listed: true,
+            latency: Latency::default(),
+            report: Report::default(),
+            reported: Millis(0),
+            reported_mine: 0,
+        });
+    }
+
+    /// Lets go of servers that the platform no longer lists, once nothing
+    /// of ours runs there.
+    pub(super) fn drop_unlisted(&mut self) {
+        self.servers.retain(|_, server| {
+            let keep = server.listed || server.in_flight > 0;
+            if !keep {
+                server.dialer.abort();
+            }
+            keep
+        });
+    }
+}
--- a/src/entry/peer_door.rs
+++ b/src/entry/peer_door.rs
@@ -2,6 +2,7 @@
 
 use super::{
     directory::Directory,
+    forward::TUNING,
     learner::{HOLD, PATH},
     news::News,
     trainer_api::{self, TrainerApi}, //
@@ -14,7 +15,6 @@
         Hello,
         Link,
         LinkEvent,
-        LinkTuning,
         MAX_CHUNK,
         MESSAGE_COST,
         Slot,
@@ -34,7 +34,7 @@
 };
 
 /// The connections open at once. A reader holds one for each entry that
-/// learns from it; with 460 entries and 4 readers that is some 115.
+/// learns from it; with 460 entries and 24 readers that is some 18.
 const MAX_LINKS: usize = 1_024;
 
 /// The messages that may wait on one connection.
@@ -78,7 +78,7 @@
         return;
     };
     let (inbox, mut events) = mpsc::channel(RING);
-    let link = run_link(opened, (), inbox, LinkTuning::default());
+    let link = run_link(opened, (), inbox, TUNING);
     let exchange = async {
         let Some(LinkEvent::Up { sender, .. }) = events.recv().await else {
             return;
--- a/src/entry/rollout.rs
+++ b/src/entry/rollout.rs
@@ -5,7 +5,6 @@
     directory::Directory,
     issue::Issue,
     owned_step::{Fetch, OwnedStep},
-    sample::Maker,
     swaps::Swapped,
     trainer::{Ownership, Trainer},
     view::View, //
@@ -21,7 +20,6 @@
         step_spec::StepSpec, //
     },
     settings::RolloutSettings,
-    wire::{Generation, Sampling}, //
 };
 use ractor::ActorRef;
 use serde_json::{
@@ -29,7 +27,7 @@
     json, //
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc, //
 };
@@ -148,10 +146,6 @@
 /// Steps of one trainer kept at once; the oldest gives way.
 const MAX_STEPS: usize = 4;
 
-/// Samples sent out beyond what the engines run at once, so that no engine
-/// waits for the next one.
-const AHEAD: f64 = 1.25;
-
 /// Runs until the program stops.
 async fn run(
     context: Context,
@@ -322,127 +316,12 @@
         let _ = question.reply.send(Asked::Answer(answer));
     }
 
-    /// Sends out samples as far as the engines have room: trainers in turn,
-    /// each with its oldest step first.
-    fn dispatch(&mut self, now: Millis) {
-        let pools = self.directory.shared.pools.keys();
-        let mut room: HashMap<String, usize> =
-            pools.map(|pool| (pool.clone(), self.room(pool))).collect();
-        let keys: Vec<TrainerKey> = self.trainers.keys().cloned().collect();
-        let mut any = true;
-        while std::mem::take(&mut any) {
-            for key in &keys {
-                let Some(settings) = self.rollout_settings(&key.0).cloned() else {
-                    continue;
-                };
-                let Some(room) = room.get_mut(&settings.pool).filter(|room| **room > 0) else {
-                    continue;
-                };
-                if self.dispatch_one(key, &settings, now) {
-                    *room -= 1;
-                    any = true;
-                }
-            }
-        }
-    }
-
-    fn dispatch_one(&mut self, key: &TrainerKey, settings: &RolloutSettings, now: Millis) -> bool {
-        let maker = self.maker(&key.0, settings);
-        let told = self.told.clone();
-        let Some(trainer) = self.trainers.get_mut(key) else {
-            return false;
-        };
-        let running: usize = trainer.steps.values().map(|step| step.tasks.len()).sum();
-        if trainer.epoch().is_none() || running >= settings.samples as usize {
-            return false;
-        }
-        let version = trainer.version;
-        let mut steps = trainer.steps.iter_mut();
-        let found = steps.find_map(|(number, owned)| {
-            let sample = owned.step.next(now)?;
-            Some((*number, owned, sample))
-        });
-        let Some((number, owned, sample)) = found else {
-            return false;
-        };
-
-        let spec = &owned.step.spec;
-        let least = WeightVersion(version.0.saturating_sub(spec.staleness));
-        let generation = generation(spec, owned.step.identity(sample));
-        // An attempt may not outlive its step's deadline, but a step that is
-        // late still wants its samples.
-        let deadline = owned.step.deadline().max(now + LATE_SAMPLE);
-        let key = key.clone();
-        let task = tokio::task::spawn_local(async move {
-            let result = maker.make(generation, least, deadline).await;
-            let made = Told::Made {
-                key,
-                number: sample,
-                result: Box::new(result),
-                step: number,
-            };
-            let _ = told.send(made).await;
-        });
-        owned.tasks.insert(sample, task);
-        true
-    }
-
-    fn maker(&self, team: &str, settings: &RolloutSettings) -> Maker {
-        Maker {
-            clock: self.clock,
-            issue: self.issue.clone(),
-            pool: settings.pool.clone(),
-            scorer: settings.scorer.clone(),
-            team: team.to_owned(),
-            traffic: self.traffic.clone(),
-        }
-    }
-
-    /// How many more samples the engines of `pool` can be given.
-    fn room(&self, pool: &str) -> usize {
-        let servers = self.view.pool(pool);
-        let capacity: u32 = servers.map(|server| server.report.capacity).sum();
-        let steps = self
-            .trainers
-            .iter()
-            .filter(|(key, _)| {
-                let settings = self.rollout_settings(&key.0);
-                settings.is_some_and(|settings| settings.pool == pool)
-            })
-            .flat_map(|(_, trainer)| trainer.steps.values());
-        let running: usize = steps.map(|step| step.tasks.len()).sum();
-        ((f64::from(capacity) * AHEAD) as usize).saturating_sub(running)
-    }
-
     pub(super) fn rollout_settings(&self, team: &str) -> Option<&RolloutSettings> {
         let team = self.directory.shared.teams.get(team)?;
         team.rollout.as_ref()
     }
 }
 
-/// The least time that a sample of a step past its deadline gets.
-const LATE_SAMPLE: Millis = Millis(60_000);
-
-fn generation(spec: &StepSpec, (group, index): (u32, u32)) -> Generation {
-    // Each sample of a group is drawn with a seed of its own, the same one
-    // whenever it is made anew.
-    let seed = crate::base::stable_hash(&[
-        &spec.sampling.seed.to_le_bytes(),
-        &group.to_le_bytes(),
-        &index.to_le_bytes(),
-    ]);
-    Generation {
-        done: crate::base::Tokens::default(),
-        model: spec.model.clone(),
-        prompt: spec.groups[group as usize].prompt.clone(),
-        sampling: Sampling {
-            max_tokens: spec.sampling.max_tokens,
-            seed,
-            temperature: spec.sampling.temperature,
-        },
-    }
-}
-
 /// Takes a step, or recognises one that it has already.
 fn submit(
     trainer: &mut Trainer,
--- a/src/operator/agent_command.rs
+++ b/src/operator/agent_command.rs
@@ -1,13 +1,11 @@
 //! The command line of `redwing-agent`.
 
 use super::{
-    USAGE,
-    block_on,
-    parse, //
+    parse,
+    program::Program, //
 };
 use crate::{
     agent::Agent,
-    duty::{open_log, render_metrics, wait_for_stop},
     settings::AgentSettings, //
 };
 use argh::FromArgs;
@@ -36,31 +34,13 @@
         Ok(command) => command,
         Err(code) => return code,
     };
-    let settings = match AgentSettings::load(&command.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::from(USAGE);
-        }
+    let program = Program {
+        check: command.check,
+        file: &command.settings,
     };
-    if command.check {
-        println!("{}: ok", command.settings.display());
-        return ExitCode::SUCCESS;
-    }
-
-    open_log(settings.common.log, &settings.common.log_level);
-    render_metrics();
-    let agent = match Agent::open(settings) {
-        Ok(agent) => agent,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    block_on(async {
-        match wait_for_stop(agent.handle).await {
-            true => ExitCode::SUCCESS,
-            false => ExitCode::FAILURE,
-        }
-    })
+    program.run(
+        AgentSettings::load,
+        |settings| &settings.common,
+        |settings| Agent::open(settings).map(|agent| agent.handle),
+    )
 }
--- a/src/operator/entry_command.rs
+++ b/src/operator/entry_command.rs
@@ -1,12 +1,10 @@
 //! The command line of `redwing-entry`.
 
 use super::{
-    USAGE,
-    block_on,
-    parse, //
+    parse,
+    program::Program, //
 };
 use crate::{
-    duty::{open_log, render_metrics, wait_for_stop},
     entry::Entry,
     settings::EntrySettings, //
 };
@@ -36,31 +34,13 @@
         Ok(command) => command,
         Err(code) => return code,
     };
-    let settings = match EntrySettings::load(&command.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::from(USAGE);
-        }
+    let program = Program {
+        check: command.check,
+        file: &command.settings,
     };
-    if command.check {
-        println!("{}: ok", command.settings.display());
-        return ExitCode::SUCCESS;
-    }
-
-    open_log(settings.common.log, &settings.common.log_level);
-    render_metrics();
-    let entry = match Entry::open(settings) {
-        Ok(entry) => entry,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    block_on(async {
-        match wait_for_stop(entry.handle).await {
-            true => ExitCode::SUCCESS,
-            false => ExitCode::FAILURE,
-        }
-    })
+    program.run(
+        EntrySettings::load,
+        |settings| &settings.common,
+        |settings| Entry::open(settings).map(|entry| entry.handle),
+    )
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod operator_command;
 mod operator_error;
+mod program;
 mod shared_settings;
 
 pub use self::{
--- /dev/null
+++ b/src/operator/program.rs
@@ -0,0 +1,59 @@
+//! What `redwing-entry` and `redwing-agent` do alike: check, open, run, stop.
+
+use super::{
+    USAGE,
+    block_on, //
+};
+use crate::{
+    duty::{DutyError, Handle, open_log, render_metrics, wait_for_stop},
+    settings::{Common, SettingsError}, //
+};
+use std::{
+    path::Path,
+    process::ExitCode, //
+};
+
+/// A program's settings file, and what is to be done with it.
+pub(super) struct Program<'a> {
+    /// Only check the settings.
+    pub(super) check: bool,
+    pub(super) file: &'a Path,
+}
+
+impl Program<'_> {
+    /// Checks the settings, then runs what `open` starts until it has stopped.
+    pub(super) fn run<S>(
+        &self,
+        load: impl Fn(&Path) -> Result<S, SettingsError>,
+        common: impl Fn(&S) -> &Common,
+        open: impl Fn(S) -> Result<Handle, DutyError>,
+    ) -> ExitCode {
+        let settings = match load(self.file) {
+            Ok(settings) => settings,
+            Err(error) => {
+                eprintln!("error: {error}");
+                return ExitCode::from(USAGE);
+            }
+        };
+        if self.check {
+            println!("{}: ok", self.file.display());
+            return ExitCode::SUCCESS;
+        }
+
+        open_log(common(&settings).log, &common(&settings).log_level);
+        render_metrics();
+        let handle = match open(settings) {
+            Ok(handle) => handle,
+            Err(error) => {
+                eprintln!("error: {error}");
+                return ExitCode::FAILURE;
+            }
+        };
+        block_on(async {
+            match wait_for_stop(handle).await {
+                true => ExitCode::SUCCESS,
+                false => ExitCode::FAILURE,
+            }
+        })
+    }
+}
