--- a/standins/src/load/cases.rs
+++ b/standins/src/load/cases.rs
@@ -4,6 +4,7 @@
     Case,
     faults,
     fleet,
+    rollout,
     steady,
     streams, //
 };
@@ -40,6 +41,11 @@
         measure: |run| Box::pin(faults::retry_storm(run)),
         name: "retry-storm",
     },
+    Case {
+        about: "what a step costs, for each token and sample",
+        measure: |run| Box::pin(rollout::measure(run)),
+        name: "rollout",
+    },
     Case {
         about: "half of the links go silent",
         measure: |run| Box::pin(faults::silent(run)),
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -10,6 +10,7 @@
 mod open_loop;
 mod outcome;
 mod plot;
+mod rollout;
 mod row;
 mod scene;
 mod steady;
--- a/standins/tests/integration/stage.rs
+++ b/standins/tests/integration/stage.rs
@@ -61,6 +61,7 @@
             "sleep" => sleep(case),
             "start" => self.call(case, true),
             "steps" => self.steps(case),
+            "trainer" => self.trainer(case),
             "wait" => self.wait(case),
             other => panic!("unknown command `{other}`"),
         };
@@ -145,6 +146,31 @@
         self.keep(id, answer)
     }
 
+    /// `trainer post=PATH | delete=PATH`, dots for slashes, the body as input.
+    fn trainer(&mut self, case: &TestCase) -> String {
+        let (method, path) = match case.args.get("delete") {
+            Some(path) => (Method::DELETE, path),
+            None => (Method::POST, &case.args["post"]),
+        };
+        let path = path[0].replace('.', "/");
+        let path = format!("/v1/teams/plant/trainers/t/{path}");
+        let body = case.input.trim_end().to_owned();
+        let entry = self.entries[0];
+        let call = self.client.call(method, entry, &path, &[], body, WAIT);
+        let answer = self.runtime.block_on(call);
+        let Ok(good) = answer.as_ref().map_err(|_| ()) else {
+            return describe(&answer);
+        };
+        if !good.status.is_success() {
+            return describe(&answer);
+        }
+        let json = good.json();
+        let members = ["cancelled", "new", "samples"].into_iter();
+        let told = members.filter(|name| !json[*name].is_null());
+        let told = told.map(|name| format!(" {name}={}", json[name]));
+        format!("{}{}", good.status.as_u16(), told.collect::<String>())
+    }
+
     fn wait(&mut self, case: &TestCase) -> String {
         if case.args.contains_key("stops") {
             let stops = std::mem::take(&mut self.stops);
