Remove a setter nobody calls and a field nobody reads

Cause: reading the whole change: AgentQueue::set_capacity has no caller, and Server.incarnation was written at each link and never read. Change: both are gone.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -7,7 +7,7 @@
     traffic::Traffic, //
 };
 use crate::{
-    base::{Incarnation, Millis},
+    base::Millis,
     platform::Instance,
     policy::{
         health::Health,
@@ -78,7 +78,6 @@
             distance,
             health: Health::default(),
             in_flight: 0,
-            incarnation: Incarnation::default(),
             instance,
             link: None,
             listed: true,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,7 +1,7 @@
 //! One backend server as this entry sees it.
 
 use crate::{
-    base::{Incarnation, Millis, WeightVersion},
+    base::{Millis, WeightVersion},
     platform::{Instance, InstanceState},
     policy::{health::Health, latency::Latency, router::Candidate},
     wire::{Link, Report, ToAgent}, //
@@ -19,7 +19,6 @@
     pub(super) distance: Millis,
     pub(super) health: Health,
     pub(super) in_flight: u32,
-    pub(super) incarnation: Incarnation,
     pub(super) instance: Instance,
     pub(super) link: Option<Link<ToAgent>>,
     /// Whether the platform still lists it.
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -187,15 +187,10 @@
         match event {
             LinkEvent::Down { link, reason } => self.on_down(link, reason),
             LinkEvent::Message { link, message } => self.on_message(link, message),
-            LinkEvent::Up {
-                hello,
-                link,
-                sender,
-            } => {
+            LinkEvent::Up { link, sender, .. } => {
                 if let Some(server) = self.servers.get_mut(link) {
                     let name = &server.instance.name;
                     tracing::info!(server = name, "link up");
-                    server.incarnation = hello.incarnation;
                     server.link = Some(sender);
                     server.report = Report::default();
                 }
--- a/src/policy/agent_queue.rs
+++ b/src/policy/agent_queue.rs
@@ -185,11 +185,6 @@
         self.running
     }
 
-    /// Changes how many requests the server takes at once.
-    pub fn set_capacity(&mut self, capacity: u32) {
-        self.capacity = capacity;
-    }
-
     /// Takes out the waiting requests that are hopeless: their deadline comes
     /// before they could be answered, `service` after a start at the earliest.
     ///
