--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -7,11 +7,11 @@
 };
 use crate::{
     base::{Cause, Failure, WeightVersion},
-    platform::Platform,
     policy::{
         fences::{Fences, Ruling},
         lease::Lease, //
     },
+    table::Platform,
     wire::{EngineState, FromAgent, Order, OrderKind, Slot}, //
 };
 use std::{
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -11,7 +11,6 @@
     base::{Cause, Failure, Millis, RequestId},
     duty::{Context, Phase},
     engine::Engine,
-    platform::Platform,
     policy::{
         agent_queue::AgentQueue,
         claims::Claims,
@@ -19,6 +18,7 @@
         ledger::Ledger, //
     },
     settings::{AgentSettings, BackendKind},
+    table::Platform,
     wire::{FromAgent, Link, LinkEvent, Report, Slot, ToAgent}, //
 };
 use slotmap::SlotMap;
--- /dev/null
+++ b/src/batch/claim.rs
@@ -0,0 +1,40 @@
+//! Who runs which group.
+
+use crate::base::Millis;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// A runner's word that it runs a group. Claims are advice that keeps two
+/// runners from doing the same work; the log alone decides what is listed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claim {
+    /// By the store's clock.
+    pub at: Millis,
+    pub holder: String,
+    /// A second runner that races the holder for a straggling group.
+    pub second: Option<String>,
+    /// The holder's life, so that a restarted holder disowns what it had.
+    pub token: u64,
+}
+
+/// A runner's sign of life.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// It takes no new groups.
+    pub leaving: bool,
+    /// It is changing the weights of its engine.
+    pub loading: bool,
+    /// What its engine takes for an event, in ms; 0 before the first.
+    pub pace: f64,
+    pub sequence: u64,
+    /// The service of its engine.
+    pub service: String,
+    /// Names this life of the runner.
+    pub token: u64,
+    /// The weights its engine holds.
+    pub weights: Vec<(String, u64)>,
+    /// Whether its engine answers and takes work.
+    pub working: bool,
+}
--- /dev/null
+++ b/src/batch/head.rs
@@ -0,0 +1,116 @@
+//! What is fixed of a batch once it is accepted.
+
+use super::{
+    Item,
+    Submission, //
+};
+use crate::base::Millis;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::collections::HashMap;
+
+/// Where an item is found, and what is needed to plan it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ItemRef {
+    /// The row of [`super::BODIES`] that holds it.
+    pub chunk: u16,
+    pub id: String,
+    pub tokens: u32,
+}
+
+/// Items that share a prompt, by their index in the batch.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Group {
+    pub items: Vec<u16>,
+}
+
+/// A batch without its items' bodies.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// By the store's clock.
+    pub accepted: Millis,
+    pub groups: Vec<Group>,
+    pub groups_wanted: u32,
+    pub host: String,
+    pub items: Vec<ItemRef>,
+    pub least_version: u64,
+    pub model: String,
+    pub path: String,
+    pub step: u64,
+}
+
+/// The most bytes of items in one row: the store takes 64 KiB, and the encoding
+/// of a chunk adds a little to its items.
+const CHUNK_BYTES: usize = 40 * 1024;
+
+impl Head {
+    /// The head of `submission`, and its items dealt into chunks in their order.
+    pub fn of(submission: &Submission, accepted: Millis) -> (Self, Vec<Vec<Item>>) {
+        let mut chunks: Vec<Vec<Item>> = Vec::new();
+        let mut room = 0;
+        let mut items = Vec::new();
+        for item in &submission.items {
+            let size = size_of(item);
+            if size > room || chunks.is_empty() {
+                chunks.push(Vec::new());
+                room = CHUNK_BYTES;
+            }
+            room = room.saturating_sub(size);
+            items.push(ItemRef {
+                chunk: (chunks.len() - 1) as u16,
+                id: item.id.clone(),
+                tokens: item.tokens.min(u64::from(u32::MAX)) as u32,
+            });
+            if let Some(chunk) = chunks.last_mut() {
+                chunk.push(item.clone());
+            }
+        }
+
+        let head = Self {
+            accepted,
+            groups: groups_of(&submission.items),
+            groups_wanted: submission.groups_wanted,
+            host: submission.host.clone(),
+            items,
+            least_version: submission.least_version,
+            model: submission.model.clone(),
+            path: submission.path.clone(),
+            step: submission.step,
+        };
+        (head, chunks)
+    }
+
+    /// The index of the item called `id`.
+    pub fn index_of(&self, id: &str) -> Option<u16> {
+        let found = self.items.iter().position(|item| item.id == id);
+        found.map(|index| index as u16)
+    }
+}
+
+/// The groups in the order of their first items.
+fn groups_of(items: &[Item]) -> Vec<Group> {
+    let mut groups: Vec<Group> = Vec::new();
+    let mut places: HashMap<&str, usize> = HashMap::new();
+    for (index, item) in items.iter().enumerate() {
+        let place = *places.entry(&item.group).or_insert_with(|| {
+            groups.push(Group { items: Vec::new() });
+            groups.len() - 1
+        });
+        groups[place].items.push(index as u16);
+    }
+    groups
+}
+
+fn size_of(item: &Item) -> usize {
+    let headers = item
+        .headers
+        .iter()
+        .map(|(name, value)| name.len() + value.len() + 4);
+    let scorer = item.scorer.as_ref().map_or(0, |scorer| {
+        scorer.body.len() + scorer.host.len() + scorer.id.len() + scorer.path.len() + 8
+    });
+    let texts = item.id.len() + item.path.len() + item.group.len();
+    item.body.len() + texts + headers.sum::<usize>() + scorer + 32
+}
--- /dev/null
+++ b/src/batch/item.rs
@@ -0,0 +1,46 @@
+//! Items as they are submitted.
+
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The request that judges an item's text.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Scorer {
+    pub body: Bytes,
+    pub host: String,
+    pub id: String,
+    pub path: String,
+}
+
+/// One generation that a trainer wants.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Item {
+    pub body: Bytes,
+    /// Items of one group share their prompt.
+    pub group: String,
+    pub headers: Vec<(String, String)>,
+    pub id: String,
+    pub path: String,
+    pub scorer: Option<Scorer>,
+    /// Prompt tokens and the most output tokens, together.
+    pub tokens: u64,
+}
+
+/// A batch as a trainer hands it in.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Submission {
+    /// How many whole groups the trainer waits for.
+    pub groups_wanted: u32,
+    pub host: String,
+    pub id: String,
+    pub items: Vec<Item>,
+    /// The oldest weight version that may generate its tokens.
+    pub least_version: u64,
+    pub model: String,
+    /// The path it was submitted under.
+    pub path: String,
+    pub step: u64,
+}
--- /dev/null
+++ b/src/batch/page.rs
@@ -0,0 +1,54 @@
+//! Reading results from a position on.
+
+use super::{
+    Sample,
+    decode, //
+};
+use crate::store::Listing;
+use bytes::Bytes;
+
+/// Results from a position on, as whole as they were read.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Page {
+    pub samples: Vec<Sample>,
+}
+
+/// The most bytes of text in one page.
+pub const PAGE_MOST: usize = 700 * 1024;
+
+/// Puts the results together that `listing` holds, from `first` on. A result
+/// whose pieces were not all read ends the page.
+pub fn page_of(first: usize, listing: &Listing) -> Page {
+    let mut page = Page::default();
+    let mut bytes = 0;
+    let mut rows = listing.rows.iter().peekable();
+    while rows.peek().is_some() && bytes < PAGE_MOST {
+        let position = first + page.samples.len();
+        let prefix = format!("{position:06}/");
+        let mut pieces: Vec<&Bytes> = Vec::new();
+        while let Some(row) = rows.next_if(|row| row.key.starts_with(&prefix)) {
+            pieces.extend(row.value.as_ref());
+        }
+        let Some(whole) = join(&pieces) else {
+            break;
+        };
+        let Some(sample) = decode::<Sample>("result", &whole) else {
+            break;
+        };
+        bytes += sample.text.len();
+        page.samples.push(sample);
+    }
+    page
+}
+
+fn join(pieces: &[&Bytes]) -> Option<Vec<u8>> {
+    let count = *pieces.first()?.first()?;
+    if pieces.len() != usize::from(count) {
+        return None;
+    }
+    let mut whole = Vec::new();
+    for piece in pieces {
+        whole.extend_from_slice(piece.get(1..)?);
+    }
+    Some(whole)
+}
--- /dev/null
+++ b/src/batch/writes.rs
@@ -0,0 +1,138 @@
+//! The transactions of a batch.
+
+use super::{
+    BODIES,
+    Head,
+    Item,
+    Log,
+    RESULTS,
+    Sample,
+    Submission,
+    WORK,
+    WorkKey,
+    encode,
+    part_of, //
+};
+use crate::{
+    base::Millis,
+    store::{Key, Transaction}, //
+};
+use bytes::Bytes;
+
+/// The writes that accept a batch, in their order.
+///
+/// Only the last one makes the batch exist. Chunks that do not fit beside the
+/// head go before it; they are the same whoever writes them, so a repeat or a
+/// race of two submissions changes nothing.
+#[derive(Debug)]
+pub struct Accept {
+    pub chunks: Vec<Transaction>,
+    pub head: Transaction,
+}
+
+/// The most bytes in one transaction: the store takes 1 MB, and the wire form
+/// is a third longer than the values.
+const TRANSACTION_BYTES: usize = 600 * 1024;
+
+/// The most rows in one transaction; the store takes 100.
+const TRANSACTION_ROWS: usize = 90;
+
+/// The most bytes of a result in one row.
+const RESULT_BYTES: usize = 44 * 1024;
+
+/// The key of a chunk of items.
+pub fn chunk_of(chunk: u16) -> String {
+    format!("{chunk:05}")
+}
+
+/// How `submission` is written to the store.
+pub fn accept(submission: &Submission, now: Millis) -> Accept {
+    let part = part_of(&submission.id);
+    let (head, items) = Head::of(submission, now);
+    let mut rows: Vec<(Key, Bytes)> = items
+        .iter()
+        .enumerate()
+        .map(|(index, chunk)| chunk_row(&part, index as u16, chunk))
+        .collect();
+
+    // The last few ride with the head; the others go before.
+    let mut chunks = Vec::new();
+    while !fits(&rows) {
+        let mut before = Transaction::default();
+        let mut bytes = 0;
+        while let Some((_, value)) = rows.first() {
+            bytes += value.len();
+            let full = bytes > TRANSACTION_BYTES || before.set.len() == TRANSACTION_ROWS;
+            if full && !before.set.is_empty() {
+                break;
+            }
+            before.set.push(rows.remove(0));
+        }
+        chunks.push(before);
+    }
+
+    let head_key = Key::new(WORK, &part, WorkKey::Head.to_string());
+    let log_key = Key::new(WORK, &part, WorkKey::Log.to_string());
+    let mut set = rows;
+    set.push((head_key.clone(), encode(&head)));
+    set.push((log_key, encode(&Log::default())));
+    Accept {
+        chunks,
+        head: Transaction {
+            expect: vec![(head_key, 0)],
+            remove: Vec::new(),
+            set,
+        },
+    }
+}
+
+/// Lists `samples` after what `log` holds at `revision`; returns the new log.
+///
+/// # Panics
+///
+/// Never: the caller has left out what is listed already.
+pub fn append(id: &str, log: &Log, revision: u64, samples: &[(u16, Sample)]) -> (Log, Transaction) {
+    let part = part_of(id);
+    let log_key = Key::new(WORK, &part, WorkKey::Log.to_string());
+    let mut next = log.clone();
+    let mut set = Vec::new();
+    for (index, sample) in samples {
+        let position = next.listed.len();
+        next.listed.push(*index);
+        set.extend(result_rows(&part, position, sample));
+    }
+    set.push((log_key.clone(), encode(&next)));
+    let transaction = Transaction {
+        expect: vec![(log_key, revision)],
+        remove: Vec::new(),
+        set,
+    };
+    (next, transaction)
+}
+
+fn chunk_row(part: &str, index: u16, items: &[Item]) -> (Key, Bytes) {
+    (Key::new(BODIES, part, chunk_of(index)), encode(&items))
+}
+
+fn fits(rows: &[(Key, Bytes)]) -> bool {
+    let bytes: usize = rows.iter().map(|(_, value)| value.len()).sum();
+    rows.len() <= TRANSACTION_ROWS && bytes <= TRANSACTION_BYTES
+}
+
+/// A result's rows: `POSITION/PIECE`, the first byte of each telling how many
+/// pieces there are.
+fn result_rows(part: &str, position: usize, sample: &Sample) -> Vec<(Key, Bytes)> {
+    let whole = encode(sample);
+    let pieces = whole.chunks(RESULT_BYTES);
+    let count = pieces.len() as u8;
+    pieces
+        .enumerate()
+        .map(|(piece, bytes)| {
+            let mut value = Vec::with_capacity(bytes.len() + 1);
+            value.push(count);
+            value.extend_from_slice(bytes);
+            let key = format!("{position:06}/{piece:03}");
+            (Key::new(RESULTS, part, key), value.into())
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/calls/call.rs
@@ -0,0 +1,51 @@
+//! A call, and how it ended.
+
+use crate::{
+    base::Millis,
+    net::{Answer, Opened},
+    routing::Route, //
+};
+use bytes::Bytes;
+use hyper::{
+    HeaderMap,
+    Method, //
+};
+use std::sync::Arc;
+
+/// A request to be answered by one of a service's servers.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub body: Bytes,
+    /// Without those that concern one connection.
+    pub headers: HeaderMap,
+    pub id: String,
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    pub route: Arc<Route>,
+    /// When its caller or its route gives it up.
+    pub until: Millis,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum CallEnd {
+    /// A server's whole answer, to be handed on unchanged.
+    Answered(Answer),
+    /// It may have run, and its answer is lost.
+    Lost { reason: String },
+    /// It did not run and will not; it is worth asking again after the wait.
+    NotRun { reason: String, wait: Millis },
+    /// Its time is over.
+    TimedOut,
+}
+
+/// How the opening of a stream ended.
+pub enum StreamEnd {
+    /// A server answers; its body is still to be read.
+    Opened(Opened),
+    /// It may have run, and its answer is lost.
+    Lost { reason: String },
+    /// It did not run and will not; it is worth asking again after the wait.
+    NotRun { reason: String, wait: Millis },
+}
--- /dev/null
+++ b/src/calls/mod.rs
@@ -0,0 +1,11 @@
+//! Calls to backend servers: choice, attempts, what may be repeated, answers.
+
+mod attempt;
+mod book;
+mod call;
+mod caller;
+
+pub use self::{
+    call::{Call, CallEnd, StreamEnd},
+    caller::Caller, //
+};
--- a/src/duty/log.rs
+++ b/src/duty/log.rs
@@ -1,6 +1,11 @@
 //! Where log lines go.
 
 use crate::settings::LogFormat;
+use tracing_appender::non_blocking::{
+    ErrorCounter,
+    NonBlockingBuilder,
+    WorkerGuard, //
+};
 use tracing_subscriber::EnvFilter;
 
 /// Sends this process's log lines to standard error; later calls change nothing.
@@ -14,3 +19,44 @@
         LogFormat::Text => lines.with_ansi(false).try_init(),
     };
 }
+
+/// Lines that may wait for a slow reader of the log; more are left out and
+/// counted. A line is about 300 bytes.
+const LINES_WAITING: usize = 4_096;
+
+/// Keeps the log's writer alive; dropping it writes what waits.
+pub struct LogGuard {
+    dropped: ErrorCounter,
+    _writer: WorkerGuard,
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        let dropped = self.dropped.dropped_lines();
+        if dropped > 0 {
+            tracing::warn!(dropped, "log lines were left out: their reader was slow");
+        }
+    }
+}
+
+/// Sends this process's log lines to standard output as JSON. A thread of its
+/// own writes them, so that a slow reader never holds up a request.
+pub fn open_stdout_log(level: &str) -> LogGuard {
+    let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"));
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LINES_WAITING)
+        .thread_name("log")
+        .finish(std::io::stdout());
+    let dropped = writer.error_counter();
+    let _ = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .try_init();
+    LogGuard {
+        dropped,
+        _writer: guard,
+    }
+}
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -20,7 +20,7 @@
     control::{ControlMessage, Phase},
     handle::Handle,
     http_server::{Answer, HttpServer, Limits, details, json, problem, text},
-    log::open_log,
+    log::{LogGuard, open_log, open_stdout_log},
     signals::wait_for_stop,
     supervisor::{Health, Supervisor, SupervisorMessage},
     telemetry::render_metrics,
--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::{Cause, Failure, Millis, Verdict},
-    platform::{HttpError, JsonClient},
+    table::{HttpError, JsonClient},
     wire::{EngineState, Order}, //
 };
 use bytes::Bytes;
--- a/src/entry/claimer.rs
+++ b/src/entry/claimer.rs
@@ -3,8 +3,8 @@
 use crate::{
     base::{Cause, Failure, Millis, RequestId, stable_hash},
     duty::{Context, Phase},
-    platform::{Platform, Transaction, Write, Written},
     policy::claim_batch::{Batch, Claims, Ruling, Wanted}, //
+    table::{Platform, Transaction, Write, Written},
 };
 use serde::{
     Deserialize,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -6,8 +6,8 @@
 };
 use crate::{
     base::stable_hash,
-    platform::{Instance, Listing},
     settings::Shared, //
+    table::{Instance, Listing},
 };
 use std::{
     collections::VecDeque,
@@ -119,7 +119,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::platform::Row;
+    use crate::table::Row;
 
     fn news(revision: u64, rows: &[(&str, u64)]) -> News {
         let row = |version: u64| Row {
--- a/src/entry/learner.rs
+++ b/src/entry/learner.rs
@@ -8,9 +8,9 @@
 use crate::{
     base::{Millis, stable_hash},
     duty::{Context, Phase},
-    platform::{Platform, Tag},
     policy::subset,
     settings::{EntrySettings, ROOT}, //
+    table::{Platform, Tag},
 };
 use std::{
     net::SocketAddr,
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -8,12 +8,12 @@
 };
 use crate::{
     base::Millis,
-    platform::Instance,
     policy::{
         health::Health,
         latency::Latency,
         subset, //
     },
+    table::Instance,
     wire::Report, //
 };
 use std::collections::{
--- a/src/entry/news.rs
+++ b/src/entry/news.rs
@@ -1,6 +1,6 @@
 //! What one entry tells another of settings and instances: only what changed.
 
-use crate::platform::{
+use crate::table::{
     Instance,
     Row, //
 };
@@ -79,7 +79,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::platform::InstanceState;
+    use crate::table::InstanceState;
 
     fn list(names: &[(&str, u16)]) -> Vec<Instance> {
         names
--- a/src/entry/ownership.rs
+++ b/src/entry/ownership.rs
@@ -6,8 +6,8 @@
 };
 use crate::{
     base::{Cause, Failure, Millis, stable_hash},
-    platform::{Platform, StoreError, Transaction, Write, Written},
     policy::lease::{Claimant, Lease, Step, Watch}, //
+    table::{Platform, StoreError, Transaction, Write, Written},
 };
 
 /// How long a look at the row counts as fresh.
--- a/src/entry/rollout.rs
+++ b/src/entry/rollout.rs
@@ -12,7 +12,6 @@
 use crate::{
     base::{Cause, Clock, Failure, Millis, WeightVersion},
     duty::{self, Context, Duty, DutyError, Phase, SupervisorMessage},
-    platform::Platform,
     policy::{
         bitmap::Bitmap,
         lease::{Claimant, Lease},
@@ -20,6 +19,7 @@
         step_spec::StepSpec, //
     },
     settings::RolloutSettings,
+    table::Platform,
 };
 use ractor::ActorRef;
 use serde_json::{
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     base::{Millis, WeightVersion},
-    platform::{Instance, InstanceState},
     policy::{health::Health, latency::Latency, router::Candidate},
+    table::{Instance, InstanceState},
     wire::{Link, Report, ToAgent}, //
 };
 use tokio::task::JoinHandle;
--- /dev/null
+++ b/src/gateway/gateway_handle.rs
@@ -0,0 +1,116 @@
+//! A running gateway.
+
+use super::{
+    batches::Batches,
+    front::Front,
+    readiness::is_ready, //
+};
+use crate::{
+    base::{Clock, Millis},
+    calls::Caller,
+    duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
+    platform::Store,
+    settings::GatewaySettings,
+    view::{Site, keep}, //
+};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex}, //
+};
+
+/// A running `redwing-gateway`; dropping it ends it.
+pub struct Gateway {
+    pub callers: SocketAddr,
+    pub handle: Handle,
+    pub metrics: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+/// How long a draining gateway goes on taking connections: the balancer asks
+/// every second and takes a gateway out after two misses.
+const LEAVE: Millis = Millis(3_000);
+
+/// The part of the grace that a stop may use; the rest is for the exit itself.
+const GRACE_SHARE: f64 = 0.85;
+
+/// The idle time after which a caller's connection is closed. Callers reuse
+/// connections for up to four fifths of the configured idle time; the longest
+/// that the users' pages name is 15 s.
+const IDLE: Millis = Millis(20_000);
+
+/// The bytes of a request's head; the users' limit is 16 KiB.
+const HEAD_BYTES: usize = 64 * 1024;
+
+impl Gateway {
+    /// Starts a gateway.
+    pub fn open(settings: GatewaySettings) -> Result<Self, DutyError> {
+        let common = &settings.common;
+        let bound = Millis((common.grace.0 as f64 * GRACE_SHARE) as u64);
+        let mut handle = Handle::open(bound)?;
+        let limits = Limits {
+            head: HEAD_BYTES,
+            head_time: IDLE,
+            ..Limits::default()
+        };
+        let callers = HttpServer::bind(settings.callers, limits)?;
+        let ready = HttpServer::bind(settings.ready, Limits::default())?;
+        let metrics = HttpServer::bind(common.metrics, Limits::default())?;
+        let addresses = (callers.address, metrics.address, ready.address);
+        tracing::info!(
+            instance = common.instance,
+            version = env!("CARGO_PKG_VERSION"),
+            callers = %addresses.0,
+            store = %common.store,
+            "gateway up"
+        );
+
+        let clock = Clock::open();
+        let site = Arc::new(Site::new(clock));
+        let store = Store::open(common.store, clock);
+        let front = Arc::new(Front {
+            batches: Batches {
+                clock,
+                heads: Mutex::new(HashMap::new()),
+                store: store.clone(),
+            },
+            caller: Arc::new(Caller::new(site.clone(), &common.data_centre)),
+            clock,
+            site: site.clone(),
+        });
+
+        let supervisor = handle.supervisor().clone();
+        let health = handle.health();
+        let seen = site.clone();
+        let serve = move |context: duty::Context| async move {
+            tokio::spawn(keep(seen, store));
+            let answering = context.clone();
+            let handler = move |request| {
+                let front = front.clone();
+                let context = answering.clone();
+                async move { front.answer(&context, request).await }
+            };
+            callers.serve(&context, LEAVE, handler).await;
+            tracing::info!("callers drained");
+            context.drained();
+        };
+        handle.add(duty::spawn("callers", &supervisor, serve)?);
+
+        let none: Route = Arc::new(|_| Box::pin(async { None }));
+        let watched = (health.clone(), none.clone());
+        let serve = move |context: duty::Context| async move {
+            let knows = move || is_ready(&site, clock.now());
+            let ready = admin(context.clone(), ready, health, knows, none);
+            let (health, none) = watched;
+            let metrics = admin(context, metrics, health, || true, none);
+            tokio::join!(ready, metrics);
+        };
+        handle.add(duty::spawn("admin", &supervisor, serve)?);
+        Ok(Self {
+            callers: addresses.0,
+            handle,
+            metrics: addresses.1,
+            ready: addresses.2,
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,42 @@
+//! Calls whose answer is handed on whole.
+
+use super::reply;
+use crate::{
+    base::Millis,
+    calls::{Call, CallEnd, Caller},
+    duty::Answer, //
+};
+use hyper::StatusCode;
+
+/// Runs `call`, which arrived at `arrived`, and answers its caller.
+pub(super) async fn answer(caller: &Caller, call: &Call, arrived: Millis) -> Answer {
+    let end = caller.run(call).await;
+    let taken = caller.clock().now().since(arrived).0;
+    let (id, route) = (&call.id, &call.route.name);
+    match end {
+        CallEnd::Answered(answer) => {
+            let status = answer.status.as_u16();
+            tracing::info!(call = id, route, status, taken, "answered");
+            reply::of_server(answer)
+        }
+        CallEnd::Lost { reason } => {
+            tracing::warn!(call = id, route, reason, taken, "lost: it may have run");
+            reply::status(StatusCode::BAD_GATEWAY, "the answer is lost")
+        }
+        CallEnd::NotRun { reason, wait } => {
+            tracing::warn!(
+                call = id,
+                route,
+                reason,
+                taken,
+                wait = wait.0,
+                "refused: it did not run"
+            );
+            reply::refusal(wait, "no server took the request")
+        }
+        CallEnd::TimedOut => {
+            tracing::warn!(call = id, route, taken, "timed out: it may have run");
+            reply::status(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/streams.rs
@@ -0,0 +1,68 @@
+//! Calls whose answer is handed on while it arrives.
+
+use super::reply;
+use crate::{
+    calls::{Call, Caller, StreamEnd},
+    duty::Answer, //
+};
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{
+    BodyExt,
+    StreamBody, //
+};
+use hyper::{
+    Response,
+    StatusCode,
+    body::Frame, //
+};
+
+/// Runs `call` and answers its caller with the server's events as they come.
+pub(super) async fn answer(caller: &Caller, call: Call) -> Answer {
+    let until = call.until;
+    let opened = match caller.open_stream(&call).await {
+        StreamEnd::Opened(opened) => opened,
+        StreamEnd::Lost { reason } => {
+            tracing::warn!(call = call.id, reason, "stream lost: it may have run");
+            return reply::status(StatusCode::BAD_GATEWAY, "the answer is lost");
+        }
+        StreamEnd::NotRun { reason, wait } => {
+            tracing::warn!(
+                call = call.id,
+                reason,
+                wait = wait.0,
+                "refused: it did not run"
+            );
+            return reply::refusal(wait, "no server took the request");
+        }
+    };
+    tracing::info!(
+        call = call.id,
+        status = opened.status.as_u16(),
+        "stream opened"
+    );
+
+    let clock = caller.clock();
+    let id = call.id;
+    let frames = stream::unfold(Some(opened.body), move |body| {
+        let id = id.clone();
+        async move {
+            let mut body = body?;
+            let left = until.since(clock.now());
+            match body.next(left).await {
+                Ok(Some(bytes)) => Some((Ok(Frame::<Bytes>::data(bytes)), Some(body))),
+                Ok(None) => None,
+                Err(error) => {
+                    // The caller's connection is cut, so that nobody takes a
+                    // part for the whole.
+                    tracing::warn!(call = id, %error, "stream broke off");
+                    Some((Err(std::io::Error::other(error)), None))
+                }
+            }
+        }
+    });
+    let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
+    *answer.status_mut() = opened.status;
+    *answer.headers_mut() = reply::end_to_end(&opened.headers);
+    answer
+}
--- /dev/null
+++ b/src/net/idle_line.rs
@@ -0,0 +1,54 @@
+//! A kept connection on which nothing is under way.
+
+use crate::base::Millis;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+
+/// A connection that may carry the next request.
+pub(super) struct IdleLine {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    /// After this the peer may close it at any moment.
+    pub(super) usable_until: Millis,
+}
+
+/// How long a connection is kept when its peer names no time. Backend servers
+/// close idle connections on their own; a request that crosses such a close
+/// may or may not have run.
+pub(super) const KEEP_DEFAULT: Millis = Millis(4_000);
+
+/// A connection is left alone this long before its peer's announced timeout,
+/// so that a request sent over it doesn't cross the close.
+pub(super) const KEEP_MARGIN: Millis = Millis(700);
+
+/// Until when a connection may be used, by the `Keep-Alive` header of the last
+/// answer on it.
+pub(super) fn usable_until(now: Millis, headers: &hyper::HeaderMap) -> Millis {
+    let announced = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok())
+        .and_then(timeout_of);
+    let keep = announced.map_or(KEEP_DEFAULT, |timeout| timeout - KEEP_MARGIN);
+    now + keep
+}
+
+fn timeout_of(value: &str) -> Option<Millis> {
+    value.split(',').find_map(|part| {
+        let seconds = part.trim().strip_prefix("timeout=")?;
+        let seconds: u64 = seconds.trim().parse().ok()?;
+        Some(Millis(seconds.saturating_mul(1_000)))
+    })
+}
+
+/// Whether the peer closes the connection after this answer.
+pub(super) fn closes(headers: &hyper::HeaderMap) -> bool {
+    let values = headers.get_all(hyper::header::CONNECTION);
+    values
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| {
+            value
+                .split(',')
+                .any(|word| word.trim().eq_ignore_ascii_case("close"))
+        })
+}
--- a/src/operator/apply.rs
+++ b/src/operator/apply.rs
@@ -7,8 +7,8 @@
 };
 use crate::{
     base::{Clock, stable_hash},
-    platform::{Platform, Transaction, Write, Written},
     settings::{PoolSettings, SettingsError, TEAMS, TeamSettings, read}, //
+    table::{Platform, Transaction, Write, Written},
 };
 use argh::FromArgs;
 use snafu::ResultExt;
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -7,8 +7,8 @@
 };
 use crate::{
     base::{Account, Event, Millis, RequestId, Verdict},
-    platform::JsonClient,
     policy::explanation::{Explanation, conclude}, //
+    table::JsonClient,
 };
 use argh::FromArgs;
 use hyper::{
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::Millis,
-    platform::{JsonClient, Platform, Tag}, //
+    table::{JsonClient, Platform, Tag}, //
 };
 use argh::FromArgs;
 use hyper::Method;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -9,12 +9,14 @@
 mod operator_error;
 mod program;
 mod shared_settings;
+mod site_command;
 
 pub use self::{
     agent_command::agent_main,
     entry_command::entry_main,
     operator_command::operator_main,
-    operator_error::OperatorError, //
+    operator_error::OperatorError,
+    site_command::{gateway_main, runner_main}, //
 };
 
 use argh::TopLevelCommand;
--- a/src/operator/operator_error.rs
+++ b/src/operator/operator_error.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     base::RequestIdError,
-    platform::{HttpError, StoreError},
     settings::SettingsError, //
+    table::{HttpError, StoreError},
 };
 use snafu::Snafu;
 use std::net::SocketAddr;
--- a/src/operator/shared_settings.rs
+++ b/src/operator/shared_settings.rs
@@ -5,8 +5,8 @@
     operator_error::{NoSettingsSnafu, PathSnafu}, //
 };
 use crate::{
-    platform::{Platform, Tag},
     settings::{POOLS, ROOT, TEAMS}, //
+    table::{Platform, Tag},
 };
 use argh::FromArgs;
 use snafu::{
--- /dev/null
+++ b/src/platform/batch_calls.rs
@@ -0,0 +1,191 @@
+//! Batches as trainers submit them, and pages of results as they read them.
+
+use crate::batch::{
+    Item,
+    Page,
+    Scorer,
+    State,
+    Submission, //
+};
+use base64::{
+    Engine,
+    prelude::BASE64_STANDARD, //
+};
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use snafu::{
+    ResultExt,
+    Snafu,
+    ensure, //
+};
+use std::collections::{
+    BTreeMap,
+    HashSet, //
+};
+
+/// A submission is not understood.
+#[derive(Debug, Snafu)]
+pub enum SubmissionError {
+    #[snafu(display("item `{item}`: a body is not base64: {source}"))]
+    Body {
+        item: String,
+        source: base64::DecodeError,
+    },
+    #[snafu(display("the batch has no items, or more than {most}"))]
+    Count { most: usize },
+    #[snafu(display("item `{item}` stands in the batch twice"))]
+    Repeated { item: String },
+    #[snafu(display("the batch is not understood: {source}"))]
+    Syntax { source: serde_json::Error },
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireBatch {
+    #[serde(default)]
+    group_target: u32,
+    items: Vec<WireItem>,
+    #[serde(default)]
+    min_version: u64,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    step: u64,
+}
+
+#[derive(Deserialize)]
+struct WireItem {
+    #[serde(default)]
+    body: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    headers: BTreeMap<String, String>,
+    id: String,
+    path: String,
+    #[serde(default)]
+    scorer: Option<WireScorer>,
+    /// Prompt tokens and the most output tokens, together.
+    #[serde(default)]
+    tokens: f64,
+}
+
+#[derive(Deserialize)]
+struct WireScorer {
+    #[serde(default)]
+    body: String,
+    host: String,
+    id: String,
+    path: String,
+}
+
+/// Item indices are kept in 16 bits.
+const ITEMS_MOST: usize = u16::MAX as usize;
+
+/// Decodes a batch called `id` that came for `host` under `path`.
+///
+/// # Errors
+///
+/// [`SubmissionError`], which tells what is wrong with it.
+pub fn read_submission(
+    id: &str,
+    host: &str,
+    path: &str,
+    body: &[u8],
+) -> Result<Submission, SubmissionError> {
+    let wire: WireBatch = serde_json::from_slice(body).context(SyntaxSnafu)?;
+    let most = ITEMS_MOST;
+    ensure!((1..=most).contains(&wire.items.len()), CountSnafu { most });
+    let items: Result<Vec<Item>, SubmissionError> = wire.items.into_iter().map(item).collect();
+    let items = items?;
+    let mut seen = HashSet::new();
+    for item in &items {
+        let item = &item.id;
+        ensure!(seen.insert(item), RepeatedSnafu { item });
+    }
+    Ok(Submission {
+        groups_wanted: wire.group_target,
+        host: host.to_owned(),
+        id: id.to_owned(),
+        items,
+        least_version: wire.min_version,
+        model: wire.model,
+        path: path.to_owned(),
+        step: wire.step,
+    })
+}
+
+fn item(wire: WireItem) -> Result<Item, SubmissionError> {
+    let item = &wire.id;
+    let body = BASE64_STANDARD.decode(&wire.body);
+    let body = Bytes::from(body.context(BodySnafu { item })?);
+    let scorer = match wire.scorer {
+        None => None,
+        Some(scorer) => {
+            let body = BASE64_STANDARD.decode(&scorer.body);
+            Some(Scorer {
+                body: Bytes::from(body.context(BodySnafu { item })?),
+                host: scorer.host,
+                id: scorer.id,
+                path: scorer.path,
+            })
+        }
+    };
+    Ok(Item {
+        body,
+        group: wire.group,
+        headers: wire.headers.into_iter().collect(),
+        id: wire.id,
+        path: wire.path,
+        scorer,
+        tokens: wire.tokens.max(0.0) as u64,
+    })
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WirePage<'a> {
+    /// The position after the last of `results`.
+    next_page_token: usize,
+    results: Vec<WireResult<'a>>,
+    total_count: usize,
+}
+
+#[derive(Serialize)]
+struct WireResult<'a> {
+    id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    score: Option<&'a str>,
+    state: &'static str,
+    text: &'a str,
+    versions: &'a [u64],
+}
+
+/// Encodes the results from position `from` of a batch of `total` items.
+pub fn write_page(from: usize, total: usize, page: &Page) -> Bytes {
+    let results = page.samples.iter().map(|sample| WireResult {
+        id: &sample.id,
+        score: sample.score.as_deref(),
+        state: match sample.state {
+            State::Succeeded => "succeeded",
+            State::Terminated => "terminated",
+        },
+        text: &sample.text,
+        versions: &sample.versions,
+    });
+    let wire = WirePage {
+        next_page_token: from + page.samples.len(),
+        results: results.collect(),
+        total_count: total,
+    };
+    match serde_json::to_vec(&wire) {
+        Ok(body) => body.into(),
+        Err(error) => {
+            tracing::error!(%error, "a page of results can't be encoded");
+            Bytes::new()
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,183 @@
+//! The operators' configuration as the store holds it.
+
+use crate::{
+    base::Millis,
+    routing::{Config, EngineModel, Kind, Limits, Route, Service, Target}, //
+};
+use serde::Deserialize;
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+/// A configuration is not understood.
+#[derive(Debug, Snafu)]
+pub enum ConfigError {
+    #[snafu(display("the configuration is not understood: {source}"))]
+    Syntax { source: serde_json::Error },
+    #[snafu(display("route `{route}` has the unknown type `{found}`"))]
+    Type { route: String, found: String },
+}
+
+#[derive(Deserialize)]
+struct WireConfig {
+    limits: WireLimits,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+    max_body_bytes: usize,
+    max_header_bytes: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    host: String,
+    /// Seconds.
+    #[serde(default)]
+    item_ttl_s: f64,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    name: String,
+    path_prefix: String,
+    #[serde(default)]
+    resumable: bool,
+    #[serde(default)]
+    result_deadline_ms: f64,
+    route_type: String,
+    #[serde(default)]
+    service: Option<String>,
+    #[serde(default)]
+    single_version: bool,
+    #[serde(default)]
+    timeout_ms: Option<f64>,
+    #[serde(default)]
+    traffic_split: Vec<WireTarget>,
+}
+
+#[derive(Deserialize)]
+struct WireTarget {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    #[serde(default)]
+    engine: Option<WireEngine>,
+    name: String,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    #[serde(default)]
+    models: Vec<WireModel>,
+}
+
+#[derive(Deserialize)]
+struct WireModel {
+    name: String,
+}
+
+/// A route that names no timeout gets this one: the longest that the users'
+/// pages give a caller.
+const TIMEOUT_DEFAULT: f64 = 30_000.0;
+
+/// Split weights may be fractions; this many steps make up one.
+const WEIGHT_STEPS: f64 = 1_000.0;
+
+/// Decodes a configuration.
+///
+/// # Errors
+///
+/// [`ConfigError`] when it lacks a field or names an unknown kind of route.
+pub fn read_config(value: &[u8]) -> Result<Config, ConfigError> {
+    let wire: WireConfig = serde_json::from_slice(value).context(SyntaxSnafu)?;
+    let routes: Result<Vec<Route>, ConfigError> = wire.routes.into_iter().map(route).collect();
+    let services = wire.services.into_iter().map(service).collect();
+    let limits = Limits {
+        body_bytes: wire.limits.max_body_bytes,
+        head_bytes: wire.limits.max_header_bytes,
+        head_time: millis(wire.limits.header_timeout_ms),
+        idle_time: millis(wire.limits.idle_timeout_ms),
+    };
+    Ok(Config::new(wire.version, routes?, services, limits))
+}
+
+fn route(wire: WireRoute) -> Result<Route, ConfigError> {
+    let kind = match wire.route_type.as_str() {
+        "rollout" => Kind::Batch,
+        "safe" => Kind::Safe,
+        "streaming" => Kind::Stream {
+            resumable: wire.resumable,
+        },
+        "unsafe" => Kind::Unsafe,
+        found => {
+            let route = wire.name;
+            return TypeSnafu { route, found }.fail();
+        }
+    };
+    let mut targets: Vec<Target> = wire
+        .traffic_split
+        .into_iter()
+        .map(|target| Target {
+            service: target.service,
+            weight: (target.weight * WEIGHT_STEPS) as u64,
+        })
+        .collect();
+    if let (true, Some(service)) = (targets.is_empty(), wire.service) {
+        targets.push(Target { service, weight: 1 });
+    }
+    Ok(Route {
+        attempts: wire.max_attempts.unwrap_or(1).max(1),
+        host: wire.host,
+        item_ttl: millis(wire.item_ttl_s * 1_000.0),
+        kind,
+        name: wire.name,
+        prefix: wire.path_prefix,
+        results_due: millis(wire.result_deadline_ms),
+        single_version: wire.single_version,
+        targets,
+        timeout: millis(wire.timeout_ms.unwrap_or(TIMEOUT_DEFAULT)),
+    })
+}
+
+fn service(wire: WireService) -> Service {
+    let models = wire.engine.map_or_else(Vec::new, |engine| engine.models);
+    Service {
+        models: models
+            .into_iter()
+            .map(|model| EngineModel { name: model.name })
+            .collect(),
+        name: wire.name,
+    }
+}
+
+fn millis(value: f64) -> Millis {
+    Millis(value.max(0.0) as u64)
+}
+
+/// A trainer's word that a weight version exists.
+#[derive(Debug, Deserialize)]
+pub struct Named {
+    pub model: String,
+    pub version: u64,
+}
+
+/// Decodes the version that a trainer named.
+pub fn read_named(value: &[u8]) -> Option<Named> {
+    match serde_json::from_slice(value) {
+        Ok(named) => Some(named),
+        Err(error) => {
+            tracing::warn!(%error, "a named version is not understood");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/ingress.rs
@@ -0,0 +1,79 @@
+//! Which of the callers' calls a request is.
+
+use crate::base::Millis;
+use hyper::{
+    HeaderMap,
+    Method,
+    Uri, //
+};
+
+/// A caller's call, by method and path.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ingress {
+    /// Ends a batch.
+    End { batch: String },
+    /// The body of an item that is not listed yet.
+    ItemBody { batch: String, item: String },
+    /// Results of a batch from a position on, waited for at most `wait`.
+    Results {
+        batch: String,
+        from: usize,
+        wait: Millis,
+    },
+    /// Anything else goes by the operators' routes.
+    Routed,
+    /// A call of ours that is malformed.
+    Unknown,
+}
+
+const BATCHES: &str = "/redwingpond/lots/";
+const ITEMS: &str = "/redwingpond/items/";
+const OWN: &str = "/redwingpond/";
+
+/// Which call a request is.
+pub fn classify(method: &Method, uri: &Uri, headers: &HeaderMap) -> Ingress {
+    let path = uri.path();
+    if let Some(batch) = path.strip_prefix(BATCHES) {
+        return batch_call(method, batch, uri.query().unwrap_or_default(), headers);
+    }
+    if let Some(batch) = path.strip_prefix(ITEMS) {
+        let item = parameter(uri.query().unwrap_or_default(), "id");
+        return match (method, item) {
+            (&Method::GET, Some(item)) => Ingress::ItemBody {
+                batch: batch.to_owned(),
+                item: item.to_owned(),
+            },
+            _ => Ingress::Unknown,
+        };
+    }
+    match path.starts_with(OWN) {
+        true => Ingress::Unknown,
+        false => Ingress::Routed,
+    }
+}
+
+fn batch_call(method: &Method, batch: &str, query: &str, headers: &HeaderMap) -> Ingress {
+    let batch = batch.to_owned();
+    match *method {
+        Method::DELETE => Ingress::End { batch },
+        Method::GET => {
+            let from = parameter(query, "startAfter").unwrap_or("0");
+            let wait = headers.get("x-wait-ms").and_then(|v| v.to_str().ok());
+            let wait = wait.and_then(|wait| wait.trim().parse().ok());
+            match from.parse() {
+                Ok(from) => Ingress::Results {
+                    batch,
+                    from,
+                    wait: Millis(wait.unwrap_or(0)),
+                },
+                Err(_) => Ingress::Unknown,
+            }
+        }
+        _ => Ingress::Unknown,
+    }
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,15 +1,49 @@
-//! Client of the platform's table, object store and instance list.
+//! The users' platform: its names, headers, calls and bodies.
+//!
+//! Only this folder knows them. Each file translates one kind of message into
+//! the product's types, or back; nothing here decides anything.
 
-mod client;
-mod instance;
-mod json_client;
-mod store_error;
-mod write;
+mod batch_calls;
+mod config;
+mod engine;
+mod ingress;
+mod names;
+mod server_entry;
+mod store;
 
 pub use self::{
-    client::{Listing, Platform, Row, Tag},
-    instance::{Instance, InstanceState},
-    json_client::{HttpError, JsonClient},
-    store_error::StoreError,
-    write::{Transaction, Write, Written}, //
+    batch_calls::{SubmissionError, read_submission, write_page},
+    config::{ConfigError, Named, read_config, read_named},
+    engine::{
+        EngineReport,
+        EngineRequest,
+        Event,
+        EventReader,
+        OrderAnswer,
+        VersionOrder,
+        order_answer,
+        order_request,
+        read_report,
+        report_request,
+        version_of_head, //
+    },
+    ingress::{Ingress, classify},
+    names::{
+        ATTEMPT_ID,
+        CONFIG_KEY,
+        NAMED_VERSION,
+        OPERATOR_TABLE,
+        SERVERS_TABLE,
+        SETTINGS_VARIABLE,
+        caller_deadline,
+        forwarded,
+        instance_of,
+        not_executed,
+        server_load,
+        set_deadline,
+        set_instance,
+        signature, //
+    },
+    server_entry::read_server,
+    store::{ROWS_MOST, Store}, //
 };
--- /dev/null
+++ b/src/policy/claim_choice.rs
@@ -0,0 +1,92 @@
+//! Which group of which batch a runner takes next.
+//!
+//! Load pattern: trainers submit a batch of tens of groups at once and wait for
+//! the slowest; every runner sees it within a few tens of ms and takes groups
+//! as its engine has room. Engines crash, slow down or fall silent in between.
+
+use crate::base::Millis;
+
+/// A group that a runner could take.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// How long its batch has been there.
+    pub age: Millis,
+    /// The batch, by the runner's own numbering.
+    pub batch: usize,
+    /// When its batch's results are due, by the runner's clock.
+    pub due: Millis,
+    pub group: u16,
+    pub holder: Holder,
+    /// Whether its model is the one that this runner serves first.
+    pub home: bool,
+    /// Items that are not listed yet.
+    pub left: u32,
+    /// Whether the engine's weights are new enough for it.
+    pub loaded: bool,
+}
+
+/// Who runs a group already.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Holder {
+    /// Another runner since so long; its engine takes `pace` times as long for
+    /// an event as this runner's, and a second runner may join or not.
+    Held {
+        joinable: bool,
+        pace: f64,
+        since: Millis,
+    },
+    /// Nobody, or a runner that is gone.
+    Nobody,
+}
+
+/// This runner's place among those that serve the same model first.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub count: usize,
+    pub rank: usize,
+}
+
+/// Before this age a batch is left to the runners of its model: they have seen
+/// it by then, and others would keep their own model's work waiting.
+const FOREIGN_AGE: Millis = Millis(400);
+
+/// A holder with an engine of the usual pace is joined after this long: longer
+/// than nearly every group takes, early enough to finish by the due time.
+const JOIN_AFTER: Millis = Millis(4_000);
+
+/// A holder whose engine is this much slower is joined as soon as this runner
+/// has room; slow engines take three to four times as long.
+const SLOW_PACE: f64 = 1.8;
+const JOIN_SLOW_AFTER: Millis = Millis(700);
+
+/// The best offer for a runner, if any is worth taking. `room` is how many more
+/// items its engine can work on at once.
+pub fn choose(offers: &[Offer], place: Place, room: u32) -> Option<&Offer> {
+    let takes = |offer: &&Offer| offer.loaded && room > 0 && class(offer, room).is_some();
+    offers.iter().filter(takes).min_by_key(|offer| {
+        // Runners that see a new batch at the same moment begin with different
+        // groups: without it all would claim the first one, and all but one
+        // would lose a round trip to the store each time.
+        let turn = usize::from(offer.group) % place.count.max(1) != place.rank;
+        (class(offer, room), offer.due, turn, offer.group)
+    })
+}
+
+/// The order of kinds of offers; `None` for one that is not worth taking.
+fn class(offer: &Offer, room: u32) -> Option<u8> {
+    match offer.holder {
+        Holder::Nobody if offer.home => Some(0),
+        Holder::Nobody if offer.age >= FOREIGN_AGE => Some(1),
+        Holder::Nobody => None,
+        Holder::Held {
+            joinable,
+            pace,
+            since,
+        } => {
+            let slow = pace >= SLOW_PACE && since >= JOIN_SLOW_AFTER;
+            let late = since >= JOIN_AFTER;
+            let fits = offer.left <= room;
+            (joinable && fits && (slow || late)).then_some(2)
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,14 @@
+//! Which backend servers may get a request: the operators' routes and the
+//! servers' own announcements.
+
+mod config;
+mod directory;
+mod route;
+mod server;
+
+pub use self::{
+    config::{Config, EngineModel, Limits, Service},
+    directory::Directory,
+    route::{Kind, Route, Target},
+    server::{Server, Weights}, //
+};
--- /dev/null
+++ b/src/runner/beats.rs
@@ -0,0 +1,84 @@
+//! Which other runners are alive.
+
+use crate::{
+    base::Millis,
+    batch::Beat, //
+};
+use std::collections::BTreeMap;
+
+/// A runner's last beat and when this runner saw it.
+#[derive(Clone, Debug)]
+struct Seen {
+    at: Millis,
+    beat: Beat,
+}
+
+/// All runners by instance, this one included.
+#[derive(Debug, Default)]
+pub(super) struct Beats {
+    seen: BTreeMap<String, Seen>,
+}
+
+/// A runner whose beat has not changed for so long is taken for gone. Beats
+/// come every second; two may be lost or late.
+pub(super) const SILENCE_MOST: Millis = Millis(3_000);
+
+impl Beats {
+    /// Takes a beat of `instance`; an older one than known changes nothing.
+    pub(super) fn take(&mut self, instance: &str, beat: Beat, now: Millis) {
+        let order = |beat: &Beat| (beat.token, beat.sequence);
+        let known = self.seen.get(instance);
+        if known.is_some_and(|known| order(&known.beat) >= order(&beat)) {
+            return;
+        }
+        let before = known.map(|known| known.beat.working);
+        if before != Some(beat.working) {
+            tracing::info!(runner = instance, working = beat.working, "runner seen");
+        }
+        self.seen
+            .insert(instance.to_owned(), Seen { at: now, beat });
+    }
+
+    /// The store was away: no beat could arrive, so none is late.
+    pub(super) fn excuse(&mut self, now: Millis) {
+        self.seen.values_mut().for_each(|seen| seen.at = now);
+    }
+
+    /// Whether the runner `instance`, in its life `token`, still works.
+    pub(super) fn works(&self, instance: &str, token: u64, now: Millis) -> bool {
+        self.seen.get(instance).is_some_and(|seen| {
+            let alive = now.since(seen.at) < SILENCE_MOST;
+            alive && seen.beat.token == token && (seen.beat.working || seen.beat.leaving)
+        })
+    }
+
+    /// What the engine of `instance` takes for an event.
+    pub(super) fn pace(&self, instance: &str) -> f64 {
+        self.seen.get(instance).map_or(0.0, |seen| seen.beat.pace)
+    }
+
+    /// The instances that work for `service`, in one order for all runners.
+    pub(super) fn working(&self, service: &str, now: Millis) -> Vec<String> {
+        let works = |seen: &Seen| {
+            let alive = now.since(seen.at) < SILENCE_MOST;
+            alive && seen.beat.working && !seen.beat.leaving && seen.beat.service == service
+        };
+        let mut names: Vec<String> = self
+            .seen
+            .iter()
+            .filter(|(_, seen)| works(seen))
+            .map(|(name, _)| name.clone())
+            .collect();
+        names.sort_by_key(|name| crate::base::stable_hash(&[name.as_bytes()]));
+        names
+    }
+
+    /// Engines that change weights, beside that of `me`.
+    pub(super) fn loading(&self, me: &str, now: Millis) -> usize {
+        let loads = |(name, seen): &(&String, &Seen)| {
+            let alive = now.since(seen.at) < SILENCE_MOST;
+            alive && seen.beat.loading && name.as_str() != me
+        };
+        self.seen.iter().filter(loads).count()
+    }
+}
--- /dev/null
+++ b/src/runner/groups.rs
@@ -0,0 +1,376 @@
+//! Takes groups, reads their items and starts their runs.
+
+use super::{
+    event::{Event, GroupId},
+    open_batch::{Mine, OpenBatch},
+    run_item::{self, Task},
+    work::Work, //
+};
+use crate::{
+    base::Millis,
+    batch::{BODIES, Claim, Item, WORK, WorkKey, chunk_of, decode, encode, part_of},
+    policy::{
+        claim_choice::{Holder, Offer, Place, choose},
+        model_share::{Demand, deal}, //
+    },
+    routing::Route,
+    store::{Key, Outcome, StoreError, Transaction}, //
+};
+use std::sync::Arc;
+
+/// The most that one run of an item may take before the engine may stop it.
+const RUN_MOST: Millis = Millis(30_000);
+
+impl Work {
+    /// The model that this runner serves first, and its place among those that
+    /// serve the same. All runners work it out alike from beats and batches.
+    pub(super) fn place(&self, now: Millis) -> (Option<String>, Place) {
+        let mut runners = self.beats.working(&self.service, now);
+        if !runners.contains(&self.instance) {
+            runners.push(self.instance.clone());
+        }
+        let demands = self.demands();
+        let rank = runners.iter().position(|name| *name == self.instance);
+        let rank = rank.unwrap_or_default();
+        let dealt = deal(&demands, runners.len());
+        let Some(mine) = dealt.get(rank).copied() else {
+            let count = runners.len();
+            return (None, Place { count, rank });
+        };
+        let same = |model: &&usize| **model == mine;
+        let place = Place {
+            count: dealt.iter().filter(same).count(),
+            rank: dealt[..rank].iter().filter(same).count(),
+        };
+        (Some(demands[mine].model.clone()), place)
+    }
+
+    /// What each model's last batch asked for.
+    fn demands(&self) -> Vec<Demand> {
+        let config = self.site.config();
+        let service = config
+            .as_ref()
+            .and_then(|config| config.service(&self.service));
+        let models = service.map_or(&[][..], |service| &service.models);
+        let mut demands: Vec<Demand> = models
+            .iter()
+            .map(|model| {
+                let batches = self.batches.values().map(|batch| &batch.head);
+                let last = batches
+                    .filter(|head| head.model == model.name)
+                    .max_by_key(|head| head.step);
+                Demand {
+                    model: model.name.clone(),
+                    work: last.map_or(1.0, |head| head.items.len() as f64),
+                }
+            })
+            .collect();
+        demands.sort_by(|a, b| a.model.cmp(&b.model));
+        demands
+    }
+
+    /// The route of a batch, if its items may run on this engine.
+    fn route_of(&self, batch: &OpenBatch) -> Option<Arc<Route>> {
+        let config = self.site.config()?;
+        let route = config.route(&batch.head.host, &batch.head.path)?;
+        route.serves(&self.service).then(|| route.clone())
+    }
+
+    /// The version that this runner's engine holds of `model`.
+    pub(super) fn held(&self, model: &str) -> Option<u64> {
+        let (report, _) = self.report.as_ref()?;
+        let weights = report.weights.iter().find(|held| held.model == model)?;
+        Some(weights.version)
+    }
+
+    /// Takes groups while the engine has room.
+    pub(super) fn plan_claims(&mut self, now: Millis) {
+        if !self.is_working() || self.leaving {
+            return;
+        }
+        let load: usize = self.batches.values().map(OpenBatch::load).sum();
+        let mut room = self.slots.saturating_sub(load as u32);
+        if room == 0 {
+            return;
+        }
+        let (home, place) = self.place(now);
+        let ids: Vec<String> = self.batches.keys().cloned().collect();
+        let mut offers = self.offers(&ids, home.as_deref(), now);
+        while let Some(offer) = choose(&offers, place, room).copied() {
+            offers.retain(|other| (other.batch, other.group) != (offer.batch, offer.group));
+            room = room.saturating_sub(offer.left);
+            self.claim(&ids[offer.batch], &offer, now);
+        }
+    }
+
+    fn offers(&self, ids: &[String], home: Option<&str>, now: Millis) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        for (number, id) in ids.iter().enumerate() {
+            let Some(batch) = self.batches.get(id) else {
+                continue;
+            };
+            if batch.is_over() || batch.log_revision == 0 {
+                continue;
+            }
+            let Some(route) = self.route_of(batch) else {
+                continue;
+            };
+            let loaded = self.held(&batch.head.model);
+            let loaded = loaded.is_some_and(|held| held >= batch.head.least_version);
+            for group in 0..batch.head.groups.len() as u16 {
+                let left = batch.left(group).len() as u32;
+                if left == 0 || batch.mine.contains_key(&group) {
+                    continue;
+                }
+                let Some(holder) = self.holder(batch, group, now) else {
+                    continue;
+                };
+                offers.push(Offer {
+                    age: now.since(batch.seen),
+                    batch: number,
+                    due: batch.seen + route.results_due,
+                    group,
+                    holder,
+                    home: home == Some(batch.head.model.as_str()),
+                    left,
+                    loaded,
+                });
+            }
+        }
+        offers
+    }
+
+    /// Who runs `group`; `None` when this runner has joined it before.
+    fn holder(&self, batch: &OpenBatch, group: u16, now: Millis) -> Option<Holder> {
+        let Some(held) = batch.claims.get(&group) else {
+            return Some(Holder::Nobody);
+        };
+        let claim = &held.claim;
+        if claim.holder == self.instance {
+            return Some(Holder::Nobody);
+        }
+        if !self.beats.works(&claim.holder, claim.token, now) {
+            return Some(Holder::Nobody);
+        }
+        if claim.second.as_deref() == Some(&self.instance) {
+            return None;
+        }
+        let theirs = self.beats.pace(&claim.holder);
+        let pace = match self.pace > 0.0 && theirs > 0.0 {
+            true => theirs / self.pace,
+            false => 1.0,
+        };
+        Some(Holder::Held {
+            joinable: claim.second.is_none(),
+            pace,
+            since: now.since(held.seen),
+        })
+    }
+
+    fn claim(&mut self, id: &str, offer: &Offer, now: Millis) {
+        let Some(batch) = self.batches.get_mut(id) else {
+            return;
+        };
+        let held = batch.claims.get(&offer.group);
+        let revision = held.map_or(0, |held| held.revision);
+        let claim = match (offer.holder, held) {
+            (Holder::Held { pace, since, .. }, Some(held)) => {
+                let (holder, group) = (&held.claim.holder, offer.group);
+                let since = since.0;
+                tracing::info!(batch = id, group, holder, pace, since, "joins a late group");
+                Claim {
+                    second: Some(self.instance.clone()),
+                    ..held.claim.clone()
+                }
+            }
+            _ => {
+                let before = held.map(|held| held.claim.holder.as_str());
+                let (group, age) = (offer.group, offer.age.0);
+                tracing::info!(batch = id, group, ?before, age, "takes a group");
+                Claim {
+                    at: self.store.now(),
+                    holder: self.instance.clone(),
+                    second: None,
+                    token: self.token,
+                }
+            }
+        };
+        batch.mine.insert(offer.group, Mine::Claiming);
+        let key = Key::new(WORK, part_of(id), WorkKey::Claim(offer.group).to_string());
+        let transaction = Transaction {
+            expect: vec![(key.clone(), revision)],
+            remove: Vec::new(),
+            set: vec![(key, encode(&claim))],
+        };
+        let group = GroupId {
+            batch: id.to_owned(),
+            group: offer.group,
+        };
+        let (store, events) = (self.store.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let outcome = store.transact(&transaction).await;
+            let event = Event::Claimed {
+                claim,
+                group,
+                outcome,
+            };
+            let _ = events.send(event).await;
+        });
+        self.fetch(id, offer.group);
+        let _ = now;
+    }
+
+    pub(super) fn claimed(
+        &mut self,
+        claim: Claim,
+        group: GroupId,
+        outcome: Result<Outcome, StoreError>,
+    ) {
+        let now = self.clock.now();
+        let GroupId { batch: id, group } = group;
+        let Some(batch) = self.batches.get_mut(&id) else {
+            return;
+        };
+        if !batch.mine.contains_key(&group) {
+            return;
+        }
+        match outcome {
+            Ok(Outcome::Done { revision }) => {
+                batch.set_claim(group, claim, revision, now);
+                batch.mine.insert(group, Mine::Fetching);
+                self.start(&id, group);
+            }
+            Ok(Outcome::Conflict { rows }) => {
+                let mut ours = false;
+                for row in rows {
+                    let held = row.value.and_then(|value| decode::<Claim>("claim", &value));
+                    let Some(held) = held else {
+                        batch.claims.remove(&group);
+                        continue;
+                    };
+                    // The answer to an earlier try of the same claim was lost.
+                    ours |= held == claim;
+                    batch.set_claim(group, held, row.revision, now);
+                }
+                if ours {
+                    batch.mine.insert(group, Mine::Fetching);
+                    self.start(&id, group);
+                } else {
+                    batch.mine.remove(&group);
+                }
+            }
+            Err(error) => {
+                tracing::info!(batch = id, group, %error, "claim not known to be written");
+                batch.mine.remove(&group);
+            }
+        }
+    }
+
+    /// Reads the chunks with the group's items that are not here yet.
+    fn fetch(&mut self, id: &str, group: u16) {
+        let Some(batch) = self.batches.get_mut(id) else {
+            return;
+        };
+        let mut chunks: Vec<u16> = batch
+            .left(group)
+            .iter()
+            .map(|index| batch.head.items[usize::from(*index)].chunk)
+            .collect();
+        chunks.dedup();
+        for chunk in chunks {
+            if batch.chunks.contains_key(&chunk) || batch.fetching.contains(&chunk) {
+                continue;
+            }
+            batch.fetching.push(chunk);
+            let key = Key::new(BODIES, part_of(id), chunk_of(chunk));
+            let (store, events, batch) = (self.store.clone(), self.events.clone(), id.to_owned());
+            tokio::spawn(async move {
+                let items = store.row(&key).await.map(|row| {
+                    let value = row.and_then(|row| row.value).unwrap_or_default();
+                    decode::<Vec<Item>>("items", &value).unwrap_or_default()
+                });
+                let event = Event::Fetched {
+                    batch,
+                    chunk,
+                    items,
+                };
+                let _ = events.send(event).await;
+            });
+        }
+    }
+
+    pub(super) fn fetched(&mut self, id: &str, chunk: u16, items: Result<Vec<Item>, StoreError>) {
+        let Some(batch) = self.batches.get_mut(id) else {
+            return;
+        };
+        batch.fetching.retain(|number| *number != chunk);
+        match items {
+            Ok(items) => {
+                batch.chunks.insert(chunk, Arc::new(items));
+            }
+            Err(error) => tracing::info!(batch = id, chunk, %error, "items not read"),
+        }
+        let waiting: Vec<u16> = batch
+            .mine
+            .iter()
+            .filter(|(_, state)| matches!(state, Mine::Fetching))
+            .map(|(group, _)| *group)
+            .collect();
+        for group in waiting {
+            self.start(id, group);
+        }
+    }
+
+    /// Starts the runs of a group once all its items are here.
+    fn start(&mut self, id: &str, group: u16) {
+        let Some(batch) = self.batches.get(id) else {
+            return;
+        };
+        let Some(route) = self.route_of(batch) else {
+            return;
+        };
+        let left = batch.left(group);
+        let found: Option<Vec<(u16, Item)>> = left
+            .iter()
+            .map(|index| {
+                let place = &batch.head.items[usize::from(*index)];
+                let chunk = batch.chunks.get(&place.chunk)?;
+                let item = chunk.iter().find(|item| item.id == place.id)?;
+                Some((*index, item.clone()))
+            })
+            .collect();
+        let Some(items) = found else {
+            self.fetch(id, group);
+            return;
+        };
+
+        let now = self.clock.now();
+        let head = batch.head.clone();
+        let Some(batch) = self.batches.get_mut(id) else {
+            return;
+        };
+        batch.mine.insert(group, Mine::Running);
+        for (index, item) in items {
+            let task = Task {
+                host: head.host.clone(),
+                item,
+                least_version: head.least_version,
+                most_failures: route.attempts,
+                single_version: route.single_version,
+                until: now + RUN_MOST.min(route.item_ttl),
+            };
+            let (engine, events, batch_id) =
+                (self.engine.clone(), self.events.clone(), id.to_owned());
+            let run = tokio::spawn(async move {
+                let end = run_item::run(engine, task).await;
+                let event = Event::ItemEnded {
+                    batch: batch_id,
+                    index,
+                    end,
+                };
+                let _ = events.send(event).await;
+            });
+            batch.running.insert(index, run.abort_handle());
+        }
+    }
+}
--- /dev/null
+++ b/src/runner/mod.rs
@@ -0,0 +1,16 @@
+//! The program beside an engine: it takes groups of items from the store, runs
+//! them on its engine, has them scored and lists their results.
+
+mod beats;
+mod engine_watch;
+mod event;
+mod groups;
+mod open_batch;
+mod orders;
+mod run_item;
+mod runner_handle;
+mod score;
+mod sweep;
+mod work;
+
+pub use runner_handle::Runner;
--- /dev/null
+++ b/src/runner/open_batch.rs
@@ -0,0 +1,129 @@
+//! A batch as this runner sees it.
+
+use crate::{
+    base::Millis,
+    batch::{Claim, Head, Item, Log, Sample}, //
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc, //
+};
+use tokio::task::AbortHandle;
+
+/// A claim as the store holds it.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub(super) claim: Claim,
+    pub(super) revision: u64,
+    /// When this runner saw it.
+    pub(super) seen: Millis,
+}
+
+/// A group that this runner has taken.
+#[derive(Debug)]
+pub(super) enum Mine {
+    /// The claim is on its way to the store.
+    Claiming,
+    /// Its items are being read.
+    Fetching,
+    Running,
+}
+
+/// A batch and what this runner does for it.
+pub(super) struct OpenBatch {
+    /// Whether results are on their way to the store.
+    pub(super) appending: bool,
+    pub(super) chunks: HashMap<u16, Arc<Vec<Item>>>,
+    pub(super) claims: BTreeMap<u16, Held>,
+    pub(super) fetching: Vec<u16>,
+    pub(super) head: Arc<Head>,
+    pub(super) log: Log,
+    pub(super) log_revision: u64,
+    pub(super) mine: BTreeMap<u16, Mine>,
+    /// Results that are not listed yet.
+    pub(super) results: Vec<(u16, Sample)>,
+    pub(super) running: HashMap<u16, AbortHandle>,
+    pub(super) seen: Millis,
+}
+
+impl OpenBatch {
+    /// A batch that was just seen.
+    pub(super) fn new(head: Head, now: Millis) -> Self {
+        Self {
+            appending: false,
+            chunks: HashMap::new(),
+            claims: BTreeMap::new(),
+            fetching: Vec::new(),
+            head: Arc::new(head),
+            log: Log::default(),
+            log_revision: 0,
+            mine: BTreeMap::new(),
+            results: Vec::new(),
+            running: HashMap::new(),
+            seen: now,
+        }
+    }
+
+    /// Whether nothing more has to be listed.
+    pub(super) fn is_over(&self) -> bool {
+        self.log.ended || self.log.listed.len() >= self.head.items.len()
+    }
+
+    /// The items of `group` that have no result yet, here or in the store.
+    pub(super) fn left(&self, group: u16) -> Vec<u16> {
+        let Some(group) = self.head.groups.get(usize::from(group)) else {
+            return Vec::new();
+        };
+        let open = |index: &&u16| !self.log.has(**index) && !self.has_result(**index);
+        group.items.iter().filter(open).copied().collect()
+    }
+
+    fn has_result(&self, index: u16) -> bool {
+        self.results.iter().any(|(done, _)| *done == index)
+    }
+
+    /// Items of groups that this runner has taken and that have no result yet.
+    pub(super) fn load(&self) -> usize {
+        let groups = self.mine.keys();
+        groups.map(|group| self.left(*group).len()).sum()
+    }
+
+    /// Takes a newer log; stops the runs of items that others have listed.
+    pub(super) fn set_log(&mut self, log: Log, revision: u64) {
+        if revision <= self.log_revision {
+            return;
+        }
+        self.log = log;
+        self.log_revision = revision;
+        let log = &self.log;
+        self.results.retain(|(index, _)| !log.has(*index));
+        let over = self.is_over();
+        self.running.retain(|index, run| {
+            let needed = !over && !self.log.has(*index);
+            if !needed {
+                run.abort();
+            }
+            needed
+        });
+        if over {
+            self.stop();
+        }
+        let done: Vec<u16> = self
+            .mine
+            .keys()
+            .filter(|group| self.left(**group).is_empty())
+            .copied()
+            .collect();
+        for group in done {
+            self.mine.remove(&group);
+        }
+    }
+
+    /// Ends all that this runner does for the batch.
+    pub(super) fn stop(&mut self) {
+        self.running.drain().for_each(|(_, run)| run.abort());
+        self.mine.clear();
+        self.results.clear();
+        self.chunks.clear();
+    }
+}
--- /dev/null
+++ b/src/runner/orders.rs
@@ -0,0 +1,153 @@
+//! Orders the engine to take new weights.
+
+use super::{
+    event::Event,
+    open_batch::OpenBatch,
+    work::Work, //
+};
+use crate::{
+    base::Millis,
+    platform::{OrderAnswer, VersionOrder, order_answer, order_request},
+    policy::version_plan::{Situation, Step, step}, //
+};
+
+/// An order that the engine has not been seen to carry out.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    /// No other order is given before.
+    pub(super) until: Millis,
+}
+
+/// How long the engine may take to answer an order. One whose answer is lost
+/// may be carried out seconds later; it then finds another count of orders.
+const WITHIN: Millis = Millis(1_000);
+
+/// After an answer, the reports show what came of the order within this time.
+const SETTLE: Millis = Millis(450);
+
+/// Groups of a model whose own runners leave them waiting this long are taken
+/// by runners of other models, which load its weights for them.
+const RESCUE_AGE: Millis = Millis(1_500);
+
+impl Work {
+    /// Gives an order if one is due.
+    pub(super) fn plan_versions(&mut self, now: Millis) {
+        if self.order.as_ref().is_some_and(|order| now < order.until) {
+            return;
+        }
+        self.order = None;
+        let Some(server) = self.server.borrow().clone() else {
+            return;
+        };
+        let Some((report, _)) = &self.report else {
+            return;
+        };
+        if report.busy {
+            return;
+        }
+
+        let (home, place) = self.place(now);
+        let loading = self.beats.loading(&self.instance, now);
+        let mut due = None;
+        for weights in &report.weights {
+            let is_home = home.as_ref() == Some(&weights.model);
+            let (named, seen) = self.site.named(&weights.model);
+            let (needed, working) = self.needs(&weights.model, is_home, now);
+            let situation = Situation {
+                held: weights.version,
+                home: is_home,
+                loading,
+                named,
+                named_for: now.since(seen),
+                needed,
+                rank: place.rank,
+                working,
+            };
+            if let Step::Load(version) = step(&situation) {
+                due = Some((weights.model.clone(), version, situation));
+                break;
+            }
+        }
+        let Some((model, version, situation)) = due else {
+            return;
+        };
+
+        let (held, needed) = (situation.held, situation.needed);
+        let (orders, fence) = (report.orders, self.token);
+        tracing::info!(
+            model,
+            version,
+            held,
+            needed,
+            orders,
+            fence,
+            "orders new weights"
+        );
+        let order = VersionOrder {
+            fence,
+            finish_runs: false,
+            holder: &self.instance,
+            model: &model,
+            orders,
+            server: &server,
+            version,
+        };
+        let request = order_request(&order);
+        self.order = Some(Pending {
+            until: now + WITHIN + SETTLE,
+        });
+        let (peer, events) = (self.engine.peer.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let answer = match peer.call(request, WITHIN).await {
+                Ok(answer) => Some(order_answer(&answer)),
+                Err(error) => {
+                    tracing::info!(%error, "an order's answer is lost");
+                    None
+                }
+            };
+            let event = Event::Ordered {
+                answer,
+                model,
+                version,
+            };
+            let _ = events.send(event).await;
+        });
+    }
+
+    pub(super) fn ordered(&mut self, answer: Option<OrderAnswer>, model: &str, version: u64) {
+        tracing::info!(model, version, ?answer, "order answered");
+        if answer.is_some() {
+            let until = self.clock.now() + SETTLE;
+            self.order = Some(Pending { until });
+        }
+    }
+
+    /// The oldest version that work of `model` at hand needs, and whether any
+    /// is at hand.
+    fn needs(&self, model: &str, home: bool, now: Millis) -> (u64, bool) {
+        let open = |batch: &&OpenBatch| {
+            batch.head.model == model && !batch.is_over() && batch.log_revision > 0
+        };
+        let mut needed = 0;
+        let mut working = false;
+        for batch in self.batches.values().filter(open) {
+            let waits = batch.waiting_groups() > 0;
+            let rescue = now.since(batch.seen) >= RESCUE_AGE;
+            if waits && (home || rescue) {
+                needed = needed.max(batch.head.least_version);
+            }
+            working |= waits || !batch.mine.is_empty();
+        }
+        (needed, working)
+    }
+}
+
+impl OpenBatch {
+    /// Groups that nobody has claimed.
+    fn waiting_groups(&self) -> usize {
+        let groups = 0..self.head.groups.len() as u16;
+        groups
+            .filter(|group| !self.claims.contains_key(group) && !self.left(*group).is_empty())
+            .count()
+    }
+}
--- /dev/null
+++ b/src/runner/run_item.rs
@@ -0,0 +1,240 @@
+//! Runs one item on the engine until its text is whole and scored.
+
+use super::score::{
+    Score,
+    Scorers, //
+};
+use crate::{
+    base::{Clock, Millis},
+    batch::{Item, Sample, State},
+    net::{CallError, Opened, Peer},
+    platform::{EngineRequest, EventReader, not_executed, version_of_head}, //
+};
+use std::{
+    collections::BTreeSet,
+    sync::Arc, //
+};
+use tokio::sync::watch;
+
+/// How an item's run ended.
+#[derive(Debug)]
+pub(super) enum ItemEnd {
+    /// The result, and what the engine took for an event in ms.
+    Done { pace: Option<f64>, sample: Sample },
+    /// The engine takes nothing any more, or the item's time is over.
+    Dropped,
+}
+
+/// What the runs of all items on one engine share.
+#[derive(Clone)]
+pub(super) struct Engine {
+    pub(super) clock: Clock,
+    pub(super) peer: Peer,
+    /// The engine's present life while it takes work.
+    pub(super) server: watch::Receiver<Option<String>>,
+    pub(super) scorers: Arc<Scorers>,
+}
+
+/// One item to run.
+pub(super) struct Task {
+    pub(super) host: String,
+    pub(super) item: Item,
+    /// The oldest weight version that may generate its tokens.
+    pub(super) least_version: u64,
+    /// The engine's own failures after which the item is given up.
+    pub(super) most_failures: u32,
+    pub(super) single_version: bool,
+    pub(super) until: Millis,
+}
+
+/// How long the engine may take to begin: a request can wait behind others for
+/// a slot, and behind a load of weights.
+const HEAD_WITHIN: Millis = Millis(6_000);
+
+/// How long a stream may pause. Events come every few tens of ms; an engine
+/// that is four times as slow, full and preempting pauses longer.
+const PAUSE_MOST: Millis = Millis(2_500);
+
+/// The first wait before an engine that was full, loading or gone is asked
+/// again, and the longest; a load of weights takes about 900 ms.
+const AGAIN: Millis = Millis(60);
+const AGAIN_MOST: Millis = Millis(240);
+
+/// How long the rest of a refusal may take to arrive. Reading it keeps the
+/// connection for the next request: without it each refusal cost a new one,
+/// 6,200 on a day of 950 items.
+const REFUSAL_WITHIN: Millis = Millis(100);
+
+/// What came of one run.
+enum Run {
+    /// The stream ended as a whole.
+    Whole,
+    /// The engine did not take it.
+    Refused,
+    /// The engine failed by its own word.
+    Failed,
+    /// The item can never be done.
+    Impossible,
+    /// The connection broke or fell silent.
+    Broken(CallError),
+}
+
+/// What has been generated so far.
+#[derive(Default)]
+struct Text {
+    events: Vec<String>,
+    last: Option<u64>,
+    versions: BTreeSet<u64>,
+}
+
+/// Runs the item to its end.
+pub(super) async fn run(engine: Engine, task: Task) -> ItemEnd {
+    let began = engine.clock.now();
+    let mut text = Text::default();
+    let mut failures = 0;
+    let mut wait = AGAIN;
+    loop {
+        let now = engine.clock.now();
+        let server = engine.server.borrow().clone();
+        let Some(server) = server.filter(|_| now < task.until) else {
+            return ItemEnd::Dropped;
+        };
+        match run_once(&engine, &task, &server, &mut text).await {
+            Run::Whole => break,
+            Run::Failed => {
+                failures += 1;
+                tracing::info!(item = task.item.id, failures, "the engine failed the item");
+            }
+            Run::Impossible => failures = task.most_failures,
+            Run::Refused => {}
+            Run::Broken(error) => {
+                let events = text.events.len();
+                tracing::info!(item = task.item.id, events, %error, "run broke off");
+            }
+        }
+        if failures >= task.most_failures {
+            tracing::warn!(item = task.item.id, failures, "item given up");
+            let sample = terminated(&task.item.id);
+            return ItemEnd::Done { pace: None, sample };
+        }
+        if task.single_version && text.versions.len() > 1 {
+            text = Text::default();
+        }
+        tokio::time::sleep(wait.as_duration()).await;
+        wait = Millis((wait.0 * 2).min(AGAIN_MOST.0));
+    }
+
+    let taken = engine.clock.now().since(began).0 as f64;
+    let pace = (!text.events.is_empty()).then(|| taken / text.events.len() as f64);
+    let score = match &task.item.scorer {
+        None => None,
+        Some(scorer) => match engine.scorers.score(scorer, task.until).await {
+            Score::Given(score) => Some(score),
+            Score::GivenUp => {
+                let sample = terminated(&task.item.id);
+                return ItemEnd::Done { pace, sample };
+            }
+            Score::TimedOut => return ItemEnd::Dropped,
+        },
+    };
+    let sample = Sample {
+        id: task.item.id,
+        score,
+        state: State::Succeeded,
+        text: text.events.join("\n"),
+        versions: text.versions.into_iter().collect(),
+    };
+    ItemEnd::Done { pace, sample }
+}
+
+/// The result of an item that is given up.
+pub(super) fn terminated(id: &str) -> Sample {
+    Sample {
+        id: id.to_owned(),
+        score: None,
+        state: State::Terminated,
+        text: String::new(),
+        versions: Vec::new(),
+    }
+}
+
+async fn run_once(engine: &Engine, task: &Task, server: &str, text: &mut Text) -> Run {
+    let request = EngineRequest {
+        after: text.last,
+        host: &task.host,
+        item: &task.item,
+        left: task.until.since(engine.clock.now()),
+        server,
+    };
+    let opened = match engine.peer.open_stream(request.build(), HEAD_WITHIN).await {
+        Ok(opened) => opened,
+        Err(error) => return Run::Broken(error),
+    };
+    let status = opened.status.as_u16();
+    if status == 200 {
+        return read(opened, task, text).await;
+    }
+    let refused = not_executed(&opened.headers);
+    read_away(opened).await;
+    match status {
+        422 => Run::Impossible,
+        500 if !refused => Run::Failed,
+        _ => {
+            tracing::debug!(
+                item = task.item.id,
+                status,
+                "the engine did not take the item"
+            );
+            Run::Refused
+        }
+    }
+}
+
+/// Reads the rest of an answer that is not needed.
+async fn read_away(mut opened: Opened) {
+    while let Ok(Some(_)) = opened.body.next(REFUSAL_WITHIN).await {}
+}
+
+/// Reads events until the stream ends. Only whole events count: a stream that
+/// breaks off goes on after the last of them.
+async fn read(opened: Opened, task: &Task, text: &mut Text) -> Run {
+    let Opened {
+        mut body, headers, ..
+    } = opened;
+    let Some(mut version) = version_of_head(&headers) else {
+        tracing::warn!(item = task.item.id, "an answer names no weight version");
+        return Run::Refused;
+    };
+    if version < task.least_version {
+        tracing::warn!(
+            item = task.item.id,
+            version,
+            "the engine's weights are too old"
+        );
+        return Run::Refused;
+    }
+
+    let mut events = EventReader::default();
+    loop {
+        match body.next(PAUSE_MOST).await {
+            Ok(Some(bytes)) => events.push(&bytes),
+            Ok(None) if events.is_torn() => {
+                tracing::info!(item = task.item.id, "the stream ended within an event");
+                return Run::Refused;
+            }
+            Ok(None) => return Run::Whole,
+            Err(error) => return Run::Broken(error),
+        }
+        while let Some(event) = events.next_event() {
+            version = event.version.unwrap_or(version);
+            let next = text.last.map_or(event.id, |last| Some(last + 1));
+            if event.id.is_none() || event.id != next {
+                tracing::warn!(item = task.item.id, ?event.id, ?next, "an event out of order");
+                return Run::Refused;
+            }
+            text.last = event.id;
+            text.versions.insert(version);
+            text.events.push(event.data);
+        }
+    }
+}
--- /dev/null
+++ b/src/runner/runner_handle.rs
@@ -0,0 +1,89 @@
+//! A running runner.
+
+use super::{
+    run_item::Engine,
+    score::Scorers,
+    work::{Seed, Work}, //
+};
+use crate::{
+    base::{Clock, Millis},
+    calls::Caller,
+    duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
+    net::Peer,
+    platform::Store,
+    settings::RunnerSettings,
+    view::{Site, keep}, //
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+use tokio::sync::watch;
+
+/// A running `redwing-runner`; dropping it ends it.
+pub struct Runner {
+    pub handle: Handle,
+    pub metrics: SocketAddr,
+}
+
+/// The part of the grace that a stop may use; the rest is for the exit itself.
+const GRACE_SHARE: f64 = 0.85;
+
+impl Runner {
+    /// Starts a runner.
+    pub fn open(settings: RunnerSettings) -> Result<Self, DutyError> {
+        let common = settings.common;
+        let bound = Millis((common.grace.0 as f64 * GRACE_SHARE) as u64);
+        let mut handle = Handle::open(bound)?;
+        let metrics = HttpServer::bind(common.metrics, Limits::default())?;
+        let address = metrics.address;
+        tracing::info!(
+            instance = common.instance,
+            version = env!("CARGO_PKG_VERSION"),
+            engine = %settings.engine,
+            store = %common.store,
+            "runner up"
+        );
+
+        let clock = Clock::open();
+        let site = Arc::new(Site::new(clock));
+        let store = Store::open(common.store, clock);
+        let (server, life) = watch::channel(None);
+        let scorers = Scorers {
+            caller: Caller::new(site.clone(), &common.data_centre),
+            site: site.clone(),
+        };
+        let seed = Seed {
+            clock,
+            engine: Engine {
+                clock,
+                peer: Peer::open(settings.engine, clock),
+                scorers: Arc::new(scorers),
+                server: life,
+            },
+            engine_address: settings.engine,
+            instance: common.instance,
+            retention: common.retention,
+            server,
+            service: settings.service,
+            site: site.clone(),
+            store: store.clone(),
+        };
+
+        let supervisor = handle.supervisor().clone();
+        let health = handle.health();
+        let work = move |context| async move {
+            tokio::spawn(keep(site, store));
+            Work::run(seed, context).await;
+        };
+        handle.add(duty::spawn("work", &supervisor, work)?);
+
+        let none: Route = Arc::new(|_| Box::pin(async { None }));
+        let serve = move |context| admin(context, metrics, health, || true, none);
+        handle.add(duty::spawn("admin", &supervisor, serve)?);
+        Ok(Self {
+            handle,
+            metrics: address,
+        })
+    }
+}
--- /dev/null
+++ b/src/runner/score.rs
@@ -0,0 +1,98 @@
+//! Has texts scored.
+
+use crate::{
+    base::Millis,
+    batch::Scorer,
+    calls::{Call, CallEnd, Caller},
+    platform::{self, ATTEMPT_ID},
+    view::Site, //
+};
+use hyper::{
+    HeaderMap,
+    Method,
+    header::HeaderValue, //
+};
+use std::sync::Arc;
+
+/// Sends texts to the service that scores them.
+pub(super) struct Scorers {
+    pub(super) caller: Caller,
+    pub(super) site: Arc<Site>,
+}
+
+/// What became of a score.
+#[derive(Debug)]
+pub(super) enum Score {
+    Given(String),
+    /// The scorer failed it as often as its route allows.
+    GivenUp,
+    /// The item's time is over.
+    TimedOut,
+}
+
+/// The wait between two calls for the same score; scores take about 100 ms.
+const AGAIN: Millis = Millis(80);
+
+impl Scorers {
+    /// Calls the scorer until it gives its score.
+    pub(super) async fn score(&self, scorer: &Scorer, until: Millis) -> Score {
+        let mut failures = 0;
+        loop {
+            let now = self.site.now();
+            if now >= until {
+                return Score::TimedOut;
+            }
+            let config = self.site.config();
+            let route = config.and_then(|config| config.route(&scorer.host, &scorer.path).cloned());
+            let Some(route) = route else {
+                tracing::warn!(
+                    call = scorer.id,
+                    host = scorer.host,
+                    "no route to the scorer"
+                );
+                tokio::time::sleep(AGAIN.as_duration()).await;
+                continue;
+            };
+            let most_failures = route.attempts;
+            let call = Call {
+                body: scorer.body.clone(),
+                headers: headers(scorer),
+                id: scorer.id.clone(),
+                method: Method::POST,
+                path: scorer.path.clone(),
+                until: until.min(now + route.timeout),
+                route,
+            };
+            match self.caller.run(&call).await {
+                CallEnd::Answered(answer) if answer.status.is_success() => {
+                    let signature = platform::signature(&answer.headers);
+                    if let Some(score) = signature.and_then(|value| value.to_str().ok()) {
+                        return Score::Given(score.to_owned());
+                    }
+                }
+                CallEnd::Answered(answer) => {
+                    failures += call.route.attempts;
+                    let status = answer.status.as_u16();
+                    tracing::info!(call = scorer.id, status, failures, "the scorer failed");
+                }
+                CallEnd::NotRun { wait, .. } => tokio::time::sleep(wait.as_duration()).await,
+                CallEnd::Lost { .. } | CallEnd::TimedOut => {}
+            }
+            if failures >= most_failures {
+                return Score::GivenUp;
+            }
+            tokio::time::sleep(AGAIN.as_duration()).await;
+        }
+    }
+}
+
+fn headers(scorer: &Scorer) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(host) = HeaderValue::from_str(&scorer.host) {
+        headers.insert("host", host);
+    }
+    if let Ok(id) = HeaderValue::from_str(&scorer.id) {
+        headers.insert(ATTEMPT_ID, id);
+    }
+    headers
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod pool_settings;
 mod reader;
 mod shared;
+mod site_settings;
 mod team_settings;
 
 pub use self::{
@@ -19,5 +20,6 @@
     pool_settings::PoolSettings,
     reader::Reader,
     shared::{POOLS, ROOT, Shared, TEAMS},
+    site_settings::{GatewaySettings, RunnerSettings, SiteCommon},
     team_settings::{Caller, ClassSettings, RolloutSettings, TeamSettings, key_hash}, //
 };
--- /dev/null
+++ b/src/settings/site_settings.rs
@@ -0,0 +1,105 @@
+//! The settings of a gateway and of a runner.
+
+use super::{
+    Reader,
+    SettingsError,
+    common::address,
+    file, //
+};
+use crate::base::Millis;
+use std::{
+    net::SocketAddr,
+    path::Path, //
+};
+
+/// What every program on a site is told.
+#[derive(Clone, Debug)]
+pub struct SiteCommon {
+    pub data_centre: String,
+    /// How long after the stop signal the process may live.
+    pub grace: Millis,
+    pub instance: String,
+    pub log_level: String,
+    pub metrics: SocketAddr,
+    /// How long after its submission a batch can be read.
+    pub retention: Millis,
+    pub store: SocketAddr,
+}
+
+/// The settings of a `redwing-gateway`.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    pub callers: SocketAddr,
+    pub common: SiteCommon,
+    /// Where the balancer asks whether this gateway is ready.
+    pub ready: SocketAddr,
+}
+
+/// The settings of a `redwing-runner`.
+#[derive(Clone, Debug)]
+pub struct RunnerSettings {
+    pub common: SiteCommon,
+    /// The engine on the same instance.
+    pub engine: SocketAddr,
+    /// The service that the engine belongs to.
+    pub service: String,
+}
+
+impl SiteCommon {
+    fn read(reader: &Reader<'_>, listen: &Reader<'_>) -> Self {
+        Self {
+            data_centre: reader.text("data_centre", None),
+            grace: seconds(reader, "grace_s", 8.0),
+            instance: reader.text("instance", None),
+            log_level: reader.text("log_level", Some("info")),
+            metrics: address(listen, "metrics", None),
+            retention: seconds(reader, "retention_s", 120.0),
+            store: address(reader, "store", None),
+        }
+    }
+}
+
+impl GatewaySettings {
+    /// Loads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        file::load(path, Self::read)
+    }
+
+    /// Reads the document's root.
+    pub fn read(reader: &Reader<'_>) -> Self {
+        let listen = reader.section("listen");
+        let settings = Self {
+            callers: address(&listen, "callers", None),
+            common: SiteCommon::read(reader, &listen),
+            ready: address(&listen, "ready", None),
+        };
+        listen.finish();
+        settings
+    }
+}
+
+impl RunnerSettings {
+    /// Loads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        file::load(path, Self::read)
+    }
+
+    /// Reads the document's root.
+    pub fn read(reader: &Reader<'_>) -> Self {
+        let listen = reader.section("listen");
+        let engine = reader.section("engine");
+        let settings = Self {
+            common: SiteCommon::read(reader, &listen),
+            engine: address(&engine, "address", None),
+            service: engine.text("service", None),
+        };
+        listen.finish();
+        engine.finish();
+        settings
+    }
+}
+
+fn seconds(reader: &Reader<'_>, key: &str, default: f64) -> Millis {
+    let value: f64 = reader.value(key, "a number of seconds", Some(default));
+    Millis((value.max(0.0) * 1_000.0) as u64)
+}
--- /dev/null
+++ b/src/store/follower.rs
@@ -0,0 +1,157 @@
+//! Follows one table of the store: a listing first, then its changes.
+
+use super::{
+    Change,
+    Listing,
+    StoreError,
+    TableView, //
+};
+use crate::{
+    base::Millis,
+    platform::Store, //
+};
+use tokio::sync::mpsc;
+
+/// What a follower tells.
+#[derive(Debug)]
+pub enum Followed {
+    /// Rows changed. `listed` is true for the first batch after a listing.
+    Changes { changes: Vec<Change>, listed: bool },
+    /// The store stopped answering this process.
+    Lost,
+    /// The store answers again.
+    Regained,
+}
+
+/// How a table is read.
+#[derive(Clone, Copy, Debug)]
+pub struct Following {
+    /// Whether its rows lie in several parts.
+    pub parts: bool,
+    /// The wait after a batch of changes, in which more of them gather: it
+    /// bounds the calls a second that one busy table costs each follower.
+    pub pace: Millis,
+    pub table: &'static str,
+}
+
+/// How long the store holds a call for changes when there are none. A feed may
+/// fall silent while the store goes on, so it is asked anew every second.
+const HOLD: Millis = Millis(1_000);
+
+/// The first wait after a failed call, and the longest.
+const BACKOFF: Millis = Millis(50);
+const BACKOFF_MOST: Millis = Millis(400);
+
+/// The parts that are listed at once.
+const LISTED_AT_ONCE: usize = 8;
+
+/// Follows a table until the receiver is dropped.
+pub async fn follow(store: Store, following: Following, sink: mpsc::Sender<Followed>) {
+    let mut follower = Follower {
+        following,
+        link: true,
+        sink,
+        store,
+        view: TableView::default(),
+    };
+    let mut backoff = BACKOFF;
+    let mut after = None;
+    while !follower.sink.is_closed() {
+        let step = match after {
+            None => follower.list().await,
+            Some(after) => follower.changes(after).await,
+        };
+        match step {
+            Ok(revision) => {
+                backoff = BACKOFF;
+                after = Some(revision);
+                follower.set_link(true).await;
+            }
+            Err(StoreError::HistoryLost) => {
+                tracing::info!(table = following.table, "history lost, listing afresh");
+                after = None;
+            }
+            Err(error) => {
+                tracing::debug!(table = following.table, %error, "can't follow");
+                follower.set_link(false).await;
+                tokio::time::sleep(backoff.as_duration()).await;
+                backoff = Millis((backoff.0 * 2).min(BACKOFF_MOST.0));
+            }
+        }
+    }
+}
+
+struct Follower {
+    following: Following,
+    /// Whether the store answered last time.
+    link: bool,
+    sink: mpsc::Sender<Followed>,
+    store: Store,
+    view: TableView,
+}
+
+impl Follower {
+    async fn changes(&mut self, after: u64) -> Result<u64, StoreError> {
+        let table = self.following.table;
+        let listing = self.store.changes(table, after, HOLD).await?;
+        let revision = listing.revision.max(after);
+        let changes = self.view.feed(listing.rows);
+        if !changes.is_empty() {
+            self.tell(changes, false).await;
+            tokio::time::sleep(self.following.pace.as_duration()).await;
+        }
+        Ok(revision)
+    }
+
+    /// Lists the table; returns the revision from which its changes go on.
+    async fn list(&mut self) -> Result<u64, StoreError> {
+        let table = self.following.table;
+        let mut changes = Vec::new();
+        let mut from = u64::MAX;
+        if self.following.parts {
+            let (parts, revision) = self.store.parts(table).await?;
+            from = revision;
+            for few in parts.chunks(LISTED_AT_ONCE) {
+                let listings = few.iter().map(|part| self.store.whole_part(table, part));
+                for (part, listing) in few
+                    .iter()
+                    .zip(futures_util::future::join_all(listings).await)
+                {
+                    let listing = listing?;
+                    from = from.min(listing.revision);
+                    changes.extend(self.view.list(Some(part), listing));
+                }
+            }
+            let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
+            changes.extend(self.view.keep_parts(&parts, revision));
+        } else {
+            let listing: Listing = self.store.whole_part(table, "").await?;
+            from = from.min(listing.revision);
+            changes.extend(self.view.list(None, listing));
+        }
+        self.tell(changes, true).await;
+        Ok(from)
+    }
+
+    async fn set_link(&mut self, up: bool) {
+        if self.link == up {
+            return;
+        }
+        self.link = up;
+        let table = self.following.table;
+        match up {
+            true => tracing::info!(table, "store regained"),
+            false => tracing::warn!(table, "store lost"),
+        }
+        let told = match up {
+            true => Followed::Regained,
+            false => Followed::Lost,
+        };
+        let _ = self.sink.send(told).await;
+    }
+
+    async fn tell(&self, changes: Vec<Change>, listed: bool) {
+        // The receiver is gone only when the program ends.
+        let _ = self.sink.send(Followed::Changes { changes, listed }).await;
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,18 @@
+//! The table that keeps what must last: rows in parts, changed by conditional
+//! transactions, and read as listings or as a feed of changes.
+
+mod change;
+mod follower;
+mod row;
+mod store_error;
+mod table_view;
+mod transaction;
+
+pub use self::{
+    change::Change,
+    follower::{Followed, Following, follow},
+    row::{Key, Listing, Row},
+    store_error::StoreError,
+    table_view::TableView,
+    transaction::{Outcome, Transaction}, //
+};
--- /dev/null
+++ b/src/view/keeper.rs
@@ -0,0 +1,129 @@
+//! Keeps the site up to date from the store.
+
+use super::Site;
+use crate::{
+    base::Millis,
+    platform::{
+        CONFIG_KEY,
+        NAMED_VERSION,
+        OPERATOR_TABLE,
+        SERVERS_TABLE,
+        Store,
+        read_config,
+        read_named,
+        read_server, //
+    },
+    store::{Change, Followed, Following, follow}, //
+};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Batches of changes that may wait for the keeper; the follower waits then.
+const RING: usize = 16;
+
+/// How often lapsed servers are looked at.
+const SETTLE: Millis = Millis(200);
+
+/// The operators' table changes seldom and has to be in force within seconds.
+const OPERATOR_PACE: Millis = Millis(5);
+
+/// Servers announce changes of state and weights; a moment's delay gathers
+/// those of a release or of a step's weights into one call.
+const SERVERS_PACE: Millis = Millis(100);
+
+/// Follows the operators' and the servers' tables for good.
+pub async fn keep(site: Arc<Site>, store: Store) {
+    let (operators, mut operator_feed) = mpsc::channel(RING);
+    let (servers, mut server_feed) = mpsc::channel(RING);
+    let following = |table, pace| Following {
+        pace,
+        parts: false,
+        table,
+    };
+    let operator_table = following(OPERATOR_TABLE, OPERATOR_PACE);
+    tokio::spawn(follow(store.clone(), operator_table, operators));
+    tokio::spawn(follow(
+        store,
+        following(SERVERS_TABLE, SERVERS_PACE),
+        servers,
+    ));
+
+    let mut settle = tokio::time::interval(SETTLE.as_duration());
+    loop {
+        tokio::select! {
+            Some(followed) = operator_feed.recv() => {
+                if let Followed::Changes { changes, .. } = followed {
+                    for change in changes {
+                        operator_change(&site, change);
+                    }
+                }
+            }
+            Some(followed) = server_feed.recv() => server_news(&site, followed),
+            _ = settle.tick() => {
+                let gone = site.directory().settle(site.now());
+                for server in gone {
+                    tracing::info!(server, "server gone: still missing after the store's return");
+                }
+            }
+            else => return,
+        }
+    }
+}
+
+fn operator_change(site: &Site, change: Change) {
+    let Change::Put { key, value, .. } = change else {
+        return;
+    };
+    if key == CONFIG_KEY {
+        match read_config(&value) {
+            Ok(config) => site.offer(config),
+            Err(error) => tracing::error!(%error, "a configuration is left out"),
+        }
+    } else if key.starts_with(NAMED_VERSION)
+        && let Some(named) = read_named(&value)
+    {
+        site.name(named.model, named.version);
+    }
+}
+
+fn server_news(site: &Site, followed: Followed) {
+    let now = site.now();
+    match followed {
+        Followed::Changes { changes, listed } => {
+            if listed {
+                site.set_listed();
+            }
+            for change in changes {
+                server_change(site, change, now);
+            }
+        }
+        Followed::Lost => site.directory().store_lost(now),
+        Followed::Regained => site.directory().store_regained(now),
+    }
+}
+
+fn server_change(site: &Site, change: Change, now: Millis) {
+    match change {
+        Change::Put { key, value, .. } => {
+            let Some(server) = read_server(&key, &value) else {
+                return;
+            };
+            let mut directory = site.directory();
+            let before = directory.get(&key).map(|server| server.draining);
+            if before != Some(server.draining) {
+                let draining = server.draining;
+                tracing::info!(
+                    server = key,
+                    service = server.service,
+                    draining,
+                    "server seen"
+                );
+            }
+            directory.put(server);
+        }
+        Change::Removed { key, .. } => {
+            tracing::info!(server = key, "server's announcement gone");
+            site.directory().remove(&key, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/view/site.rs
@@ -0,0 +1,118 @@
+//! The site as this process knows it.
+
+use crate::{
+    base::{Clock, Millis},
+    routing::{Config, Directory, Server}, //
+};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{AtomicBool, Ordering}, //
+    },
+};
+use tokio::sync::watch;
+
+/// Shared by all tasks of a program; [`super::keep`] writes it.
+///
+/// # Invariants
+///
+/// The configuration's version and each named version never fall.
+pub struct Site {
+    pub clock: Clock,
+    config: watch::Sender<Option<Arc<Config>>>,
+    directory: Mutex<Directory>,
+    listed: AtomicBool,
+    /// The version that a trainer named last, by model, and when it was seen.
+    named: Mutex<HashMap<String, (u64, Millis)>>,
+}
+
+impl Site {
+    /// A site of which nothing is known.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            config: watch::Sender::new(None),
+            directory: Mutex::default(),
+            listed: AtomicBool::new(false),
+            named: Mutex::default(),
+        }
+    }
+
+    /// The configuration in force; `None` until one was seen.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Takes `config` unless it is older than the one in force.
+    pub(super) fn offer(&self, config: Config) {
+        self.config.send_if_modified(|current| {
+            let in_force = current.as_ref().map(|config| config.version);
+            let newer = in_force.is_none_or(|version| version < config.version);
+            match newer {
+                true => {
+                    let version = config.version;
+                    tracing::info!(version, ?in_force, "configuration applied");
+                    *current = Some(Arc::new(config));
+                }
+                false => {
+                    let version = config.version;
+                    tracing::warn!(version, ?in_force, "an older configuration is left out");
+                }
+            }
+            newer
+        });
+    }
+
+    /// The servers; held only for a moment.
+    pub fn directory(&self) -> MutexGuard<'_, Directory> {
+        self.directory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the servers' announcements were read since the start.
+    pub fn servers_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_listed(&self) {
+        self.listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Since when the store does not answer; `None` while it does.
+    pub fn store_away_since(&self) -> Option<Millis> {
+        self.directory().away_since()
+    }
+
+    /// The server at `address`.
+    pub fn server_at(&self, address: SocketAddr) -> Option<Arc<Server>> {
+        self.directory().at(address).cloned()
+    }
+
+    /// The version that was named last for `model`, and when that was seen;
+    /// version 1 before any.
+    pub fn named(&self, model: &str) -> (u64, Millis) {
+        let named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        named.get(model).copied().unwrap_or((1, Millis(0)))
+    }
+
+    pub(super) fn name(&self, model: String, version: u64) {
+        let now = self.now();
+        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = named.entry(model.clone()).or_insert((1, Millis(0)));
+        if version > known.0 {
+            *known = (version, now);
+            tracing::info!(model, version, "weight version named");
+        }
+    }
+
+    /// The present point in time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+}
--- a/standins/src/fleet/deployment.rs
+++ b/standins/src/fleet/deployment.rs
@@ -14,8 +14,8 @@
     base::Clock,
     duty::DutyError,
     entry::Entry,
-    platform::{Instance, InstanceState},
     policy::router::Policy, //
+    table::{Instance, InstanceState},
 };
 use snafu::{
     ResultExt,
--- a/standins/src/fleet/member.rs
+++ b/standins/src/fleet/member.rs
@@ -13,7 +13,7 @@
 use redwingpond::{
     agent::Agent,
     duty::DutyError,
-    platform::{Instance, InstanceState}, //
+    table::{Instance, InstanceState}, //
 };
 
 /// A slot of a pool.
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -13,9 +13,9 @@
 use redwingpond::{
     base::{Incarnation, Millis},
     entry::Entry,
-    platform::{Instance, InstanceState},
     policy::{router::Policy, subset::SUBSET},
     settings::{Common, DrainSettings, EntrySettings, LogFormat},
+    table::{Instance, InstanceState},
     wire::{
         FromAgent,
         Hello,
--- a/standins/src/platform/handle.rs
+++ b/standins/src/platform/handle.rs
@@ -22,7 +22,7 @@
 use redwingpond::{
     base::Clock,
     duty::{Answer, json, text},
-    platform::{Instance, Transaction, Write}, //
+    table::{Instance, Transaction, Write}, //
 };
 use serde::Serialize;
 use std::{
--- a/standins/src/platform/table.rs
+++ b/standins/src/platform/table.rs
@@ -1,6 +1,6 @@
 //! The transactional table.
 
-use redwingpond::platform::{
+use redwingpond::table::{
     Listing,
     Row,
     Transaction,
@@ -79,7 +79,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use redwingpond::platform::Write;
+    use redwingpond::table::Write;
 
     fn transaction(token: &str, expect: u64) -> Transaction {
         Transaction {
