--- a/src/policy/version_plan.rs
+++ b/src/policy/version_plan.rs
@@ -37,7 +37,8 @@
     Wait,
 }
 
-/// Engines that load at once without slowing each other down.
+/// Engines that load at once without slowing each other down; each one more
+/// slows them all.
 const AT_ONCE: usize = 2;
 
 /// What one load takes.
@@ -47,20 +48,25 @@
 /// with it may be on its way.
 const QUIET: Millis = Millis(500);
 
+/// Runners begin one after the other by this much, so that each sees by the
+/// beats whether those before it are loading.
+const STAGGER: Millis = Millis(70);
+
 /// Whether the engine takes new weights now.
 pub fn step(now: &Situation) -> Step {
     if now.held >= now.named {
         return Step::Wait;
     }
-    let wave = (now.rank / AT_ONCE) as u64;
+    let turn = Millis(STAGGER.0 * now.rank as u64);
+    let free = now.loading < AT_ONCE;
     if now.needed > now.held {
-        let turn = Millis(LOAD_TIME.0 * wave);
-        return when(now.named_for >= turn, now.named);
+        // A beat that says "loading" may be all that is left of a runner.
+        let waves = now.rank as u64 / AT_ONCE as u64 + 2;
+        let overdue = now.named_for >= Millis(LOAD_TIME.0 * waves);
+        return when((free && now.named_for >= turn) || overdue, now.named);
     }
-    let turn = QUIET + Millis(LOAD_TIME.0 * wave);
-    let free = now.loading < AT_ONCE;
     let idle = now.home && !now.waiting;
-    when(idle && free && now.named_for >= turn, now.named)
+    when(idle && free && now.named_for >= QUIET + turn, now.named)
 }
 
 fn when(due: bool, version: u64) -> Step {
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -26,8 +26,9 @@
 const SETTLE: Millis = Millis(450);
 
 /// Groups of a model whose own runners leave them waiting this long are taken
-/// by runners of other models, which load its weights for them.
-const RESCUE_AGE: Millis = Millis(1_500);
+/// by runners of other models, which load its weights for them. Sooner, their
+/// loads would slow those of the model's own runners.
+const RESCUE_AGE: Millis = Millis(3_000);
 
 impl Work {
     /// Gives an order if one is due.
