--- a/src/batch/claim.rs
+++ b/src/batch/claim.rs
@@ -29,7 +29,7 @@
 
 /// A runner's sign of life.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// It takes no new groups.
     pub leaving: bool,
     /// It is changing the weights of its engine.
--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -1,6 +1,6 @@
 //! Where a batch lies in the store.
 
-/// Heads, logs, claims and beats: what every runner follows.
+/// Heads, logs, claims and heartbeats: what every runner follows.
 pub const WORK: &str = "work";
 
 /// Items with their bodies, in chunks; each row is written once.
@@ -9,8 +9,8 @@
 /// Results, each written once.
 pub const RESULTS: &str = "results";
 
-/// The part of [`WORK`] with the runners' beats, by instance.
-pub const BEATS: &str = "beats";
+/// The part of [`WORK`] with the runners' heartbeats, by instance.
+pub const HEARTBEATS: &str = "heartbeats";
 
 /// The part of the batch called `id`.
 pub fn part_of(id: &str) -> String {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -16,10 +16,10 @@
 mod writes;
 
 pub use self::{
-    claim::{Beat, Claim},
+    claim::{Claim, Heartbeat},
     head::{Group, Head, ItemRef},
     item::{Item, Scorer, Submission},
-    layout::{BEATS, BODIES, RESULTS, WORK, WorkKey, part_of},
+    layout::{BODIES, HEARTBEATS, RESULTS, WORK, WorkKey, part_of},
     log::Log,
     page::{PAGE_MOST, Page, page_of},
     sample::{Sample, State},
--- a/src/duty/signals.rs
+++ b/src/duty/signals.rs
@@ -7,11 +7,13 @@
 };
 
 /// Runs `handle` until it ends: the first SIGTERM or SIGINT begins a graceful
-/// stop, a second one forces it. False when the program failed.
-pub async fn wait_for_stop(handle: Handle) -> bool {
-    let (Ok(mut term), Ok(mut interrupt)) = (
+/// stop, a second one forces it. SIGHUP calls `reload`; without a handler of
+/// its own it would end the program. False when the program failed.
+pub async fn wait_for_stop(handle: Handle, reload: impl Fn()) -> bool {
+    let (Ok(mut term), Ok(mut interrupt), Ok(mut hangup)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
     ) else {
         tracing::error!("can't listen for signals");
         return false;
@@ -22,6 +24,10 @@
         tokio::select! {
             _ = term.recv() => {}
             _ = interrupt.recv() => {}
+            _ = hangup.recv() => {
+                reload();
+                continue;
+            }
             _ = health.wait_for(|health| health.phase == super::Phase::Stopped) => break,
         }
         if asked {
--- a/src/operator/program.rs
+++ b/src/operator/program.rs
@@ -21,6 +21,15 @@
 }
 
 impl Program<'_> {
+    /// Checks the settings file again; what changed in it holds from the next
+    /// start.
+    fn reload<S>(&self, load: &impl Fn(&Path) -> Result<S, SettingsError>) {
+        match load(self.file) {
+            Ok(_) => tracing::info!("settings checked: changes hold from the next start"),
+            Err(error) => tracing::error!(%error, "the settings file is wrong; it is left alone"),
+        }
+    }
+
     /// Checks the settings, then runs what `open` starts until it has stopped.
     pub(super) fn run<S>(
         &self,
@@ -50,7 +59,7 @@
             }
         };
         block_on(async {
-            match wait_for_stop(handle).await {
+            match wait_for_stop(handle, || self.reload(&load)).await {
                 true => ExitCode::SUCCESS,
                 false => ExitCode::FAILURE,
             }
--- a/src/operator/site_command.rs
+++ b/src/operator/site_command.rs
@@ -109,7 +109,7 @@
         }
     };
     let code = block_on(async {
-        match wait_for_stop(handle).await {
+        match wait_for_stop(handle, || reload(&file, &load)).await {
             true => ExitCode::SUCCESS,
             false => ExitCode::FAILURE,
         }
@@ -118,3 +118,13 @@
     drop(log);
     code
 }
+
+/// Checks the settings file again. All that a process takes from it (its
+/// addresses, its data centre, the store) is fixed for its life; the operators'
+/// configuration comes from the store.
+fn reload<S>(file: &Path, load: &impl Fn(&Path) -> Result<S, SettingsError>) {
+    match load(file) {
+        Ok(_) => tracing::info!("settings checked: changes hold from the next start"),
+        Err(error) => tracing::error!(%error, "the settings file is wrong; it is left alone"),
+    }
+}
--- a/src/policy/version_plan.rs
+++ b/src/policy/version_plan.rs
@@ -49,7 +49,7 @@
 const QUIET: Millis = Millis(500);
 
 /// Runners begin one after the other by this much, so that each sees by the
-/// beats whether those before it are loading.
+/// heartbeats whether those before it are loading.
 const STAGGER: Millis = Millis(70);
 
 /// Whether the engine takes new weights now.
@@ -60,7 +60,7 @@
     let turn = Millis(STAGGER.0 * now.rank as u64);
     let free = now.loading < AT_ONCE;
     if now.needed > now.held {
-        // A beat that says "loading" may be all that is left of a runner.
+        // A heartbeat that says "loading" may be all that is left of a runner.
         let waves = now.rank as u64 / AT_ONCE as u64 + 2;
         let overdue = now.named_for >= Millis(LOAD_TIME.0 * waves);
         return when((free && now.named_for >= turn) || overdue, now.named);
--- a/src/runner/event.rs
+++ b/src/runner/event.rs
@@ -21,7 +21,7 @@
         log: Log,
         outcome: Result<Outcome, StoreError>,
     },
-    Beaten(Result<Outcome, StoreError>),
+    HeartbeatWritten(Result<Outcome, StoreError>),
     Claimed {
         claim: Claim,
         group: GroupId,
--- a/src/runner/groups.rs
+++ b/src/runner/groups.rs
@@ -27,9 +27,9 @@
 
 impl Work {
     /// The model that this runner serves first, and its place among those that
-    /// serve the same. All runners work it out alike from beats and batches.
+    /// serve the same. All runners work it out alike from heartbeats and batches.
     pub(super) fn place(&self, now: Millis) -> (Option<String>, Place) {
-        let mut runners = self.beats.working(&self.service, now);
+        let mut runners = self.heartbeats.working(&self.service, now);
         if !runners.contains(&self.instance) {
             runners.push(self.instance.clone());
         }
@@ -97,7 +97,7 @@
             self.start_fetching(id);
         }
         let load: usize = self.batches.values().map(OpenBatch::load).sum();
-        let usual = self.beats.usual_pace(&self.service);
+        let usual = self.heartbeats.usual_pace(&self.service);
         let mut room = capacity(self.slots, self.pace, usual).saturating_sub(load as u32);
         if room == 0 {
             return;
@@ -173,13 +173,13 @@
         if claim.holder == self.instance {
             return Some(Holder::Nobody);
         }
-        if !self.store_away && !self.beats.works(&claim.holder, claim.token, now) {
+        if !self.store_away && !self.heartbeats.works(&claim.holder, claim.token, now) {
             return Some(Holder::Nobody);
         }
         if claim.second.as_deref() == Some(&self.instance) {
             return None;
         }
-        let theirs = self.beats.pace(&claim.holder);
+        let theirs = self.heartbeats.pace(&claim.holder);
         let pace = match self.pace > 0.0 && theirs > 0.0 {
             true => theirs / self.pace,
             false => 1.0,
--- a/src/runner/beats.rs
+++ b/src/runner/heartbeats.rs
@@ -2,44 +2,48 @@
 
 use crate::{
     base::Millis,
-    batch::Beat, //
+    batch::Heartbeat, //
 };
 use std::collections::BTreeMap;
 
-/// A runner's last beat and when this runner saw it.
+/// A runner's last heartbeat and when this runner saw it.
 #[derive(Clone, Debug)]
 struct Seen {
     at: Millis,
-    beat: Beat,
+    heartbeat: Heartbeat,
 }
 
 /// All runners by instance, this one included.
 #[derive(Debug, Default)]
-pub(super) struct Beats {
+pub(super) struct Heartbeats {
     seen: BTreeMap<String, Seen>,
 }
 
-/// A runner whose beat has not changed for so long is taken for gone. Beats
+/// A runner whose heartbeat has not changed for so long is taken for gone. Heartbeats
 /// come every second; one may be lost or late.
 pub(super) const SILENCE_MOST: Millis = Millis(2_300);
 
-impl Beats {
-    /// Takes a beat of `instance`; an older one than known changes nothing.
-    pub(super) fn take(&mut self, instance: &str, beat: Beat, now: Millis) {
-        let order = |beat: &Beat| (beat.token, beat.sequence);
+impl Heartbeats {
+    /// Takes a heartbeat of `instance`; an older one than known changes nothing.
+    pub(super) fn take(&mut self, instance: &str, heartbeat: Heartbeat, now: Millis) {
+        let order = |heartbeat: &Heartbeat| (heartbeat.token, heartbeat.sequence);
         let known = self.seen.get(instance);
-        if known.is_some_and(|known| order(&known.beat) >= order(&beat)) {
+        if known.is_some_and(|known| order(&known.heartbeat) >= order(&heartbeat)) {
             return;
         }
-        let before = known.map(|known| known.beat.working);
-        if before != Some(beat.working) {
-            tracing::info!(runner = instance, working = beat.working, "runner seen");
+        let before = known.map(|known| known.heartbeat.working);
+        if before != Some(heartbeat.working) {
+            tracing::info!(
+                runner = instance,
+                working = heartbeat.working,
+                "runner seen"
+            );
         }
         self.seen
-            .insert(instance.to_owned(), Seen { at: now, beat });
+            .insert(instance.to_owned(), Seen { at: now, heartbeat });
     }
 
-    /// The store was away: no beat could arrive, so none is late.
+    /// The store was away: no heartbeat could arrive, so none is late.
     pub(super) fn excuse(&mut self, now: Millis) {
         self.seen.values_mut().for_each(|seen| seen.at = now);
     }
@@ -48,24 +52,28 @@
     pub(super) fn works(&self, instance: &str, token: u64, now: Millis) -> bool {
         self.seen.get(instance).is_some_and(|seen| {
             let alive = now.since(seen.at) < SILENCE_MOST;
-            alive && seen.beat.token == token && (seen.beat.working || seen.beat.leaving)
+            alive
+                && seen.heartbeat.token == token
+                && (seen.heartbeat.working || seen.heartbeat.leaving)
         })
     }
 
     /// What the engine of `instance` takes for an event.
     pub(super) fn pace(&self, instance: &str) -> f64 {
-        self.seen.get(instance).map_or(0.0, |seen| seen.beat.pace)
+        self.seen
+            .get(instance)
+            .map_or(0.0, |seen| seen.heartbeat.pace)
     }
 
     /// The middle of what the engines of `service` take for an event; 0 when
     /// none is known.
     pub(super) fn usual_pace(&self, service: &str) -> f64 {
-        let known = |seen: &&Seen| seen.beat.service == service && seen.beat.pace > 0.0;
+        let known = |seen: &&Seen| seen.heartbeat.service == service && seen.heartbeat.pace > 0.0;
         let mut paces: Vec<f64> = self
             .seen
             .values()
             .filter(known)
-            .map(|seen| seen.beat.pace)
+            .map(|seen| seen.heartbeat.pace)
             .collect();
         paces.sort_by(f64::total_cmp);
         paces.get(paces.len() / 2).copied().unwrap_or(0.0)
@@ -75,7 +83,10 @@
     pub(super) fn working(&self, service: &str, now: Millis) -> Vec<String> {
         let works = |seen: &Seen| {
             let alive = now.since(seen.at) < SILENCE_MOST;
-            alive && seen.beat.working && !seen.beat.leaving && seen.beat.service == service
+            alive
+                && seen.heartbeat.working
+                && !seen.heartbeat.leaving
+                && seen.heartbeat.service == service
         };
         let mut names: Vec<String> = self
             .seen
@@ -91,7 +102,7 @@
     pub(super) fn loading(&self, me: &str, now: Millis) -> usize {
         let loads = |(name, seen): &(&String, &Seen)| {
             let alive = now.since(seen.at) < SILENCE_MOST;
-            alive && seen.beat.loading && name.as_str() != me
+            alive && seen.heartbeat.loading && name.as_str() != me
         };
         self.seen.iter().filter(loads).count()
     }
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -1,10 +1,10 @@
 //! The program beside an engine: it takes groups of items from the store, runs
 //! them on its engine, has them scored and lists their results.
 
-mod beats;
 mod engine_watch;
 mod event;
 mod groups;
+mod heartbeats;
 mod open_batch;
 mod orders;
 mod run_item;
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -48,7 +48,7 @@
         }
 
         let (home, place) = self.place(now);
-        let loading = self.beats.loading(&self.instance, now);
+        let loading = self.heartbeats.loading(&self.instance, now);
         let mut due = None;
         for weights in &report.weights {
             let is_home = home.as_ref() == Some(&weights.model);
--- a/src/runner/sweep.rs
+++ b/src/runner/sweep.rs
@@ -34,7 +34,7 @@
         let Some(config) = self.site.config() else {
             return;
         };
-        let runners = self.beats.working(&self.service, now);
+        let runners = self.heartbeats.working(&self.service, now);
         let store_now = self.store.now();
         let keep = self.retention + KEEP_LONGER;
         let mut old = Vec::new();
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -1,14 +1,14 @@
 //! The work loop: owns what this runner knows and does.
 
 use super::{
-    beats::Beats,
     event::{Event, RING},
+    heartbeats::Heartbeats,
     open_batch::{Held, OpenBatch},
     run_item::{Engine, ItemEnd}, //
 };
 use crate::{
     base::{Clock, Millis},
-    batch::{BEATS, Beat, Log, Sample, WORK, WorkKey, append, decode, encode, part_of},
+    batch::{HEARTBEATS, Heartbeat, Log, Sample, WORK, WorkKey, append, decode, encode, part_of},
     duty::{Context, Phase},
     platform::{EngineReport, Store},
     store::{Change, Followed, Following, Key, Outcome, Row, StoreError, Transaction, follow},
@@ -27,7 +27,7 @@
 /// What this runner knows and does.
 pub(super) struct Work {
     pub(super) batches: BTreeMap<String, OpenBatch>,
-    pub(super) beats: Beats,
+    pub(super) heartbeats: Heartbeats,
     /// No group is claimed before, as the store did not take the last claim.
     pub(super) claims_from: Millis,
     pub(super) clock: Clock,
@@ -54,12 +54,12 @@
     pub(super) swept: Millis,
     /// Names this life of the runner; the number under which it gives orders.
     pub(super) token: u64,
-    beat: BeatState,
+    heartbeat: HeartbeatState,
 }
 
 #[derive(Default)]
-struct BeatState {
-    last: Beat,
+struct HeartbeatState {
+    last: Heartbeat,
     sending: bool,
     sent: Millis,
 }
@@ -67,8 +67,8 @@
 /// How often the loop looks around when nothing happens.
 const TICK: Millis = Millis(50);
 
-/// The time between beats.
-const BEAT_EVERY: Millis = Millis(1_000);
+/// The time between heartbeats.
+const HEARTBEAT_EVERY: Millis = Millis(1_000);
 
 /// A report this old says nothing of the engine any more.
 const REPORT_FRESH: Millis = Millis(900);
@@ -104,7 +104,7 @@
     /// Takes a number for this life, then works until the program has stopped.
     pub(super) async fn run(seed: Seed, context: Context) {
         let (events, mut ring) = mpsc::channel(RING);
-        let first = first_beat(&seed.store, &seed.instance, &seed.service);
+        let first = first_heartbeat(&seed.store, &seed.instance, &seed.service);
         let token = tokio::select! {
             token = first => token,
             () = context.reached(Phase::Draining) => {
@@ -119,8 +119,8 @@
 
         let mut work = Self {
             batches: BTreeMap::new(),
-            beat: BeatState::default(),
-            beats: Beats::default(),
+            heartbeat: HeartbeatState::default(),
+            heartbeats: Heartbeats::default(),
             claims_from: Millis(0),
             clock: seed.clock,
             engine: seed.engine,
@@ -171,10 +171,10 @@
                 log,
                 outcome,
             } => self.appended(&batch, log, outcome),
-            Event::Beaten(outcome) => {
-                self.beat.sending = false;
+            Event::HeartbeatWritten(outcome) => {
+                self.heartbeat.sending = false;
                 if let Err(error) = outcome {
-                    tracing::debug!(%error, "beat not written");
+                    tracing::debug!(%error, "heartbeat not written");
                 }
             }
             Event::Claimed {
@@ -212,15 +212,15 @@
     fn plan(&mut self) {
         let now = self.clock.now();
         if self.store_away {
-            // No beat can arrive, so none is late.
-            self.beats.excuse(now);
+            // No heartbeat can arrive, so none is late.
+            self.heartbeats.excuse(now);
         }
         self.look_at_engine(now);
         self.append_results();
         self.plan_versions(now);
         self.plan_claims(now);
         self.plan_sweep(now);
-        self.plan_beat(now);
+        self.plan_heartbeat(now);
     }
 
     /// Whether the engine takes work by all that is known of it.
@@ -285,9 +285,9 @@
     }
 
     fn put(&mut self, part: &str, key: &str, value: &[u8], revision: u64, now: Millis) {
-        if part == BEATS {
-            if let Some(beat) = decode::<Beat>("beat", value) {
-                self.beats.take(key, beat, now);
+        if part == HEARTBEATS {
+            if let Some(heartbeat) = decode::<Heartbeat>("heartbeat", value) {
+                self.heartbeats.take(key, heartbeat, now);
             }
             return;
         }
@@ -430,9 +430,9 @@
         }
     }
 
-    fn plan_beat(&mut self, now: Millis) {
-        let last = &self.beat.last;
-        let mut next = Beat {
+    fn plan_heartbeat(&mut self, now: Millis) {
+        let last = &self.heartbeat.last;
+        let mut next = Heartbeat {
             leaving: self.leaving,
             loading: self.order.is_some() || self.report.as_ref().is_some_and(|(r, _)| r.busy),
             pace: self.pace,
@@ -444,20 +444,20 @@
         };
         let changed = (next.leaving, next.loading, next.working)
             != (last.leaving, last.loading, last.working);
-        let due = now.since(self.beat.sent) >= BEAT_EVERY || changed;
-        if self.beat.sending || !due {
+        let due = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY || changed;
+        if self.heartbeat.sending || !due {
             return;
         }
         next.sequence += 1;
-        self.beat.last = next.clone();
-        self.beat.sending = true;
-        self.beat.sent = now;
-        self.beats.take(&self.instance, next.clone(), now);
+        self.heartbeat.last = next.clone();
+        self.heartbeat.sending = true;
+        self.heartbeat.sent = now;
+        self.heartbeats.take(&self.instance, next.clone(), now);
         let (store, events) = (self.store.clone(), self.events.clone());
-        let transaction = beat_write(&self.instance, &next);
+        let transaction = heartbeat_write(&self.instance, &next);
         tokio::spawn(async move {
             let outcome = store.transact(&transaction).await;
-            let _ = events.send(Event::Beaten(outcome)).await;
+            let _ = events.send(Event::HeartbeatWritten(outcome)).await;
         });
     }
 }
@@ -481,23 +481,23 @@
     }
 }
 
-fn beat_write(instance: &str, beat: &Beat) -> Transaction {
+fn heartbeat_write(instance: &str, heartbeat: &Heartbeat) -> Transaction {
     Transaction {
         expect: Vec::new(),
         remove: Vec::new(),
-        set: vec![(Key::new(WORK, BEATS, instance), encode(beat))],
+        set: vec![(Key::new(WORK, HEARTBEATS, instance), encode(heartbeat))],
     }
 }
 
-/// Writes the first beat of this life; its revision is higher than that of any
+/// Writes the first heartbeat of this life; its revision is higher than that of any
 /// life before, on whatever instance, and becomes the life's number.
-async fn first_beat(store: &Store, instance: &str, service: &str) -> u64 {
-    let beat = Beat {
+async fn first_heartbeat(store: &Store, instance: &str, service: &str) -> u64 {
+    let heartbeat = Heartbeat {
         service: service.to_owned(),
-        ..Beat::default()
+        ..Heartbeat::default()
     };
     loop {
-        match store.transact(&beat_write(instance, &beat)).await {
+        match store.transact(&heartbeat_write(instance, &heartbeat)).await {
             Ok(Outcome::Done { revision }) => return revision,
             Ok(Outcome::Conflict { .. }) => {}
             Err(error) => tracing::warn!(%error, "no number for this life yet"),
