--- a/src/policy/model_share.rs
+++ b/src/policy/model_share.rs
@@ -26,20 +26,23 @@
         .map(|demand| demand.work.max(1e-9) / total * count as f64)
         .collect();
     let mut shares: Vec<usize> = ideal.iter().map(|share| *share as usize).collect();
-    if count >= demands.len() {
-        for share in &mut shares {
-            *share = (*share).max(1);
-        }
+    // Each model keeps a runner while there are enough: without it a small
+    // model's batches would wait for other models' runners.
+    let least = usize::from(count >= demands.len());
+    for share in &mut shares {
+        *share = (*share).max(least);
     }
     while shares.iter().sum::<usize>() > count {
-        let most = (0..shares.len()).max_by(|a, b| over(&shares, &ideal, *a, *b));
+        let spare = |model: &usize| shares[*model] > least;
+        let models = (0..shares.len()).filter(spare);
+        let most = models.max_by(|a, b| over(&shares, &ideal, *a, *b));
         if let Some(model) = most {
             shares[model] -= 1;
         }
     }
     while shares.iter().sum::<usize>() < count {
-        let least = (0..shares.len()).min_by(|a, b| over(&shares, &ideal, *a, *b));
-        if let Some(model) = least {
+        let fewest = (0..shares.len()).min_by(|a, b| over(&shares, &ideal, *a, *b));
+        if let Some(model) = fewest {
             shares[model] += 1;
         }
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod scorer;
 pub mod server;
 pub mod service;
+pub mod site;
 
 pub mod trainer;
 pub mod truth;
--- /dev/null
+++ b/standins/src/site/engine.rs
@@ -0,0 +1,316 @@
+//! An engine that takes items, orders and questions as the users' engines do.
+
+use crate::server::Server;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{
+    BodyExt,
+    StreamBody, //
+};
+use hyper::{
+    HeaderMap,
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    body::{Frame, Incoming}, //
+};
+use redwingpond::{
+    base::{Clock, Millis},
+    duty::{Answer, text}, //
+};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
+};
+use tokio::sync::watch;
+
+/// What goes wrong at an engine.
+#[derive(Clone, Debug, Default)]
+pub struct EngineFaults {
+    /// Each run is cut after this many events, within the next one.
+    pub cut_after: Option<u64>,
+    /// It answers 500 to these items.
+    pub fails: Vec<String>,
+    /// It answers 422 to these items.
+    pub impossible: Vec<String>,
+    /// Orders get no answer and are carried out this much later.
+    pub late_orders: Option<Millis>,
+}
+
+/// One run of an item.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// When it reached the engine, by the engine's clock.
+    pub at: Millis,
+    /// The event after which it was asked to go on.
+    pub after: Option<u64>,
+    pub item: String,
+    pub version: u64,
+}
+
+/// A running engine; dropping it ends it.
+pub struct Engine {
+    pub address: SocketAddr,
+    pub id: String,
+    inner: Arc<Inner>,
+    server: Server,
+}
+
+struct Inner {
+    clock: Clock,
+    id: String,
+    state: Mutex<State>,
+}
+
+struct State {
+    /// What an event takes.
+    event: Millis,
+    faults: EngineFaults,
+    /// While it takes weights.
+    loading_until: Millis,
+    model: String,
+    /// Orders that were accepted, with their holders, numbers and versions.
+    orders: Vec<(String, u64, u64)>,
+    runs: Vec<Run>,
+    version: u64,
+}
+
+/// What a load of weights takes.
+const LOAD: Millis = Millis(150);
+
+impl Engine {
+    /// Opens an engine with one model, on a free port.
+    pub async fn open(id: &str, model: &str) -> io::Result<Self> {
+        let inner = Arc::new(Inner {
+            clock: Clock::open(),
+            id: id.to_owned(),
+            state: Mutex::new(State {
+                event: Millis(5),
+                faults: EngineFaults::default(),
+                loading_until: Millis(0),
+                model: model.to_owned(),
+                orders: Vec::new(),
+                runs: Vec::new(),
+                version: 1,
+            }),
+        });
+        let serving = inner.clone();
+        let handler = move |request| {
+            let inner = serving.clone();
+            async move { inner.answer(request).await }
+        };
+        let server = Server::open(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        Ok(Self {
+            address: server.address,
+            id: id.to_owned(),
+            inner,
+            server,
+        })
+    }
+
+    /// Cuts the engine off (false) or brings it back (true).
+    pub fn switch(&self) -> Arc<watch::Sender<bool>> {
+        self.server.switch()
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.inner.state().faults = faults;
+    }
+
+    /// Sets what an event takes from now on.
+    pub fn set_event(&self, event: Millis) {
+        self.inner.state().event = event;
+    }
+
+    /// All runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.inner.state().runs.clone()
+    }
+
+    /// The accepted orders so far: holder, number, version.
+    pub fn orders(&self) -> Vec<(String, u64, u64)> {
+        self.inner.state().orders.clone()
+    }
+
+    /// The engine's clock.
+    pub fn now(&self) -> Millis {
+        self.inner.clock.now()
+    }
+
+    /// The version that it holds.
+    pub fn version(&self) -> u64 {
+        self.inner.state().version
+    }
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let expected = header(&head.headers, "x-expect-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            return Ok(text(StatusCode::MISDIRECTED_REQUEST, "text/plain", ""));
+        }
+        match (head.method, head.uri.path()) {
+            (Method::GET, "/redwingpond/report") => Ok(self.report()),
+            (Method::POST, "/redwingpond/order") => self.order(&body).await,
+            (Method::POST, _) => Ok(self.run(&head.headers, &body)),
+            _ => Ok(text(StatusCode::NOT_FOUND, "text/plain", "")),
+        }
+    }
+
+    fn report(&self) -> Answer {
+        let now = self.clock.now();
+        let state = self.state();
+        let body = serde_json::json!({
+            "stage": "both",
+            "models": [{"name": state.model, "version": state.version, "adapters": []}],
+            "busy": now < state.loading_until,
+            "sequence": state.orders.len(),
+            "numWaiting": 0,
+            "numRunning": 0,
+        });
+        text(StatusCode::OK, "application/json", body.to_string())
+    }
+
+    async fn order(self: Arc<Self>, body: &[u8]) -> io::Result<Answer> {
+        let wire: serde_json::Value = serde_json::from_slice(body).map_err(io::Error::other)?;
+        let late = self.state().faults.late_orders;
+        if let Some(late) = late {
+            tokio::spawn(async move {
+                tokio::time::sleep(late.as_duration()).await;
+                self.accept(&wire);
+            });
+            return std::future::pending().await;
+        }
+        let code = self.accept(&wire);
+        Ok(text(code, "text/plain", ""))
+    }
+
+    fn accept(&self, wire: &serde_json::Value) -> StatusCode {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let version = wire["version"].as_u64().unwrap_or(0);
+        let expected = wire["expectedRev"].as_u64();
+        let other = expected.is_some_and(|expected| expected != state.orders.len() as u64);
+        if now < state.loading_until || other {
+            return StatusCode::CONFLICT;
+        }
+        if version == state.version {
+            return StatusCode::OK;
+        }
+        let holder = wire["holder"].as_str().unwrap_or_default().to_owned();
+        let number = wire["fencingToken"].as_u64().unwrap_or(0);
+        state.orders.push((holder, number, version));
+        state.loading_until = now + LOAD;
+        state.version = version;
+        StatusCode::ACCEPTED
+    }
+
+    /// Runs an item; its body tells how many events it has.
+    fn run(self: Arc<Self>, headers: &HeaderMap, body: &[u8]) -> Answer {
+        let item = header(headers, "x-attempt-id").unwrap_or_default();
+        let after = header(headers, "last-event-id").and_then(|after| after.parse().ok());
+        let events: u64 = String::from_utf8_lossy(body).trim().parse().unwrap_or(1);
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.faults.impossible.contains(&item) {
+            return text(StatusCode::UNPROCESSABLE_ENTITY, "text/plain", "");
+        }
+        if now < state.loading_until {
+            let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "");
+            answer
+                .headers_mut()
+                .insert("x-not-executed", "1".parse().expect("a digit is a header"));
+            return answer;
+        }
+        let version = state.version;
+        state.runs.push(Run {
+            after,
+            at: now,
+            item: item.clone(),
+            version,
+        });
+        if state.faults.fails.contains(&item) {
+            return text(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "");
+        }
+        let cut = state.faults.cut_after;
+        drop(state);
+
+        let first = after.map_or(0, |after: u64| after + 1);
+        let run = Stream {
+            cut: cut.map(|cut| first + cut),
+            engine: self,
+            events,
+            item,
+            next: first,
+            version,
+        };
+        let frames = stream::unfold(run, Stream::step);
+        let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
+        let headers = answer.headers_mut();
+        let version = version.to_string();
+        headers.insert(
+            "x-weight-versions",
+            version.parse().expect("digits are a header"),
+        );
+        headers.insert(
+            "x-response-signature",
+            "engine".parse().expect("letters are a header"),
+        );
+        answer
+    }
+}
+
+/// The rest of one run.
+struct Stream {
+    /// The event within which the connection is cut.
+    cut: Option<u64>,
+    engine: Arc<Inner>,
+    events: u64,
+    item: String,
+    next: u64,
+    version: u64,
+}
+
+impl Stream {
+    async fn step(mut self) -> Option<(io::Result<Frame<Bytes>>, Self)> {
+        if self.next >= self.events {
+            return None;
+        }
+        let (event, version) = {
+            let state = self.engine.state();
+            (state.event, state.version)
+        };
+        tokio::time::sleep(event.as_duration()).await;
+        if self.cut == Some(self.next + 1) {
+            self.cut = Some(self.next);
+            let torn = Bytes::from(format!("id: {}\ndata: torn", self.next));
+            return Some((Ok(Frame::data(torn)), self));
+        }
+        if self.cut == Some(self.next) {
+            return Some((Err(io::Error::other("cut on command")), self));
+        }
+        let changed = match version == self.version {
+            true => String::new(),
+            false => format!("x-weight-versions: {version}\n"),
+        };
+        self.version = version;
+        let (id, item) = (self.next, &self.item);
+        let event = format!("{changed}id: {id}\ndata: {item}-{id}\n\n");
+        self.next += 1;
+        Some((Ok(Frame::data(event.into())), self))
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
--- /dev/null
+++ b/standins/src/site/mod.rs
@@ -0,0 +1,21 @@
+//! The users' platform and what runs on it: a store, engines and plain
+//! servers that speak the published protocol and fail on command, and a scene
+//! that opens gateways and runners among them.
+
+mod engine;
+mod faults;
+mod plain;
+mod rows;
+mod scene;
+mod store;
+mod trainer;
+
+pub use self::{
+    engine::{Engine, EngineFaults, Run},
+    faults::{Outage, StoreFaults},
+    plain::{Plain, PlainFault},
+    rows::Rows,
+    scene::{Scene, Shape},
+    store::Store,
+    trainer::{Batch, Reply, ScenePage}, //
+};
--- /dev/null
+++ b/standins/src/site/plain.rs
@@ -0,0 +1,164 @@
+//! A plain backend server.
+
+use crate::server::Server;
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    StatusCode,
+    body::Incoming,
+    header::HeaderValue, //
+};
+use redwingpond::{
+    base::{Clock, Millis},
+    duty::{Answer, text}, //
+};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError,
+        atomic::{AtomicU32, Ordering}, //
+    },
+};
+
+/// How a plain server behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PlainFault {
+    /// It runs the request, then answers with another request's id.
+    Foreign,
+    /// It turns every request away.
+    Full,
+    /// It runs the request and never answers.
+    Mute,
+    #[default]
+    None,
+    /// It runs the request, then cuts the connection.
+    Reset,
+}
+
+/// A running server; dropping it ends it.
+pub struct Plain {
+    pub address: SocketAddr,
+    pub id: String,
+    inner: Arc<Inner>,
+    _server: Server,
+}
+
+struct Inner {
+    clock: Clock,
+    fault: Mutex<PlainFault>,
+    id: String,
+    /// Requests that it works on now.
+    open: AtomicU32,
+    /// The ids of the requests that it ran, and when.
+    runs: Mutex<Vec<(String, Millis)>>,
+    work: Mutex<Millis>,
+}
+
+impl Plain {
+    /// Opens a server on a free port.
+    pub async fn open(id: &str) -> io::Result<Self> {
+        let inner = Arc::new(Inner {
+            clock: Clock::open(),
+            fault: Mutex::default(),
+            id: id.to_owned(),
+            open: AtomicU32::new(0),
+            runs: Mutex::default(),
+            work: Mutex::new(Millis(5)),
+        });
+        let serving = inner.clone();
+        let handler = move |request| {
+            let inner = serving.clone();
+            async move { inner.answer(request).await }
+        };
+        let server = Server::open(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        Ok(Self {
+            address: server.address,
+            id: id.to_owned(),
+            inner,
+            _server: server,
+        })
+    }
+
+    /// Sets how it behaves from now on.
+    pub fn set_fault(&self, fault: PlainFault) {
+        *lock(&self.inner.fault) = fault;
+    }
+
+    /// Sets what a request takes from now on.
+    pub fn set_work(&self, work: Millis) {
+        *lock(&self.inner.work) = work;
+    }
+
+    /// Requests that it works on now.
+    pub fn open_requests(&self) -> u32 {
+        self.inner.open.load(Ordering::Relaxed)
+    }
+
+    /// How often it ran the request called `id`.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let runs = lock(&self.inner.runs);
+        runs.iter().filter(|(run, _)| run == id).count()
+    }
+
+    /// All requests that it ran.
+    pub fn runs(&self) -> usize {
+        lock(&self.inner.runs).len()
+    }
+}
+
+/// Counts a request as open until it is dropped.
+struct Open<'a>(&'a AtomicU32);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Inner {
+    async fn answer(&self, request: Request<Incoming>) -> io::Result<Answer> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let expected = head.headers.get("x-expect-instance");
+        if expected.is_some_and(|expected| expected != self.id.as_str()) {
+            return Ok(text(StatusCode::MISDIRECTED_REQUEST, "text/plain", ""));
+        }
+        let fault = *lock(&self.fault);
+        if fault == PlainFault::Full {
+            let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "full");
+            let value = HeaderValue::from_static("1");
+            answer.headers_mut().insert("x-not-executed", value);
+            return Ok(answer);
+        }
+        let id = head.headers.get("x-attempt-id").cloned();
+        let id = id.unwrap_or_else(|| HeaderValue::from_static(""));
+        let name = id.to_str().unwrap_or_default().to_owned();
+        lock(&self.runs).push((name.clone(), self.clock.now()));
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let _open = Open(&self.open);
+        let work = *lock(&self.work);
+        tokio::time::sleep(work.as_duration()).await;
+        match fault {
+            PlainFault::Mute => std::future::pending::<()>().await,
+            PlainFault::Reset => return Err(io::Error::other("reset on command")),
+            PlainFault::Foreign | PlainFault::Full | PlainFault::None => {}
+        }
+        let mut answer = text(StatusCode::OK, "text/plain", body);
+        let headers = answer.headers_mut();
+        let echoed = match fault {
+            PlainFault::Foreign => HeaderValue::from_static("another"),
+            _ => id,
+        };
+        headers.insert("x-attempt-id", echoed);
+        let seal = HeaderValue::try_from(format!("seal-{name}"));
+        headers.insert("x-response-signature", seal.map_err(io::Error::other)?);
+        Ok(answer)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/standins/src/site/scene.rs
@@ -0,0 +1,293 @@
+//! A whole site in one process: store, servers, gateways and runners.
+
+use super::{
+    Batch,
+    Engine,
+    Plain,
+    Reply,
+    ScenePage,
+    Store, //
+};
+use crate::client::{
+    Answered,
+    Client, //
+};
+use hyper::Method;
+use redwingpond::{
+    base::{Clock, Millis},
+    gateway::Gateway,
+    runner::Runner,
+    settings::{GatewaySettings, RunnerSettings, SiteCommon}, //
+};
+use std::{
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// How many of each a scene has.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub engines: usize,
+    pub gateways: usize,
+    pub plain: usize,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            engines: 3,
+            gateways: 2,
+            plain: 2,
+        }
+    }
+}
+
+/// A running site; dropping it ends all of it.
+pub struct Scene {
+    pub client: Client,
+    pub clock: Clock,
+    pub engines: Vec<Engine>,
+    pub gateways: Vec<Gateway>,
+    pub plain: Vec<Plain>,
+    /// One for each engine; `None` while it is stopped.
+    pub runners: Vec<Option<Runner>>,
+    pub store: Store,
+    version: u64,
+}
+
+/// How long the site may take to come up.
+const UP: Millis = Millis(8_000);
+
+/// How long a request may take.
+const WITHIN: Duration = Duration::from_secs(10);
+
+impl Scene {
+    /// Opens a site and waits until its gateways are ready and its runners work.
+    pub async fn open(shape: Shape) -> io::Result<Self> {
+        let mut scene = Self::open_unconfigured(shape).await?;
+        scene.put_config(serde_json::json!([]));
+        scene.wait_up().await?;
+        Ok(scene)
+    }
+
+    /// Opens a site to which no configuration was given yet.
+    pub async fn open_unconfigured(shape: Shape) -> io::Result<Self> {
+        let store = Store::open().await?;
+        let mut engines = Vec::new();
+        for number in 0..shape.engines {
+            engines.push(Engine::open(&format!("engine-{number}"), "m0").await?);
+        }
+        let mut plain = Vec::new();
+        for number in 0..shape.plain {
+            plain.push(Plain::open(&format!("plain-{number}")).await?);
+        }
+        let mut scene = Self {
+            client: Client::default(),
+            clock: Clock::open(),
+            engines,
+            gateways: Vec::new(),
+            plain,
+            runners: Vec::new(),
+            store,
+            version: 0,
+        };
+        scene.announce_all();
+        for number in 0..shape.gateways {
+            let gateway = Gateway::open(scene.gateway_settings(number));
+            scene.gateways.push(gateway.map_err(io::Error::other)?);
+        }
+        for number in 0..shape.engines {
+            scene.runners.push(None);
+            scene.start_runner(number)?;
+        }
+        Ok(scene)
+    }
+
+    /// Starts the runner beside an engine.
+    pub fn start_runner(&mut self, number: usize) -> io::Result<()> {
+        let settings = RunnerSettings {
+            common: self.common(&format!("runner-{number}")),
+            engine: self.engines[number].address,
+            service: "engines".to_owned(),
+        };
+        let runner = Runner::open(settings).map_err(io::Error::other)?;
+        self.runners[number] = Some(runner);
+        Ok(())
+    }
+
+    /// Announces all servers as ready.
+    pub fn announce_all(&self) {
+        for engine in &self.engines {
+            self.announce_engine(engine, "ready");
+        }
+        for plain in &self.plain {
+            self.announce(&plain.id, "plain", plain.address, "ready");
+        }
+    }
+
+    /// Announces an engine.
+    pub fn announce_engine(&self, engine: &Engine, state: &str) {
+        self.announce(&engine.id, "engines", engine.address, state);
+    }
+
+    /// Announces a server.
+    pub fn announce(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        let entry = serde_json::json!({
+            "service": service,
+            "address": address,
+            "zone": "north",
+            "version": "v1",
+            "batchSlots": 4,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 0,
+        });
+        self.store.put("servers", id, Some(&entry));
+    }
+
+    /// Writes a configuration that is newer than the one before: the routes
+    /// that every scene has, and `more`.
+    pub fn put_config(&mut self, more: serde_json::Value) {
+        self.version += 3;
+        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+            serde_json::json!({
+                "name": name,
+                "host": "site.example",
+                "pathPrefix": prefix,
+                "routeType": kind,
+                "timeoutMs": 2_000,
+                "targetLatencyMs": 200,
+                "resultDeadlineMs": 5_000,
+                "itemTtlS": 20,
+                "priority": 1,
+                "maxAttempts": 3,
+                "service": service,
+            })
+        };
+        let mut routes = vec![
+            route("roll", "/roll/", "rollout", "engines"),
+            route("safe", "/safe/", "safe", "plain"),
+            route("once", "/once/", "unsafe", "plain"),
+            route("score", "/score/", "safe", "plain"),
+        ];
+        routes.extend(more.as_array().cloned().unwrap_or_default());
+        let config = serde_json::json!({
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": "engines", "healthCheckPath": "/healthz", "maxConnections": 100,
+                 "engine": {"batchSlots": 4, "models": [{"name": "m0"}]}},
+                {"name": "plain", "healthCheckPath": "/healthz", "maxConnections": 100},
+            ],
+            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
+                       "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
+        });
+        self.store.put("op", "config", Some(&config));
+    }
+
+    /// Names a weight version as a trainer does.
+    pub fn name_version(&self, version: u64) {
+        let named = serde_json::json!({"model": "m0", "version": version});
+        self.store.put("op", "version/m0", Some(&named));
+    }
+
+    /// Sends a request to a gateway.
+    pub async fn send(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<bytes::Bytes>,
+    ) -> Option<Answered> {
+        let address = self.gateways[gateway].callers;
+        let mut all = vec![("host", "site.example")];
+        all.extend_from_slice(headers);
+        let answer = self.client.call(method, address, path, &all, body, WITHIN);
+        answer.await.ok()
+    }
+
+    /// Submits a batch; the status, or `None` when there was no answer.
+    pub async fn submit(&self, gateway: usize, batch: &Batch) -> Option<u16> {
+        let path = format!("/roll/{}", batch.id);
+        let headers = [("x-attempt-id", batch.id.as_str())];
+        let answer = self.send(gateway, Method::POST, &path, &headers, batch.body());
+        Some(answer.await?.status.as_u16())
+    }
+
+    /// Reads a page of results.
+    pub async fn page(&self, gateway: usize, batch: &Batch, from: usize) -> Option<ScenePage> {
+        let path = format!("/redwingpond/lots/{}?startAfter={from}", batch.id);
+        let headers = [("x-wait-ms", "200")];
+        let answer = self.send(gateway, Method::GET, &path, &headers, "").await?;
+        (answer.status == 200).then(|| ScenePage::read(&answer))
+    }
+
+    /// Reads results until `count` are there or `within` has passed.
+    pub async fn read(&self, batch: &Batch, count: usize, within: Millis) -> Vec<Reply> {
+        let until = self.clock.now() + within;
+        let mut results = Vec::new();
+        while results.len() < count && self.clock.now() < until {
+            let gateway = results.len() % self.gateways.len();
+            match self.page(gateway, batch, results.len()).await {
+                Some(page) => results.extend(page.results),
+                None => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+        results
+    }
+
+    /// Ends a batch; the status.
+    pub async fn end(&self, gateway: usize, batch: &Batch) -> Option<u16> {
+        let path = format!("/redwingpond/lots/{}", batch.id);
+        let answer = self.send(gateway, Method::DELETE, &path, &[], "").await?;
+        Some(answer.status.as_u16())
+    }
+
+    async fn wait_up(&self) -> io::Result<()> {
+        let until = self.clock.now() + UP;
+        while self.clock.now() < until {
+            if self.is_up().await {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Err(io::Error::other("the site did not come up"))
+    }
+
+    async fn is_up(&self) -> bool {
+        for gateway in &self.gateways {
+            let (method, ready) = (Method::GET, gateway.ready);
+            let asked = self.client.call(method, ready, "/readyz", &[], "", WITHIN);
+            if !asked.await.is_ok_and(|answer| answer.status == 200) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn gateway_settings(&self, number: usize) -> GatewaySettings {
+        GatewaySettings {
+            callers: any_port(),
+            common: self.common(&format!("gateway-{number}")),
+            ready: any_port(),
+        }
+    }
+
+    fn common(&self, instance: &str) -> SiteCommon {
+        SiteCommon {
+            data_centre: "north".to_owned(),
+            grace: Millis(8_000),
+            instance: instance.to_owned(),
+            log_level: "info".to_owned(),
+            metrics: any_port(),
+            retention: Millis(60_000),
+            store: self.store.address,
+        }
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/standins/src/site/store.rs
@@ -0,0 +1,284 @@
+//! The store over HTTP.
+
+use super::{
+    Outage,
+    Rows,
+    StoreFaults,
+    rows::{Change, Name}, //
+};
+use crate::server::Server;
+use base64::{
+    Engine as _,
+    prelude::BASE64_STANDARD, //
+};
+use http_body_util::BodyExt;
+use hyper::{
+    Method,
+    Request,
+    StatusCode,
+    body::Incoming, //
+};
+use redwingpond::{
+    base::{Clock, Millis},
+    duty::{Answer, text}, //
+};
+use serde::Deserialize;
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{AtomicU64, Ordering}, //
+    },
+};
+use tokio::sync::watch;
+
+/// A running store; dropping it ends it.
+pub struct Store {
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+    _server: Server,
+}
+
+struct Inner {
+    changed: watch::Sender<u64>,
+    clock: Clock,
+    faults: Mutex<StoreFaults>,
+    rows: Mutex<Rows>,
+    writes: AtomicU64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTransaction {
+    expected_rev: Vec<WireKey>,
+    remove: Vec<WireKey>,
+    set_keys: Vec<WireKey>,
+}
+
+#[derive(Deserialize)]
+struct WireKey {
+    key: String,
+    part: String,
+    table: String,
+    #[serde(default)]
+    value: Option<String>,
+    #[serde(default)]
+    ver: u64,
+}
+
+impl WireKey {
+    fn name(&self) -> Name {
+        (self.table.clone(), self.part.clone(), self.key.clone())
+    }
+}
+
+impl Store {
+    /// Opens an empty store on a free port.
+    pub async fn open() -> io::Result<Self> {
+        let inner = Arc::new(Inner {
+            changed: watch::Sender::new(0),
+            clock: Clock::open(),
+            faults: Mutex::default(),
+            rows: Mutex::default(),
+            writes: AtomicU64::new(0),
+        });
+        let serving = inner.clone();
+        let handler = move |request| {
+            let inner = serving.clone();
+            async move { inner.answer(request).await }
+        };
+        let server = Server::open(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        Ok(Self {
+            address: server.address,
+            inner,
+            _server: server,
+        })
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        *lock(&self.inner.faults) = faults;
+        self.inner.tell();
+    }
+
+    /// Forgets the history of changes.
+    pub fn forget_history(&self) {
+        lock(&self.inner.rows).forget_history();
+    }
+
+    /// Writes a row as the operators and the backend servers do, whatever goes
+    /// wrong; `None` removes it.
+    pub fn put(&self, table: &str, key: &str, value: Option<&serde_json::Value>) {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        let value = value.map(|value| BASE64_STANDARD.encode(value.to_string()));
+        // Without a condition it always holds.
+        let _ = lock(&self.inner.rows).transact(&[], vec![(name, value)]);
+        self.inner.tell();
+    }
+
+    /// The calls that asked for a write so far.
+    pub fn writes(&self) -> u64 {
+        self.inner.writes.load(Ordering::Relaxed)
+    }
+}
+
+impl Inner {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let query: HashMap<String, String> = head
+            .uri
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect();
+        let faults = *lock(&self.faults);
+        if let Some(answer) = self.away().await? {
+            return Ok(answer);
+        }
+        tokio::time::sleep(faults.slow.as_duration()).await;
+
+        let get = |name: &str| query.get(name).map_or("", String::as_str);
+        match (head.method, head.uri.path()) {
+            (Method::POST, "/redwingpond/rows-tx") => self.transact(&body, faults).await,
+            (Method::GET, "/redwingpond/rows-get") => {
+                let most = get("limit").parse().unwrap_or(500);
+                let rows = lock(&self.rows);
+                let (found, more) = rows.list(get("table"), get("part"), get("from"), most);
+                Ok(self.listing(StatusCode::OK, &rows, &found, more))
+            }
+            (Method::GET, "/redwingpond/rows-parts") => {
+                let rows = lock(&self.rows);
+                let parts = rows.parts(get("table"));
+                let now = self.clock.now().0;
+                let body = serde_json::json!(
+                    {"parts": parts, "hasMore": false, "ver": rows.revision, "nowMs": now}
+                );
+                Ok(text(StatusCode::OK, "application/json", body.to_string()))
+            }
+            (Method::GET, "/redwingpond/rows-feed") => {
+                let after = get("startAfter").parse().unwrap_or(0);
+                let hold = get("waitMs").parse().unwrap_or(0);
+                let found = self.feed(get("table"), after, Millis(hold)).await;
+                // A store that went away meanwhile answers no held call.
+                Ok(self.away().await?.unwrap_or(found))
+            }
+            _ => Ok(status(404)),
+        }
+    }
+
+    /// What the store answers while it is away; `None` while it is not.
+    async fn away(&self) -> io::Result<Option<Answer>> {
+        let outage = lock(&self.faults).outage;
+        match outage {
+            Outage::Busy => Ok(Some(status(503))),
+            Outage::None => Ok(None),
+            Outage::Reset => Err(io::Error::other("reset on command")),
+            Outage::Silent => std::future::pending().await,
+        }
+    }
+
+    async fn transact(self: Arc<Self>, body: &[u8], faults: StoreFaults) -> io::Result<Answer> {
+        let wire: WireTransaction = serde_json::from_slice(body).map_err(io::Error::other)?;
+        let count = self.writes.fetch_add(1, Ordering::Relaxed) + 1;
+        let due = |every: u64| count.is_multiple_of(every.max(1));
+        if let Some((_, later)) = faults.late_writes.filter(|(every, _)| due(*every)) {
+            tokio::spawn(async move {
+                tokio::time::sleep(later.as_duration()).await;
+                self.apply(&wire);
+            });
+            return std::future::pending().await;
+        }
+        let answer = self.apply(&wire);
+        match faults.lost_answers.is_some_and(due) {
+            true => std::future::pending().await,
+            false => Ok(answer),
+        }
+    }
+
+    fn apply(&self, wire: &WireTransaction) -> Answer {
+        let expected: Vec<(Name, u64)> = wire
+            .expected_rev
+            .iter()
+            .map(|key| (key.name(), key.ver))
+            .collect();
+        let set = wire
+            .set_keys
+            .iter()
+            .map(|key| (key.name(), key.value.clone()));
+        let removed = wire.remove.iter().map(|key| (key.name(), None));
+        let changes = set.chain(removed).collect();
+        let mut rows = lock(&self.rows);
+        let answer = match rows.transact(&expected, changes) {
+            Ok(_) => self.listing(StatusCode::OK, &rows, &[], false),
+            Err(found) => self.listing(StatusCode::PRECONDITION_FAILED, &rows, &found, false),
+        };
+        drop(rows);
+        self.tell();
+        answer
+    }
+
+    async fn feed(&self, table: &str, after: u64, hold: Millis) -> Answer {
+        let until = self.clock.now() + hold;
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let rows = lock(&self.rows);
+                match rows.changes(table, after) {
+                    None => return status(410),
+                    Some(found) if !found.is_empty() => {
+                        return self.listing(StatusCode::OK, &rows, &found, false);
+                    }
+                    Some(_) => {}
+                }
+            }
+            let left = until.since(self.clock.now());
+            let away = lock(&self.faults).outage != Outage::None;
+            if left == Millis(0) || away {
+                return self.listing(StatusCode::OK, &lock(&self.rows), &[], false);
+            }
+            let _ = tokio::time::timeout(left.as_duration(), changed.changed()).await;
+        }
+    }
+
+    fn listing(&self, status: StatusCode, rows: &Rows, found: &[Change], more: bool) -> Answer {
+        let records: Vec<serde_json::Value> = found.iter().map(record).collect();
+        let now = self.clock.now().0;
+        let body = serde_json::json!(
+            {"records": records, "hasMore": more, "ver": rows.revision, "nowMs": now}
+        );
+        text(status, "application/json", body.to_string())
+    }
+
+    fn tell(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
+
+fn record(change: &Change) -> serde_json::Value {
+    let (table, part, key) = &change.name;
+    let mut record = serde_json::json!(
+        {"table": table, "part": part, "key": key, "ver": change.revision}
+    );
+    match &change.value {
+        Some(value) => record["value"] = value.clone().into(),
+        None => record["deleted"] = true.into(),
+    }
+    record
+}
+
+fn status(code: u16) -> Answer {
+    let status = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    text(status, "application/json", "{}")
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -3,5 +3,6 @@
 mod integration {
     mod bad_input;
     mod scenarios;
+    mod site;
     mod stage;
 }
--- /dev/null
+++ b/standins/tests/integration/site.rs
@@ -0,0 +1,646 @@
+//! Batches and calls on the users' platform, through faults.
+
+use hyper::Method;
+use redwing_standins::site::{
+    Batch,
+    Engine,
+    EngineFaults,
+    Outage,
+    Plain,
+    PlainFault,
+    Reply,
+    Scene,
+    Shape,
+    StoreFaults, //
+};
+use redwingpond::base::Millis;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+/// A batch of the tests is made in some hundred ms; this leaves room for a
+/// busy machine and for the outages that the tests bring about.
+const SOON: Millis = Millis(20_000);
+
+async fn sleep(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// What must hold of every finished batch: each item stands in it once, with
+/// its whole text and its own score.
+fn check_whole(batch: &Batch, results: &[Reply]) {
+    let ids: BTreeSet<&str> = results.iter().map(|reply| reply.id.as_str()).collect();
+    assert_eq!(ids.len(), results.len(), "an item is listed twice");
+    assert_eq!(
+        results.len(),
+        batch.items().len(),
+        "not all items are listed"
+    );
+    for reply in results {
+        assert_eq!(reply.state, "succeeded", "{}", reply.id);
+        assert_eq!(reply.text, batch.text(&reply.id), "{}", reply.id);
+        assert!(!reply.versions.is_empty(), "{}", reply.id);
+        let seal = format!("seal-score-{}", reply.id);
+        assert_eq!(reply.score.as_deref(), Some(seal.as_str()), "{}", reply.id);
+    }
+}
+
+async fn submit_until_taken(scene: &Scene, batch: &Batch) {
+    for turn in 0..100 {
+        let gateway = turn % scene.gateways.len();
+        if scene.submit(gateway, batch).await == Some(202) {
+            return;
+        }
+        sleep(100).await;
+    }
+    panic!("batch `{}` was never taken", batch.id);
+}
+
+/// A trainer submits a batch and reads it through all gateways in turn. Each
+/// result comes once, whole, and stays where it was when it is read again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_is_delivered_whole() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    let batch = Batch::new("calm", 4, 3, 6);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    let results = scene.read(&batch, 12, SOON).await;
+    check_whole(&batch, &results);
+
+    let again = scene.page(1, &batch, 0).await.unwrap();
+    assert_eq!((again.total, again.next), (12, 12));
+    assert_eq!(again.results, results);
+    let tail = scene.page(0, &batch, 7).await.unwrap();
+    assert_eq!(tail.results, results[7..]);
+}
+
+/// A trainer gets no answer and submits again, twice at once, through two
+/// gateways. The batch exists once, and no item is listed twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_submission_is_one_batch() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    let batch = Batch::new("twice", 3, 2, 3);
+    let both = tokio::join!(scene.submit(0, &batch), scene.submit(1, &batch));
+    assert_eq!(both, (Some(202), Some(202)));
+    check_whole(&batch, &scene.read(&batch, 6, SOON).await);
+    assert_eq!(scene.submit(1, &batch).await, Some(202));
+    let page = scene.page(0, &batch, 0).await.unwrap();
+    assert_eq!((page.total, page.results.len()), (6, 6));
+}
+
+/// Batches that are not there, and what is no batch: an unknown one is 404, a
+/// malformed one 400, and neither disturbs the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_submissions_are_told() {
+    struct Test {
+        body: &'static str,
+        status: u16,
+    }
+
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for test in [
+        Test {
+            body: "not json",
+            status: 400,
+        },
+        Test {
+            body: r#"{"items":[]}"#,
+            status: 400,
+        },
+        Test {
+            body: r#"{"items":[{"id":"a","path":"/roll/1","body":"%%"}]}"#,
+            status: 400,
+        },
+        Test {
+            body: r#"{"items":[{"id":"a","path":"/roll/1"},{"id":"a","path":"/roll/1"}]}"#,
+            status: 400,
+        },
+    ] {
+        let headers = [("x-attempt-id", "bad")];
+        let answer = scene.send(0, Method::POST, "/roll/bad", &headers, test.body);
+        assert_eq!(answer.await.unwrap().status, test.status, "{}", test.body);
+    }
+    let unknown = Batch::new("unknown", 1, 1, 1);
+    assert!(scene.page(0, &unknown, 0).await.is_none());
+    assert_eq!(scene.end(0, &unknown).await, Some(404));
+}
+
+/// A runner dies with groups that it has claimed. The others see its silence
+/// and run the groups; the trainer gets every item once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_runners_groups_are_taken_over() {
+    let mut scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(40));
+    }
+    let batch = Batch::new("orphan", 9, 2, 20);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(300).await;
+    scene.runners[0] = None;
+    check_whole(&batch, &scene.read(&batch, 18, SOON).await);
+}
+
+/// A runner is killed and comes back at once. It has a new number, so the
+/// claims of its life before hold nobody back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_runner_disowns_its_claims() {
+    let shape = Shape {
+        engines: 1,
+        ..Shape::default()
+    };
+    let mut scene = Scene::open(shape).await.unwrap();
+    scene.engines[0].set_event(Millis(30));
+    let batch = Batch::new("reborn", 2, 2, 20);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(300).await;
+    scene.runners[0] = None;
+    scene.start_runner(0).unwrap();
+    check_whole(&batch, &scene.read(&batch, 4, SOON).await);
+}
+
+/// An engine cuts every stream in the middle of an event. The run goes on after
+/// the last whole event: no event is lost, doubled or torn.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_stream_goes_on_after_its_last_event() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_faults(EngineFaults {
+            cut_after: Some(3),
+            ..EngineFaults::default()
+        });
+    }
+    let batch = Batch::new("cut", 2, 2, 10);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    check_whole(&batch, &scene.read(&batch, 4, SOON).await);
+    let runs = scene.engines.iter().flat_map(Engine::runs);
+    let resumed: BTreeSet<Option<u64>> = runs.map(|run| run.after).collect();
+    assert!(resumed.contains(&Some(1)), "{resumed:?}");
+}
+
+/// An engine fails one item every time and calls another impossible. Both are
+/// given up, the first after as many tries as its route allows, the second
+/// after one; the others are delivered.
+#[tokio::test(flavor = "multi_thread")]
+async fn hopeless_items_are_given_up() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    let batch = Batch::new("hopeless", 2, 2, 2);
+    let (failing, impossible) = (batch.item(0, 0), batch.item(1, 1));
+    for engine in &scene.engines {
+        engine.set_faults(EngineFaults {
+            fails: vec![failing.clone()],
+            impossible: vec![impossible.clone()],
+            ..EngineFaults::default()
+        });
+    }
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    let results = scene.read(&batch, 4, SOON).await;
+    let given_up: BTreeSet<&str> = results
+        .iter()
+        .filter(|reply| reply.state == "terminated")
+        .map(|reply| reply.id.as_str())
+        .collect();
+    assert_eq!(given_up, BTreeSet::from([failing.as_str(), &impossible]));
+    let runs = scene.engines.iter().flat_map(Engine::runs);
+    assert_eq!(runs.filter(|run| run.item == failing).count(), 3);
+}
+
+/// The store goes away in each of its ways while a batch runs. Its results wait
+/// and are listed once it is back; nothing is listed twice; a submission in
+/// the outage is never accepted, and a refusal of one is true.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_store_loses_nothing() {
+    for outage in [Outage::Busy, Outage::Reset, Outage::Silent] {
+        let scene = Scene::open(Shape::default()).await.unwrap();
+        for engine in &scene.engines {
+            engine.set_event(Millis(25));
+        }
+        let batch = Batch::new("outage", 6, 2, 10);
+        assert_eq!(scene.submit(0, &batch).await, Some(202));
+        sleep(60).await;
+        scene.store.set_faults(StoreFaults {
+            outage,
+            ..StoreFaults::default()
+        });
+        let late = Batch::new("late", 1, 1, 1);
+        let status = scene.submit(1, &late).await;
+        assert!(matches!(status, Some(503 | 504)), "{outage:?}: {status:?}");
+        sleep(1_500).await;
+        scene.store.set_faults(StoreFaults::default());
+
+        check_whole(&batch, &scene.read(&batch, 12, SOON).await);
+        if status == Some(503) {
+            let page = scene.page(0, &late, 0).await;
+            assert!(page.is_none(), "{outage:?}: a refused batch exists");
+        }
+    }
+}
+
+/// A batch is accepted just before an outage, and not all of its groups are
+/// claimed yet. The runners run them by their common order, so that the whole
+/// batch is listed as soon as the store is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn unclaimed_groups_run_through_an_outage() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(20));
+    }
+    let batch = Batch::new("dark", 12, 4, 10);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(150).await;
+    scene.store.set_faults(StoreFaults {
+        outage: Outage::Reset,
+        ..StoreFaults::default()
+    });
+    sleep(3_000).await;
+    let runs = scene.engines.iter().flat_map(Engine::runs);
+    let begun: BTreeSet<String> = runs.map(|run| run.item).collect();
+    assert_eq!(begun.len(), 48, "items begun during the outage");
+    scene.store.set_faults(StoreFaults::default());
+    check_whole(&batch, &scene.read(&batch, 48, Millis(3_000)).await);
+}
+
+/// Every third write is done and its answer lost, or done only seconds later.
+/// Nothing is listed twice, nothing is lost, and a submission that is not
+/// answered 202 is not refused either.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_and_late_writes_list_nothing_twice() {
+    struct Test {
+        faults: StoreFaults,
+        name: &'static str,
+    }
+
+    for test in [
+        Test {
+            faults: StoreFaults {
+                lost_answers: Some(3),
+                ..StoreFaults::default()
+            },
+            name: "lost",
+        },
+        Test {
+            faults: StoreFaults {
+                late_writes: Some((3, Millis(1_200))),
+                ..StoreFaults::default()
+            },
+            name: "late",
+        },
+    ] {
+        let scene = Scene::open(Shape::default()).await.unwrap();
+        scene.store.set_faults(test.faults);
+        let batch = Batch::new(test.name, 4, 2, 4);
+        submit_until_taken(&scene, &batch).await;
+        let results = scene.read(&batch, 8, SOON).await;
+        check_whole(&batch, &results);
+        scene.store.set_faults(StoreFaults::default());
+        let again = scene.page(0, &batch, 0).await.unwrap();
+        assert_eq!(again.results, results, "{}", test.name);
+    }
+}
+
+/// The store forgets its history while followers are cut off. They list their
+/// tables afresh and see a batch and a configuration that came meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_history_hides_nothing() {
+    let mut scene = Scene::open(Shape::default()).await.unwrap();
+    scene.store.set_faults(StoreFaults {
+        outage: Outage::Reset,
+        ..StoreFaults::default()
+    });
+    sleep(300).await;
+    let route = serde_json::json!([{
+        "name": "new", "host": "site.example", "pathPrefix": "/new/", "routeType": "safe",
+        "timeoutMs": 2_000, "targetLatencyMs": 200, "priority": 1, "maxAttempts": 2,
+        "service": "plain",
+    }]);
+    scene.put_config(route);
+    scene.store.forget_history();
+    scene.store.set_faults(StoreFaults::default());
+    sleep(1_200).await;
+
+    let headers = [("x-attempt-id", "after"), ("x-deadline-ms", "1500")];
+    let answer = scene
+        .send(0, Method::POST, "/new/thing", &headers, "x")
+        .await;
+    assert_eq!(answer.unwrap().status, 200);
+    let batch = Batch::new("after", 2, 2, 2);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    check_whole(&batch, &scene.read(&batch, 4, SOON).await);
+}
+
+/// A step needs weights that no engine has. Each runner orders its own engine
+/// to take them; no sample is made by older ones, and each names the versions
+/// that made it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_step_waits_for_its_weights() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    scene.name_version(2);
+    scene.name_version(3);
+    let mut batch = Batch::new("fresh", 4, 2, 5);
+    batch.least_version = 3;
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    let results = scene.read(&batch, 8, SOON).await;
+    check_whole(&batch, &results);
+    for reply in &results {
+        assert_eq!(reply.versions, [3], "{}", reply.id);
+    }
+}
+
+/// Weights change under a run. Its sample names both versions, as the engine
+/// told them with its events.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_across_a_swap_names_both_versions() {
+    let shape = Shape {
+        engines: 1,
+        ..Shape::default()
+    };
+    let scene = Scene::open(shape).await.unwrap();
+    scene.engines[0].set_event(Millis(60));
+    let batch = Batch::new("swap", 1, 2, 40);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(400).await;
+    scene.name_version(2);
+    let results = scene.read(&batch, 2, SOON).await;
+    check_whole(&batch, &results);
+    for reply in &results {
+        assert_eq!(reply.versions, [1, 2], "{}", reply.id);
+    }
+}
+
+/// Orders get no answer and are carried out 700 ms later, when newer ones may
+/// have come. Each engine hears one holder only, under numbers that never
+/// fall, and its version never falls either.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_orders_undo_nothing() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_faults(EngineFaults {
+            late_orders: Some(Millis(700)),
+            ..EngineFaults::default()
+        });
+    }
+    for version in 2..=4 {
+        scene.name_version(version);
+        sleep(1_500).await;
+    }
+    for engine in &scene.engines {
+        engine.set_faults(EngineFaults::default());
+    }
+    sleep(3_000).await;
+    for engine in &scene.engines {
+        let orders = engine.orders();
+        assert_eq!(engine.version(), 4, "{orders:?}");
+        let holders: BTreeSet<&str> = orders.iter().map(|order| order.0.as_str()).collect();
+        assert_eq!(holders.len(), 1, "{orders:?}");
+        let rises = |pair: &[(String, u64, u64)]| pair[0].1 <= pair[1].1 && pair[0].2 < pair[1].2;
+        assert!(orders.windows(2).all(rises), "{orders:?}");
+    }
+}
+
+/// A trainer ends a batch. What runs is stopped, nothing new of it reaches an
+/// engine, and what was listed can still be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ended_batch_stops_running() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(50));
+    }
+    let mut batch = Batch::new("ended", 10, 3, 60);
+    batch.groups[0] = vec![1, 1, 1];
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    let listed = scene.read(&batch, 3, SOON).await;
+    assert!(listed.len() >= 3);
+    assert_eq!(scene.end(0, &batch).await, Some(200));
+    assert_eq!(scene.end(1, &batch).await, Some(200));
+    sleep(500).await;
+    let ended: Vec<usize> = scene.engines.iter().map(|e| e.runs().len()).collect();
+    sleep(1_500).await;
+    let later: Vec<usize> = scene.engines.iter().map(|e| e.runs().len()).collect();
+    assert_eq!(ended, later, "runs began after the end");
+    let page = scene.page(1, &batch, 0).await.unwrap();
+    assert_eq!(page.results[..listed.len()], listed[..]);
+}
+
+/// An engine announces that it leaves. It gets no new items soon after, its
+/// runs go on, and the batch is finished by the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_gets_no_new_items() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(30));
+    }
+    let batch = Batch::new("leaving", 20, 2, 10);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(200).await;
+    scene.announce_engine(&scene.engines[0], "draining");
+    sleep(500).await;
+    let before = scene.engines[0].runs().len();
+    check_whole(&batch, &scene.read(&batch, 40, SOON).await);
+    assert_eq!(scene.engines[0].runs().len(), before);
+}
+
+/// An engine crashes in the middle of its runs and stays away. The others
+/// finish the batch.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashed_engines_groups_move_on() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(30));
+    }
+    let batch = Batch::new("crash", 9, 2, 15);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(250).await;
+    scene.engines[1].switch().send_replace(false);
+    check_whole(&batch, &scene.read(&batch, 18, SOON).await);
+}
+
+/// All runners and gateways die at once, right after a batch was accepted, and
+/// come back. The batch is whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_batch_outlives_everyone() {
+    let mut scene = Scene::open(Shape::default()).await.unwrap();
+    let batch = Batch::new("outlives", 4, 2, 10);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    for number in 0..scene.runners.len() {
+        scene.runners[number] = None;
+    }
+    for number in 0..scene.runners.len() {
+        scene.start_runner(number).unwrap();
+    }
+    check_whole(&batch, &scene.read(&batch, 8, SOON).await);
+}
+
+/// What callers of plain servers get while one of two servers misbehaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_calls_through_a_bad_server() {
+    struct Test {
+        fault: PlainFault,
+        /// Calls of a route whose requests may be repeated.
+        safe: &'static [u16],
+        /// Calls of a route whose requests must run at most once.
+        once: &'static [u16],
+    }
+
+    for test in [
+        Test {
+            fault: PlainFault::None,
+            safe: &[200],
+            once: &[200],
+        },
+        Test {
+            fault: PlainFault::Full,
+            safe: &[200],
+            once: &[200],
+        },
+        Test {
+            fault: PlainFault::Reset,
+            safe: &[200],
+            once: &[200, 502],
+        },
+        Test {
+            fault: PlainFault::Foreign,
+            safe: &[200],
+            once: &[200, 502],
+        },
+        Test {
+            fault: PlainFault::Mute,
+            safe: &[200],
+            once: &[200, 504],
+        },
+    ] {
+        let scene = Scene::open(Shape::default()).await.unwrap();
+        scene.plain[0].set_fault(test.fault);
+        for number in 0..6 {
+            for (prefix, allowed) in [("/safe/", test.safe), ("/once/", test.once)] {
+                let id = format!("{}{number}", &prefix[1..5]);
+                let headers = [("x-attempt-id", id.as_str()), ("x-deadline-ms", "1200")];
+                let body = format!("body of {id}");
+                let answer = scene.send(0, Method::POST, prefix, &headers, body.clone());
+                let answer = answer.await.unwrap();
+                let status = answer.status.as_u16();
+                let context = format!("{:?} {id}: {status}", test.fault);
+                assert!(allowed.contains(&status), "{context}");
+                if status == 200 {
+                    assert_eq!(answer.body, body, "{context}");
+                    assert_eq!(
+                        answer.header("x-attempt-id"),
+                        Some(id.as_str()),
+                        "{context}"
+                    );
+                    let seal = format!("seal-{id}");
+                    let found = answer.header("x-response-signature");
+                    assert_eq!(found, Some(seal.as_str()), "{context}");
+                }
+                let runs: usize = scene.plain.iter().map(|plain| plain.runs_of(&id)).sum();
+                if prefix == "/once/" {
+                    assert!(runs <= 1, "{context}: ran {runs} times");
+                }
+            }
+        }
+    }
+}
+
+/// All servers of a service turn a request away. The caller is told at once
+/// that it did not run, and when to come back; and it did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_call_did_not_run() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for plain in &scene.plain {
+        plain.set_fault(PlainFault::Full);
+    }
+    let began = scene.clock.now();
+    let headers = [("x-attempt-id", "refused"), ("x-deadline-ms", "1500")];
+    let answer = scene.send(0, Method::POST, "/once/x", &headers, "x").await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, 503);
+    let wait: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(wait > 0.0 && wait < 1.0, "{wait}");
+    assert!(scene.clock.now().since(began) < Millis(500));
+    assert!(scene.plain.iter().all(|plain| plain.runs() == 0));
+}
+
+/// The store is away and its announcements of servers lapse. The servers stay
+/// in use until they have had time to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_outlive_an_outage_of_the_store() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    scene.store.set_faults(StoreFaults {
+        outage: Outage::Reset,
+        ..StoreFaults::default()
+    });
+    sleep(400).await;
+    for plain in &scene.plain {
+        scene.store.put("servers", &plain.id, None);
+    }
+    scene.store.set_faults(StoreFaults::default());
+    sleep(700).await;
+    let headers = [("x-attempt-id", "lapsed"), ("x-deadline-ms", "1500")];
+    let answer = scene.send(0, Method::POST, "/safe/x", &headers, "x").await;
+    assert_eq!(answer.unwrap().status, 200);
+
+    // Still missing after that time: gone.
+    sleep(3_000).await;
+    let headers = [("x-attempt-id", "gone"), ("x-deadline-ms", "1500")];
+    let answer = scene.send(0, Method::POST, "/safe/x", &headers, "x").await;
+    assert_eq!(answer.unwrap().status, 503);
+}
+
+/// A gateway that knows no configuration yet says so, and never that a route
+/// does not exist; once it has one, it answers by it.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_route_is_denied_before_a_configuration_is_known() {
+    let mut scene = Scene::open_unconfigured(Shape::default()).await.unwrap();
+    sleep(200).await;
+    let headers = [("x-attempt-id", "early")];
+    let answer = scene.send(0, Method::POST, "/safe/x", &headers, "x").await;
+    assert_eq!(answer.unwrap().status, 503);
+    scene.put_config(serde_json::json!([]));
+    sleep(500).await;
+    let answer = scene.send(0, Method::POST, "/safe/x", &headers, "x").await;
+    assert_eq!(answer.unwrap().status, 200);
+    let answer = scene.send(0, Method::POST, "/none/x", &headers, "x").await;
+    assert_eq!(answer.unwrap().status, 404);
+}
+
+/// A caller leaves in the middle of a call. Its server's work is cancelled
+/// within half a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_caller_frees_its_server() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for plain in &scene.plain {
+        plain.set_work(Millis(5_000));
+    }
+    let headers = [("x-attempt-id", "leaver"), ("x-deadline-ms", "1900")];
+    let call = scene.send(0, Method::POST, "/once/x", &headers, "x");
+    let left = tokio::time::timeout(Duration::from_millis(300), call).await;
+    assert!(left.is_err());
+    sleep(500).await;
+    let open: u32 = scene.plain.iter().map(Plain::open_requests).sum();
+    assert_eq!(open, 0);
+}
+
+/// A gateway is told to stop while calls are under way. It is no longer ready,
+/// finishes them, and tells callers to use another connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_gateway_cuts_nothing_off() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for plain in &scene.plain {
+        plain.set_work(Millis(800));
+    }
+    let headers = [("x-attempt-id", "stays"), ("x-deadline-ms", "1900")];
+    let call = scene.send(0, Method::POST, "/once/x", &headers, "x");
+    let stop = async {
+        sleep(200).await;
+        scene.gateways[0].handle.drain();
+        sleep(200).await;
+        let (ready, within) = (scene.gateways[0].ready, Duration::from_secs(1));
+        let asked = scene
+            .client
+            .call(Method::GET, ready, "/readyz", &[], "", within);
+        asked.await.unwrap().status
+    };
+    let (answer, ready) = tokio::join!(call, stop);
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert_eq!(ready, 503);
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,6 +1,9 @@
 //! Integration tests of the product alone: decoders and settings.
 
 mod integration {
+    mod decisions;
+    mod kept_rows;
     mod messages;
+    mod platform_wire;
     mod settings_faults;
 }
--- /dev/null
+++ b/tests/integration/decisions.rs
@@ -0,0 +1,518 @@
+//! The pure decisions of gateways and runners, as tables of cases and as
+//! replays of the load they answer.
+
+use proptest::prelude::*;
+use redwingpond::{
+    base::Millis,
+    policy::{
+        claim_choice::{Holder, Offer, Place, capacity, choose, is_mine_by_rule},
+        model_share::{Demand, deal},
+        server_choice::{self, Candidate, hedge_after},
+        version_plan::{Situation, Step, step}, //
+    },
+};
+
+const ALONE: Place = Place { count: 1, rank: 0 };
+
+fn offer(group: u16) -> Offer {
+    Offer {
+        age: Millis(0),
+        batch: 0,
+        due: Millis(7_500),
+        group,
+        holder: Holder::Nobody,
+        home: true,
+        left: 4,
+        loaded: true,
+        order: group,
+    }
+}
+
+fn held(pace: f64, since: u64) -> Holder {
+    Holder::Held {
+        joinable: true,
+        pace,
+        since: Millis(since),
+    }
+}
+
+/// Offers to a runner, and the group that it takes.
+struct Choice {
+    name: &'static str,
+    offers: Vec<Offer>,
+    place: Place,
+    room: u32,
+    takes: Option<u16>,
+}
+
+impl Choice {
+    fn run(&self) {
+        let taken = choose(&self.offers, self.place, self.room);
+        assert_eq!(taken.map(|offer| offer.group), self.takes, "{}", self.name);
+    }
+}
+
+/// Which of the groups that nobody runs a runner takes.
+#[test]
+fn a_runner_takes_the_group_that_helps_most() {
+    let foreign = Offer {
+        home: false,
+        ..offer(1)
+    };
+    for test in [
+        Choice {
+            name: "the first in order",
+            offers: vec![offer(2), offer(1)],
+            place: ALONE,
+            room: 12,
+            takes: Some(1),
+        },
+        Choice {
+            name: "each runner its own of a new batch",
+            offers: vec![offer(0), offer(1), offer(2)],
+            place: Place { count: 3, rank: 2 },
+            room: 12,
+            takes: Some(2),
+        },
+        Choice {
+            name: "the batch that is due first",
+            offers: vec![
+                offer(0),
+                Offer {
+                    due: Millis(5_000),
+                    ..offer(9)
+                },
+            ],
+            place: ALONE,
+            room: 12,
+            takes: Some(9),
+        },
+        Choice {
+            name: "nothing without room",
+            offers: vec![offer(0)],
+            place: ALONE,
+            room: 0,
+            takes: None,
+        },
+        Choice {
+            name: "nothing its engine is too old for",
+            offers: vec![Offer {
+                loaded: false,
+                ..offer(0)
+            }],
+            place: ALONE,
+            room: 12,
+            takes: None,
+        },
+        Choice {
+            name: "another model's group only after a while",
+            offers: vec![foreign],
+            place: ALONE,
+            room: 12,
+            takes: None,
+        },
+        Choice {
+            name: "another model's group that nobody took",
+            offers: vec![Offer {
+                age: Millis(500),
+                ..foreign
+            }],
+            place: ALONE,
+            room: 12,
+            takes: Some(1),
+        },
+    ] {
+        test.run();
+    }
+}
+
+/// Which of the groups that another runner holds a runner joins.
+#[test]
+fn a_runner_joins_only_slow_holders() {
+    for test in [
+        Choice {
+            name: "no holder of the usual pace is joined",
+            offers: vec![Offer {
+                holder: held(1.2, 3_000),
+                ..offer(0)
+            }],
+            place: ALONE,
+            room: 12,
+            takes: None,
+        },
+        Choice {
+            name: "a slow holder is joined",
+            offers: vec![Offer {
+                holder: held(3.5, 800),
+                ..offer(0)
+            }],
+            place: ALONE,
+            room: 12,
+            takes: Some(0),
+        },
+        Choice {
+            name: "an unclaimed group before a slow holder's",
+            offers: vec![
+                Offer {
+                    holder: held(3.5, 800),
+                    ..offer(0)
+                },
+                offer(5),
+            ],
+            place: ALONE,
+            room: 12,
+            takes: Some(5),
+        },
+        Choice {
+            name: "a slow holder's group only whole",
+            offers: vec![Offer {
+                holder: held(3.5, 800),
+                ..offer(0)
+            }],
+            place: ALONE,
+            room: 3,
+            takes: None,
+        },
+    ] {
+        test.run();
+    }
+}
+
+/// A step of 24 groups arrives at five runners at the same moment. Each takes
+/// three before it sees what the others took: no two take the same, so no
+/// claim is lost.
+#[test]
+fn a_new_batch_is_taken_without_collisions() {
+    let mut taken = Vec::new();
+    for rank in 0..5 {
+        let place = Place { count: 5, rank };
+        let mut offers: Vec<Offer> = (0..24).map(offer).collect();
+        let mut room = 12;
+        while let Some(chosen) = choose(&offers, place, room).copied() {
+            offers.retain(|other| other.group != chosen.group);
+            room -= chosen.left.min(room);
+            taken.push(chosen.group);
+        }
+    }
+    taken.sort_unstable();
+    let all = taken.len();
+    taken.dedup();
+    assert_eq!((all, taken.len()), (15, 15));
+}
+
+/// While no claim can be written, each group has exactly one runner.
+#[test]
+fn each_group_has_one_runner_by_the_rule() {
+    for group in 0..24 {
+        let runners = (0..5).filter(|rank| {
+            let place = Place {
+                count: 5,
+                rank: *rank,
+            };
+            is_mine_by_rule(&offer(group), place)
+        });
+        assert_eq!(runners.count(), 1, "group {group}");
+    }
+    let claimed = Offer {
+        holder: held(1.0, 0),
+        ..offer(0)
+    };
+    assert!(!is_mine_by_rule(&claimed, ALONE));
+}
+
+/// An engine that takes four times as long as usual gets a quarter of its
+/// slots; an unknown or a merely full one gets all.
+#[test]
+fn a_slow_engine_takes_less() {
+    for (pace, usual, slots) in [
+        (0.0, 0.0, 12),
+        (0.0, 30.0, 12),
+        (40.0, 30.0, 12),
+        (120.0, 30.0, 3),
+    ] {
+        assert_eq!(capacity(12, pace, usual), slots, "{pace} of {usual}");
+    }
+    assert_eq!(capacity(2, 120.0, 30.0), 1);
+}
+
+/// When an engine takes new weights.
+#[test]
+fn weights_are_taken_when_they_cost_least() {
+    struct Test {
+        name: &'static str,
+        now: Situation,
+        step: Step,
+    }
+
+    let calm = Situation {
+        held: 4,
+        home: true,
+        loading: 0,
+        named: 5,
+        named_for: Millis(2_000),
+        needed: 4,
+        rank: 0,
+        waiting: false,
+    };
+    for test in [
+        Test {
+            name: "the newest is held",
+            now: Situation { held: 5, ..calm },
+            step: Step::Wait,
+        },
+        Test {
+            name: "nothing waits",
+            now: calm,
+            step: Step::Load(5),
+        },
+        Test {
+            name: "work waits that the held version serves",
+            now: Situation {
+                waiting: true,
+                ..calm
+            },
+            step: Step::Wait,
+        },
+        Test {
+            name: "the step may be on its way",
+            now: Situation {
+                named_for: Millis(100),
+                ..calm
+            },
+            step: Step::Wait,
+        },
+        Test {
+            name: "another model's engine",
+            now: Situation {
+                home: false,
+                ..calm
+            },
+            step: Step::Wait,
+        },
+        Test {
+            name: "two load already",
+            now: Situation { loading: 2, ..calm },
+            step: Step::Wait,
+        },
+        Test {
+            name: "too old for the work at hand",
+            now: Situation {
+                named_for: Millis(0),
+                needed: 5,
+                waiting: true,
+                ..calm
+            },
+            step: Step::Load(5),
+        },
+        Test {
+            name: "too old, but two load already",
+            now: Situation {
+                loading: 2,
+                named_for: Millis(900),
+                needed: 5,
+                ..calm
+            },
+            step: Step::Wait,
+        },
+        Test {
+            name: "too old, and who loads may be gone",
+            now: Situation {
+                loading: 2,
+                named_for: Millis(1_900),
+                needed: 5,
+                ..calm
+            },
+            step: Step::Load(5),
+        },
+    ] {
+        assert_eq!(step(&test.now), test.step, "{}", test.name);
+    }
+}
+
+fn demand(model: &str, work: f64) -> Demand {
+    Demand {
+        model: model.to_owned(),
+        work,
+    }
+}
+
+#[test]
+fn runners_are_dealt_by_demand() {
+    struct Test {
+        count: usize,
+        works: &'static [f64],
+        shares: &'static [usize],
+    }
+
+    for test in [
+        Test {
+            count: 9,
+            works: &[56.0, 96.0],
+            shares: &[3, 6],
+        },
+        Test {
+            count: 9,
+            works: &[1.0],
+            shares: &[9],
+        },
+        Test {
+            count: 3,
+            works: &[1.0, 100.0, 1.0],
+            shares: &[1, 1, 1],
+        },
+        Test {
+            count: 1,
+            works: &[1.0, 2.0],
+            shares: &[0, 1],
+        },
+        Test {
+            count: 46,
+            works: &[128.0, 264.0, 256.0],
+            shares: &[9, 19, 18],
+        },
+    ] {
+        let demands: Vec<Demand> = test.works.iter().map(|work| demand("m", *work)).collect();
+        let dealt = deal(&demands, test.count);
+        let shares: Vec<usize> = (0..test.works.len())
+            .map(|model| dealt.iter().filter(|dealt| **dealt == model).count())
+            .collect();
+        assert_eq!(shares, test.shares, "{:?}", test.works);
+    }
+}
+
+proptest! {
+    /// Every runner has a model, whatever is asked for, and one runner more or
+    /// less moves no more runners than there are models.
+    #[test]
+    fn dealing_is_whole_and_steady(
+        works in proptest::collection::vec(0.0_f64..1_000.0, 1..5),
+        count in 1_usize..60,
+    ) {
+        let demands: Vec<Demand> = works.iter().map(|work| demand("m", *work)).collect();
+        let before = deal(&demands, count);
+        let after = deal(&demands, count + 1);
+        prop_assert_eq!(before.len(), count);
+        prop_assert_eq!(after.len(), count + 1);
+        let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
+        prop_assert!(moved <= 2 * demands.len() * demands.len(), "{moved} of {count} moved");
+    }
+}
+
+fn candidate() -> Candidate {
+    Candidate {
+        in_flight: 0,
+        latency: 25.0,
+        local: true,
+        reported: None,
+        slots: 6,
+        tried: false,
+        trusted: true,
+    }
+}
+
+#[test]
+fn a_call_goes_where_it_is_answered_first() {
+    struct Test {
+        candidates: Vec<Candidate>,
+        chosen: Option<usize>,
+        name: &'static str,
+    }
+
+    for test in [
+        Test {
+            candidates: Vec::new(),
+            chosen: None,
+            name: "nowhere",
+        },
+        Test {
+            candidates: vec![
+                Candidate {
+                    local: false,
+                    ..candidate()
+                },
+                candidate(),
+            ],
+            chosen: Some(1),
+            name: "the nearer of two alike",
+        },
+        Test {
+            candidates: vec![
+                Candidate {
+                    reported: Some(9),
+                    ..candidate()
+                },
+                Candidate {
+                    local: false,
+                    ..candidate()
+                },
+            ],
+            chosen: Some(1),
+            name: "a free one further away before a full one",
+        },
+        Test {
+            candidates: vec![
+                Candidate {
+                    latency: 100.0,
+                    ..candidate()
+                },
+                Candidate {
+                    in_flight: 3,
+                    ..candidate()
+                },
+            ],
+            chosen: Some(1),
+            name: "a fast one with work before a slow one",
+        },
+        Test {
+            candidates: vec![
+                Candidate {
+                    trusted: false,
+                    ..candidate()
+                },
+                Candidate {
+                    in_flight: 12,
+                    ..candidate()
+                },
+            ],
+            chosen: Some(1),
+            name: "a busy one before one that failed",
+        },
+        Test {
+            candidates: vec![
+                Candidate {
+                    tried: true,
+                    ..candidate()
+                },
+                Candidate {
+                    trusted: false,
+                    ..candidate()
+                },
+            ],
+            chosen: Some(1),
+            name: "any other before one that was tried",
+        },
+    ] {
+        let chosen = server_choice::choose(&test.candidates, 0);
+        assert_eq!(chosen, test.chosen, "{}", test.name);
+    }
+}
+
+/// Callers that see four equal servers don't all choose the same one.
+#[test]
+fn equal_servers_share_the_calls() {
+    let candidates = vec![candidate(); 4];
+    let mut counts = [0; 4];
+    for spread in 0..400 {
+        if let Some(chosen) = server_choice::choose(&candidates, spread) {
+            counts[chosen] += 1;
+        }
+    }
+    assert_eq!(counts, [100; 4]);
+}
+
+#[test]
+fn a_second_server_is_asked_in_time() {
+    for (typical, left, wait) in [(25.0, 1_500, 100), (80.0, 2_000, 210), (80.0, 300, 100)] {
+        assert_eq!(hedge_after(typical, Millis(left)), Millis(wait));
+    }
+}
--- /dev/null
+++ b/tests/integration/kept_rows.rs
@@ -0,0 +1,283 @@
+//! What lies in the store, and what a follower makes of it.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use redwingpond::{
+    base::Millis,
+    batch::{
+        Head,
+        Item,
+        Log,
+        Sample,
+        State,
+        Submission,
+        WorkKey,
+        accept,
+        append,
+        decode,
+        page_of, //
+    },
+    routing::{Directory, Server},
+    store::{Change, Listing, Row, TableView}, //
+};
+use std::collections::BTreeMap;
+
+fn item(number: usize, group: &str, size: usize) -> Item {
+    Item {
+        body: Bytes::from(vec![7; size]),
+        expected: number as u32,
+        group: group.to_owned(),
+        headers: vec![("x".to_owned(), "y".to_owned())],
+        id: format!("item-{number}"),
+        path: "/p/1".to_owned(),
+        scorer: None,
+        tokens: 10,
+    }
+}
+
+fn submission(items: Vec<Item>) -> Submission {
+    Submission {
+        groups_wanted: 1,
+        host: "h".to_owned(),
+        id: "b".to_owned(),
+        items,
+        least_version: 1,
+        model: "m".to_owned(),
+        path: "/p/b".to_owned(),
+        step: 0,
+    }
+}
+
+/// A batch of any size is written in transactions that the store takes, the
+/// head last, and every item is found in the chunk that the head names.
+#[test]
+fn batches_of_any_size_fit_the_store() {
+    struct Test {
+        items: usize,
+        size: usize,
+    }
+
+    for test in [
+        Test { items: 1, size: 0 },
+        Test {
+            items: 96,
+            size: 800,
+        },
+        Test {
+            items: 2_048,
+            size: 1_300,
+        },
+        Test {
+            items: 40,
+            size: 39_000,
+        },
+    ] {
+        let items: Vec<Item> = (0..test.items).map(|n| item(n, "g", test.size)).collect();
+        let writes = accept(&submission(items), Millis(5));
+        let mut rows = BTreeMap::new();
+        for transaction in writes.chunks.iter().chain([&writes.head]) {
+            let bytes: usize = transaction.set.iter().map(|(_, value)| value.len()).sum();
+            assert!(transaction.set.len() <= 100, "{}", transaction.set.len());
+            assert!(bytes < 740 * 1024, "{bytes}");
+            for (key, value) in &transaction.set {
+                assert!(value.len() <= 48 * 1024, "{}", value.len());
+                rows.insert(key.key.clone(), value.clone());
+            }
+        }
+        assert_eq!(writes.head.expect.len(), 1);
+        assert_eq!(writes.head.expect[0].1, 0);
+
+        let head: Head = decode("head", &rows["head"]).unwrap();
+        assert_eq!(head.items.len(), test.items);
+        for place in &head.items {
+            let chunk = &rows[&redwingpond::batch::chunk_of(place.chunk)];
+            let items: Vec<Item> = decode("items", chunk).unwrap();
+            assert!(items.iter().any(|item| item.id == place.id), "{}", place.id);
+        }
+    }
+}
+
+/// The groups with the longest items begin first.
+#[test]
+fn long_groups_begin_first() {
+    let items = vec![
+        item(3, "a", 0),
+        item(9, "b", 0),
+        item(1, "c", 0),
+        item(8, "a", 0),
+    ];
+    let (head, _) = Head::of(&submission(items), Millis(0));
+    let groups: Vec<Vec<u16>> = head
+        .groups
+        .iter()
+        .map(|group| group.items.clone())
+        .collect();
+    assert_eq!(groups, [vec![0, 3], vec![1], vec![2]]);
+    assert_eq!(head.order(), [1, 0, 2]);
+}
+
+fn sample(number: usize, size: usize) -> Sample {
+    Sample {
+        id: format!("item-{number}"),
+        score: Some("s".to_owned()),
+        state: State::Succeeded,
+        text: "t".repeat(size),
+        versions: vec![1, 2],
+    }
+}
+
+proptest! {
+    /// Results that are listed in any portions are read back in their order
+    /// from any position, the large ones too, each whole or not at all.
+    #[test]
+    fn results_are_read_as_they_were_listed(
+        sizes in proptest::collection::vec(0_usize..120_000, 1..12),
+        portion in 1_usize..4,
+        from in 0_usize..12,
+        cut in 0_usize..40,
+    ) {
+        let samples: Vec<(u16, Sample)> = sizes
+            .iter()
+            .enumerate()
+            .map(|(number, size)| (number as u16, sample(number, *size)))
+            .collect();
+        let mut log = Log::default();
+        let mut rows = BTreeMap::new();
+        for few in samples.chunks(portion) {
+            let (next, transaction) = append("b", &log, 1, few);
+            log = next;
+            rows.extend(transaction.set.into_iter().map(|(key, value)| (key.key, value)));
+        }
+        prop_assert_eq!(log.listed.len(), samples.len());
+        rows.remove("log");
+
+        let first = format!("{from:06}/");
+        let listed: Vec<Row> = rows
+            .range(first..)
+            .map(|(key, value)| Row {
+                part: String::new(),
+                key: key.clone(),
+                value: Some(value.clone()),
+                revision: 1,
+            })
+            .collect();
+        let whole = Listing { rows: listed.clone(), ..Listing::default() };
+        let page = page_of(from, &whole);
+        let expected: Vec<Sample> = samples.iter().skip(from).map(|(_, s)| s.clone()).collect();
+        let read = page.samples.len();
+        prop_assert_eq!(&page.samples[..], &expected[..read]);
+        prop_assert!(read > 0 || expected.is_empty());
+
+        // An answer of the store may end within a result.
+        let rows = listed.into_iter().take(cut).collect();
+        let page = page_of(from, &Listing { rows, ..Listing::default() });
+        let read = page.samples.len();
+        prop_assert_eq!(&page.samples[..], &expected[..read]);
+    }
+
+    /// Whatever a listing or a feed brings late, a row never goes back.
+    #[test]
+    fn a_view_never_goes_back(
+        feeds in proptest::collection::vec((0_u8..4, 1_u64..60, any::<bool>()), 0..60),
+        listings in proptest::collection::vec((0_usize..60, 0_u64..60), 0..4),
+    ) {
+        let mut view = TableView::default();
+        let mut newest: BTreeMap<String, u64> = BTreeMap::new();
+        for (number, (key, revision, exists)) in feeds.iter().enumerate() {
+            if let Some((_, revision)) = listings.iter().find(|(at, _)| *at == number) {
+                let empty = Listing { revision: *revision, ..Listing::default() };
+                for change in view.list(None, empty) {
+                    let Change::Removed { key, .. } = change else {
+                        panic!("an empty listing put a row");
+                    };
+                    prop_assert!(newest[&key] <= *revision);
+                    newest.insert(key, *revision);
+                }
+            }
+            let key = key.to_string();
+            let row = Row {
+                part: String::new(),
+                key: key.clone(),
+                value: exists.then(|| Bytes::from_static(b"v")),
+                revision: *revision,
+            };
+            let before = newest.get(&key).copied();
+            let changes = view.feed(vec![row]);
+            if before.is_some_and(|before| before >= *revision) {
+                prop_assert!(changes.is_empty());
+            } else {
+                newest.insert(key, *revision);
+            }
+        }
+    }
+}
+
+#[test]
+fn work_keys_are_read_as_written() {
+    for key in [
+        WorkKey::Claim(0),
+        WorkKey::Claim(65_535),
+        WorkKey::Head,
+        WorkKey::Log,
+    ] {
+        assert_eq!(WorkKey::parse(&key.to_string()), Some(key));
+    }
+    for text in ["", "claim/", "claim/x", "heads"] {
+        assert_eq!(WorkKey::parse(text), None, "{text}");
+    }
+}
+
+fn server(id: &str, draining: bool) -> Server {
+    Server {
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "north".to_owned(),
+        draining,
+        id: id.to_owned(),
+        models: Vec::new(),
+        service: "s".to_owned(),
+        slots: 4,
+    }
+}
+
+/// Announcements lapse while the store is away. A server whose announcement is
+/// gone then stays in use until it has had time to come back; one that goes
+/// at any other time is gone at once.
+#[test]
+fn lapsed_servers_have_time_to_come_back() {
+    let ids = |directory: &Directory| {
+        let mut ids: Vec<String> = directory.serving("s").map(|s| s.id.clone()).collect();
+        ids.sort();
+        ids
+    };
+    let mut directory = Directory::default();
+    for id in ["a", "b", "c", "d"] {
+        directory.put(server(id, false));
+    }
+    directory.remove("d", Millis(1_000));
+    assert_eq!(ids(&directory), ["a", "b", "c"]);
+
+    directory.store_lost(Millis(2_000));
+    assert_eq!(directory.away_since(), Some(Millis(2_000)));
+    directory.remove("a", Millis(3_000));
+    directory.remove("b", Millis(3_000));
+    directory.store_regained(Millis(6_000));
+    assert_eq!(directory.away_since(), None);
+    assert!(directory.settle(Millis(7_000)).is_empty());
+    assert_eq!(ids(&directory), ["a", "b", "c"]);
+
+    directory.put(server("a", false));
+    directory.put(server("c", true));
+    assert_eq!(directory.settle(Millis(8_300)), ["b"]);
+    assert_eq!(ids(&directory), ["a"]);
+}
+
+/// An address is given to another server while the entry of the one before is
+/// still there: the one that takes work is meant.
+#[test]
+fn an_address_means_the_server_that_works() {
+    let mut directory = Directory::default();
+    directory.put(server("old", true));
+    directory.put(server("new", false));
+    let found = directory.at("127.0.0.1:1".parse().unwrap());
+    assert_eq!(found.map(|server| server.id.as_str()), Some("new"));
+}
--- /dev/null
+++ b/tests/integration/platform_wire.rs
@@ -0,0 +1,208 @@
+//! What the platform sends, decoded.
+
+use hyper::{
+    HeaderMap,
+    Method, //
+};
+use redwingpond::{
+    base::Millis,
+    platform::{
+        EventReader,
+        Ingress,
+        classify,
+        forwarded,
+        read_config,
+        read_server,
+        read_submission, //
+    },
+    routing::Kind,
+};
+
+/// Events are cut out of a stream however its bytes arrive; a torn one at the
+/// end is left out.
+#[test]
+fn events_are_whole_or_left_out() {
+    let stream = "x-weight-versions: 3\nid: 0\ndata: a\n\nid: 1\ndata: b\ndata: c\n\nid: 2\ndat";
+    for step in 1..stream.len() {
+        let mut reader = EventReader::default();
+        let mut events = Vec::new();
+        for bytes in stream.as_bytes().chunks(step) {
+            reader.push(bytes);
+            while let Some(event) = reader.next_event() {
+                events.push((event.id, event.data, event.version));
+            }
+        }
+        let expected = [
+            (Some(0), "a".to_owned(), Some(3)),
+            (Some(1), "b\nc".to_owned(), None),
+        ];
+        assert_eq!(events, expected, "in steps of {step}");
+        assert!(reader.is_torn());
+    }
+}
+
+#[test]
+fn calls_are_told_apart() {
+    struct Test {
+        call: Ingress,
+        method: Method,
+        path: &'static str,
+    }
+
+    let results = |from, wait| Ingress::Results {
+        batch: "b1".to_owned(),
+        from,
+        wait: Millis(wait),
+    };
+    for test in [
+        Test {
+            call: results(12, 900),
+            method: Method::GET,
+            path: "/redwingpond/lots/b1?startAfter=12",
+        },
+        Test {
+            call: results(0, 900),
+            method: Method::GET,
+            path: "/redwingpond/lots/b1",
+        },
+        Test {
+            call: Ingress::Unknown,
+            method: Method::GET,
+            path: "/redwingpond/lots/b1?startAfter=x",
+        },
+        Test {
+            call: Ingress::End {
+                batch: "b1".to_owned(),
+            },
+            method: Method::DELETE,
+            path: "/redwingpond/lots/b1",
+        },
+        Test {
+            call: Ingress::ItemBody {
+                batch: "b1".to_owned(),
+                item: "i2".to_owned(),
+            },
+            method: Method::GET,
+            path: "/redwingpond/items/b1?id=i2",
+        },
+        Test {
+            call: Ingress::Unknown,
+            method: Method::GET,
+            path: "/redwingpond/items/b1",
+        },
+        Test {
+            call: Ingress::Routed,
+            method: Method::POST,
+            path: "/any/thing",
+        },
+    ] {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-wait-ms", "900".parse().unwrap());
+        let uri = test.path.parse().unwrap();
+        assert_eq!(
+            classify(&test.method, &uri, &headers),
+            test.call,
+            "{}",
+            test.path
+        );
+    }
+}
+
+/// Headers that concern one connection, and those that the gateway sets, don't
+/// go on; neither do those that the caller names as such.
+#[test]
+fn only_end_to_end_headers_go_on() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("host", "h"),
+        ("connection", "x-mine, close"),
+        ("x-mine", "1"),
+        ("x-deadline-ms", "5"),
+        ("x-expect-instance", "smuggled"),
+        ("transfer-encoding", "chunked"),
+        ("x-model", "m"),
+        ("x-attempt-id", "a"),
+    ] {
+        headers.append(name, value.parse().unwrap());
+    }
+    let on = forwarded(&headers);
+    let mut names: Vec<&str> = on.keys().map(hyper::header::HeaderName::as_str).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["host", "x-attempt-id", "x-model"]);
+}
+
+const CONFIG: &str = r#"{"version":7,"unknown":1,"routes":[
+    {"name":"a","host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":1500,
+     "trafficSplit":[{"service":"x","weight":90},{"service":"y","weight":10}],"maxAttempts":2},
+    {"name":"b","host":"h","pathPrefix":"/a/b/","routeType":"streaming","resumable":true,"service":"y"},
+    {"name":"c","host":"h","pathPrefix":"/c/","routeType":"rollout","service":"x","itemTtlS":40,
+     "resultDeadlineMs":7500,"maxAttempts":3,"singleVersion":true}],
+    "services":[{"name":"x","engine":{"models":[{"name":"m"}]}},{"name":"y"}],
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
+
+#[test]
+fn a_configuration_is_decoded() {
+    let config = read_config(CONFIG.as_bytes()).unwrap();
+    assert_eq!(config.version, 7);
+    let name = |path: &str| config.route("h", path).map(|route| route.name.clone());
+    assert_eq!(name("/a/x"), Some("a".to_owned()));
+    assert_eq!(name("/a/b/x"), Some("b".to_owned()));
+    assert_eq!(name("/a"), None);
+    assert_eq!(config.route("other", "/a/x").map(|r| r.name.clone()), None);
+
+    let batch = config.route("h", "/c/1").unwrap();
+    assert_eq!(batch.kind, Kind::Batch);
+    assert_eq!(
+        (batch.item_ttl, batch.results_due),
+        (Millis(40_000), Millis(7_500))
+    );
+    assert!(batch.single_version);
+    assert_eq!(config.service("x").unwrap().models.len(), 1);
+
+    // A split gives each service its share, and one request always the same.
+    let split = config.route("h", "/a/x").unwrap();
+    let to_y = (0..10_000).filter(|n| split.service_of(&n.to_string()) == Some("y"));
+    let to_y = to_y.count();
+    assert!((800..1_200).contains(&to_y), "{to_y}");
+    assert_eq!(split.service_of("same"), split.service_of("same"));
+}
+
+#[test]
+fn what_is_not_understood_is_told() {
+    struct Test {
+        from: &'static str,
+        to: &'static str,
+        told: &'static str,
+    }
+
+    for test in [
+        Test {
+            from: "\"safe\"",
+            to: "\"other\"",
+            told: "route `a` has the unknown type `other`",
+        },
+        Test {
+            from: "\"version\":7,",
+            to: "",
+            told: "missing field `version`",
+        },
+    ] {
+        let text = CONFIG.replace(test.from, test.to);
+        let error = read_config(text.as_bytes()).unwrap_err().to_string();
+        assert!(error.contains(test.told), "{error}");
+    }
+    assert!(read_server("s", b"{}").is_none());
+    let error = read_submission("b", "h", "/c/b", br#"{"items":[]}"#).unwrap_err();
+    assert!(error.to_string().contains("no items"), "{error}");
+}
+
+#[test]
+fn a_server_is_decoded() {
+    let entry =
+        br#"{"service":"x","address":"10.0.0.1:80","zone":"n","version":"v1","batchSlots":12,
+        "state":"draining","coldRemainingMs":0,"models":[{"name":"m","version":3,"adapters":[]}]}"#;
+    let server = read_server("i-1", entry).unwrap();
+    assert!(server.draining);
+    assert_eq!((server.slots, server.data_centre.as_str()), (12, "n"));
+    assert_eq!(server.models[0].version, 3);
+}
