Refuse work from the moment of a stop; log the items of each group

Cause of the finding that agent_stops_idle failed in each release run: an agent looked at its stop only at its next tick, and took calls until then; in debug builds the call came after the tick. Ruled out: the scenario's own timing (it failed as well once it waited until every duty knew of the stop). Change: the stop is looked at before each message; a scenario's stop returns once all duties know.

The runner logs the item ids of what it begins and lists.

--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -169,6 +169,11 @@
     }
 
     fn on_message(&mut self, link: LinkKey, message: ToAgent) {
+        // The stop is looked at before each message, not only at the next tick:
+        // until then an agent that was told to stop took new requests.
+        if self.leaving.is_none() && self.context.phase() >= Phase::Draining {
+            self.drain(self.context.clock.now());
+        }
         match message {
             ToAgent::Cancel { slot } => self.cancel(link, slot),
             ToAgent::Credit { slot, bytes } => {
--- a/src/duty/control.rs
+++ b/src/duty/control.rs
@@ -1,5 +1,6 @@
 //! The control actor of one duty.
 
+use super::SupervisorMessage;
 use ractor::{
     Actor,
     ActorProcessingErr,
@@ -24,34 +25,45 @@
     Enter(Phase),
 }
 
+/// What the control actor of one duty has.
+pub struct DutyControl {
+    pub(super) name: &'static str,
+    pub(super) phase: watch::Sender<Phase>,
+    pub(super) supervisor: ActorRef<SupervisorMessage>,
+}
+
 /// Takes a duty's control messages on the duty's own thread.
 pub(super) struct Control;
 
 impl Actor for Control {
-    type Arguments = watch::Sender<Phase>;
+    type Arguments = DutyControl;
     type Msg = ControlMessage;
-    type State = watch::Sender<Phase>;
+    type State = DutyControl;
 
     async fn pre_start(
         &self,
         _myself: ActorRef<ControlMessage>,
-        phase: watch::Sender<Phase>,
+        control: DutyControl,
     ) -> Result<Self::State, ActorProcessingErr> {
-        Ok(phase)
+        Ok(control)
     }
 
     async fn handle(
         &self,
         _myself: ActorRef<ControlMessage>,
         message: ControlMessage,
-        phase: &mut Self::State,
+        control: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         let ControlMessage::Enter(next) = message;
-        phase.send_if_modified(|phase| {
+        control.phase.send_if_modified(|phase| {
             let forward = next > *phase;
             *phase = (*phase).max(next);
             forward
         });
+        let entered = SupervisorMessage::Entered(control.name, next);
+        if control.supervisor.cast(entered).is_err() {
+            tracing::warn!(duty = control.name, "the supervisor is gone");
+        }
         Ok(())
     }
 }
--- a/src/duty/handle.rs
+++ b/src/duty/handle.rs
@@ -60,6 +60,20 @@
         let _ = self.supervisor.cast(SupervisorMessage::Drain);
     }
 
+    /// Begins a graceful stop, and returns once every duty knows of it: what
+    /// is sent to the program after that meets a stopping one.
+    pub async fn drain_begun(&self) {
+        self.drain();
+        let mut health = self.health.clone();
+        let duties = self.duties.len();
+        let begun = health.wait_for(|health| {
+            let all = health.entered >= duties;
+            health.phase == Phase::Stopped || (health.phase == Phase::Draining && all)
+        });
+        // A supervisor that is gone has stopped all duties.
+        let _ = begun.await;
+    }
+
     /// The program's health, to be watched.
     pub fn health(&self) -> watch::Receiver<Health> {
         self.health.clone()
--- a/src/duty/supervisor.rs
+++ b/src/duty/supervisor.rs
@@ -15,6 +15,9 @@
 /// Whether all duties of a program are alive, and how far its stop has come.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Health {
+    /// Duties that know of `phase`. Until all do, some still take work as
+    /// before: a stop is under way only once this is their number.
+    pub entered: usize,
     /// Duties that ended without being told to.
     pub failed: u32,
     pub phase: Phase,
@@ -27,6 +30,8 @@
     Added(&'static str, ActorRef<ControlMessage>),
     /// Begin a graceful stop.
     Drain,
+    /// A duty knows how far the stop has come.
+    Entered(&'static str, Phase),
     /// A duty has nothing under way any more and takes nothing new.
     Drained(&'static str),
     /// A duty's thread ended.
@@ -44,6 +49,8 @@
 /// The duties and what is known of them.
 pub struct State {
     drained: Vec<&'static str>,
+    /// Duties that know of the present phase.
+    entered: Vec<&'static str>,
     duties: Vec<(&'static str, ActorRef<ControlMessage>)>,
     health: watch::Sender<Health>,
 }
@@ -60,6 +67,7 @@
     ) -> Result<State, ActorProcessingErr> {
         Ok(State {
             drained: Vec::new(),
+            entered: Vec::new(),
             duties: Vec::new(),
             health,
         })
@@ -96,6 +104,7 @@
                     myself.stop(None);
                 }
             }
+            SupervisorMessage::Entered(name, phase) => state.entered(name, phase),
             SupervisorMessage::Stop => {
                 if state.health.borrow().phase == Phase::Draining {
                     tracing::error!(bound = self.bound.0, "graceful stop forced at its bound");
@@ -121,16 +130,30 @@
         self.enter(Phase::Stopped);
     }
 
+    fn entered(&mut self, name: &'static str, phase: Phase) {
+        let current = self.health.borrow().phase;
+        if phase == current && !self.entered.contains(&name) {
+            self.entered.push(name);
+            let entered = self.entered.len();
+            self.health.send_modify(|health| health.entered = entered);
+        }
+    }
+
     /// Ends a graceful stop once no duty has anything under way.
-    fn stop_if_drained(&self) {
+    fn stop_if_drained(&mut self) {
         let draining = self.health.borrow().phase == Phase::Draining;
         if draining && self.drained.len() == self.duties.len() {
             self.enter(Phase::Stopped);
         }
     }
 
-    fn enter(&self, phase: Phase) {
+    fn enter(&mut self, phase: Phase) {
+        if phase > self.health.borrow().phase {
+            self.entered.clear();
+        }
+        let entered = self.entered.len();
         self.health.send_modify(|health| {
+            health.entered = entered;
             health.phase = health.phase.max(phase);
         });
         for (name, duty) in &self.duties {
--- a/src/duty/thread.rs
+++ b/src/duty/thread.rs
@@ -3,7 +3,7 @@
 use super::{
     Phase,
     SupervisorMessage,
-    control::Control, //
+    control::{Control, DutyControl}, //
 };
 use crate::base::Clock;
 use ractor::{
@@ -126,7 +126,12 @@
     let (sender, phase) = watch::channel(Phase::Running);
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
-        match Actor::spawn(None, Control, sender).await {
+        let control = DutyControl {
+            name,
+            phase: sender,
+            supervisor: supervisor.clone(),
+        };
+        match Actor::spawn(None, Control, control).await {
             Ok((control, _)) => {
                 let _ = supervisor.cast(SupervisorMessage::Added(name, control));
             }
--- a/src/runner/groups.rs
+++ b/src/runner/groups.rs
@@ -413,6 +413,8 @@
         };
 
         let head = batch.head.clone();
+        let ids: Vec<&str> = items.iter().map(|(_, item)| item.id.as_str()).collect();
+        tracing::info!(batch = id, group, items = ids.join(" "), "runs a group");
         let Some(batch) = self.batches.get_mut(id) else {
             return;
         };
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -412,7 +412,10 @@
         match outcome {
             Ok(Outcome::Done { revision }) => {
                 let (count, total) = (log.listed.len(), batch.head.items.len());
-                tracing::info!(batch = id, count, total, revision, "results listed");
+                let new = log.listed.iter().skip(batch.log.listed.len());
+                let ids = new.map(|index| batch.head.items[usize::from(*index)].id.as_str());
+                let items = ids.collect::<Vec<&str>>().join(" ");
+                tracing::info!(batch = id, items, count, total, revision, "results listed");
                 batch.set_log(log, revision);
             }
             Ok(Outcome::Conflict { rows }) => {
--- a/standins/tests/integration/stage.rs
+++ b/standins/tests/integration/stage.rs
@@ -276,7 +276,7 @@
         }
         if case.args.contains_key("stop") {
             let agent = member.agent.take().unwrap();
-            agent.handle.drain();
+            self.runtime.block_on(agent.handle.drain_begun());
             self.stops.push(self.runtime.spawn(agent.handle.wait()));
         }
         if case.args.contains_key("start") {
@@ -294,7 +294,7 @@
             let (name, entry) = fleet.entries.remove(0);
             fleet.balancer.remove(entry.callers);
             fleet.platform.remove_instance(&name);
-            entry.handle.drain();
+            self.runtime.block_on(entry.handle.drain_begun());
             self.stops.push(self.runtime.spawn(entry.handle.wait()));
         }
         if case.args.contains_key("kill") {
