Deal groups out in bundles of four; go on with kept texts; keep connections over steps

Cause: on the grown Tema groups of 16 ran in three turns on one engine of 6 slots while others were idle; on all sites a long item whose engine crashed, left or was restarted began anew, and steps waited for it twice over.

Change: a claim covers a bundle of at most four items of one group; texts that grow for 0.7 s or longer are kept in the store and resumed by whoever takes the bundle over; connections to servers that name no time are kept 12 s, but calls that must run at most once use only fresh ones.

--- a/src/batch/claim.rs
+++ b/src/batch/claim.rs
@@ -1,4 +1,4 @@
-//! Who runs which group.
+//! Who runs which bundle.
 
 use crate::base::Millis;
 use serde::{
@@ -6,14 +6,14 @@
     Serialize, //
 };
 
-/// A runner's word that it runs a group. Claims are advice that keeps two
+/// A runner's word that it runs a bundle. Claims are advice that keeps two
 /// runners from doing the same work; the log alone decides what is listed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Claim {
     /// By the store's clock.
     pub at: Millis,
     pub holder: String,
-    /// A second runner that races the holder for a straggling group.
+    /// A second runner that races the holder for a straggling bundle.
     pub second: Option<String>,
     /// The holder's life, so that a restarted holder disowns what it had.
     pub token: u64,
@@ -30,7 +30,7 @@
 /// A runner's sign of life.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
-    /// It takes no new groups.
+    /// It takes no new bundles.
     pub leaving: bool,
     /// It is changing the weights of its engine.
     pub loading: bool,
--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -22,9 +22,10 @@
     pub tokens: u32,
 }
 
-/// Items that share a prompt, by their index in the batch.
+/// Items of one group that one runner takes together, by their index in the
+/// batch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Group {
+pub struct Bundle {
     pub items: Vec<u16>,
 }
 
@@ -33,7 +34,7 @@
 pub struct Head {
     /// By the store's clock.
     pub accepted: Millis,
-    pub groups: Vec<Group>,
+    pub bundles: Vec<Bundle>,
     pub groups_wanted: u32,
     pub host: String,
     pub items: Vec<ItemRef>,
@@ -73,7 +74,7 @@
 
         let head = Self {
             accepted,
-            groups: groups_of(&submission.items),
+            bundles: bundles_of(&submission.items),
             groups_wanted: submission.groups_wanted,
             host: submission.host.clone(),
             items,
@@ -85,17 +86,17 @@
         (head, chunks)
     }
 
-    /// The groups' numbers, those first whose longest item is expected to be the
-    /// longest. A group counts when its last item is there, so the long ones
+    /// The bundles' numbers, those first whose longest item is expected to be
+    /// the longest. A group counts when its last item is there, so the long ones
     /// have to begin first.
     pub fn order(&self) -> Vec<u16> {
-        let longest = |group: &Group| {
-            let items = group.items.iter();
+        let longest = |bundle: &Bundle| {
+            let items = bundle.items.iter();
             let expected = items.map(|index| self.items[usize::from(*index)].expected);
             expected.max().unwrap_or(0)
         };
-        let mut order: Vec<u16> = (0..self.groups.len() as u16).collect();
-        order.sort_by_key(|group| std::cmp::Reverse(longest(&self.groups[usize::from(*group)])));
+        let mut order: Vec<u16> = (0..self.bundles.len() as u16).collect();
+        order.sort_by_key(|bundle| std::cmp::Reverse(longest(&self.bundles[usize::from(*bundle)])));
         order
     }
 
@@ -106,16 +107,32 @@
     }
 }
 
-/// The groups in the order of their first items.
-fn groups_of(items: &[Item]) -> Vec<Group> {
-    let mut groups: Vec<Group> = Vec::new();
+/// The most items in a bundle. Groups of 16 on engines with 6 slots ran in
+/// three turns on one engine while others were idle; reading a shared prompt
+/// of 1,000 tokens once more takes 5 ms.
+const BUNDLE_MOST: usize = 4;
+
+/// The groups in the order of their first items, dealt into bundles of equal
+/// size.
+fn bundles_of(items: &[Item]) -> Vec<Bundle> {
+    let groups = groups_of(items).into_iter();
+    let bundles = groups.flat_map(|group| {
+        let count = group.len().div_ceil(BUNDLE_MOST).max(1);
+        let size = group.len().div_ceil(count).max(1);
+        group.chunks(size).map(<[u16]>::to_vec).collect::<Vec<_>>()
+    });
+    bundles.map(|items| Bundle { items }).collect()
+}
+
+fn groups_of(items: &[Item]) -> Vec<Vec<u16>> {
+    let mut groups: Vec<Vec<u16>> = Vec::new();
     let mut places: HashMap<&str, usize> = HashMap::new();
     for (index, item) in items.iter().enumerate() {
         let place = *places.entry(&item.group).or_insert_with(|| {
-            groups.push(Group { items: Vec::new() });
+            groups.push(Vec::new());
             groups.len() - 1
         });
-        groups[place].items.push(index as u16);
+        groups[place].push(index as u16);
     }
     groups
 }
--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -6,6 +6,10 @@
 /// Items with their bodies, in chunks; each row is written once.
 pub const BODIES: &str = "bodies";
 
+/// What has been generated of long items, by item, so that another
+/// run can go on after it.
+pub const PARTIALS: &str = "partials";
+
 /// Results, each written once.
 pub const RESULTS: &str = "results";
 
@@ -17,6 +21,11 @@
     format!("batch-{id}")
 }
 
+/// The key in [`PARTIALS`] of the item at `index`.
+pub fn partial_key(index: u16) -> String {
+    format!("{index:05}")
+}
+
 /// A row of [`WORK`] in a batch's part.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WorkKey {
@@ -32,8 +41,8 @@
             "head" => Some(Self::Head),
             "log" => Some(Self::Log),
             _ => {
-                let group = key.strip_prefix("claim/")?;
-                group.parse().ok().map(Self::Claim)
+                let bundle = key.strip_prefix("claim/")?;
+                bundle.parse().ok().map(Self::Claim)
             }
         }
     }
@@ -42,7 +51,7 @@
 impl std::fmt::Display for WorkKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Claim(group) => write!(f, "claim/{group:05}"),
+            Self::Claim(bundle) => write!(f, "claim/{bundle:05}"),
             Self::Head => f.write_str("head"),
             Self::Log => f.write_str("log"),
         }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -12,16 +12,18 @@
 mod layout;
 mod log;
 mod page;
+mod partial;
 mod sample;
 mod writes;
 
 pub use self::{
     claim::{Claim, Heartbeat},
-    head::{Group, Head, ItemRef},
+    head::{Bundle, Head, ItemRef},
     item::{Item, Scorer, Submission},
-    layout::{BODIES, HEARTBEATS, RESULTS, WORK, WorkKey, part_of},
+    layout::{BODIES, HEARTBEATS, PARTIALS, RESULTS, WORK, WorkKey, part_of, partial_key},
     log::Log,
     page::{PAGE_MOST, Page, page_of},
+    partial::Partial,
     sample::{Sample, State},
     writes::{Accept, accept, append, chunk_of}, //
 };
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -208,7 +208,13 @@
             sent: &sent,
         };
         let within = left + AFTER_END;
-        let answer = self.peer(sent.server.address).call(request, within).await;
+        let peer = self.peer(sent.server.address);
+        let answer = match call.route.kind {
+            Kind::Safe => peer.call(request, within).await,
+            Kind::Batch | Kind::Stream { .. } | Kind::Unsafe => {
+                peer.call_once(request, within).await
+            }
+        };
         running.done = true;
         drop(running);
         (sent, answer)
--- a/src/net/idle_line.rs
+++ b/src/net/idle_line.rs
@@ -8,14 +8,20 @@
 /// A connection that may carry the next request.
 pub(super) struct IdleLine {
     pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) since: Millis,
     /// After this the peer may close it at any moment.
     pub(super) usable_until: Millis,
 }
 
-/// How long a connection is kept when its peer names no time. Backend servers
-/// close idle connections on their own; a request that crosses such a close
-/// may or may not have run.
-pub(super) const KEEP_DEFAULT: Millis = Millis(4_000);
+/// How long a connection is kept when its peer names no time: three of the
+/// users' steps, which come every 4 s. With one step's time each step opened its
+/// connections anew, about 1,000 a day instead of 440.
+pub(super) const KEEP_DEFAULT: Millis = Millis(12_000);
+
+/// A connection that was idle for longer carries no request that must run at
+/// most once: backend servers close idle connections on their own, and a
+/// request that crosses such a close may or may not have run.
+pub(super) const FRESH: Millis = Millis(1_000);
 
 /// A connection is left alone this long before its peer's announced timeout,
 /// so that a request sent over it doesn't cross the close.
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -4,7 +4,7 @@
     CallError,
     StreamBody,
     call_error::{BrokenSnafu, ConnectSnafu, TimeoutSnafu, TooLargeSnafu},
-    idle_line::{IdleLine, closes, usable_until}, //
+    idle_line::{FRESH, IdleLine, closes, usable_until}, //
 };
 use crate::base::{
     Clock,
@@ -80,7 +80,12 @@
 }
 
 impl Lines {
-    pub(super) fn put(&self, line: IdleLine) {
+    pub(super) fn put(&self, sender: SendRequest<Full<Bytes>>, usable_until: Millis) {
+        let line = IdleLine {
+            sender,
+            since: self.clock.now(),
+            usable_until,
+        };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|line| !line.sender.is_closed());
         if idle.len() < IDLE_MOST {
@@ -88,12 +93,17 @@
         }
     }
 
-    /// The connection used last, which is the one least likely to be closed.
-    fn take(&self) -> Option<IdleLine> {
+    /// The connection used last, which is the one least likely to be closed;
+    /// with `fresh`, only one that was used a moment ago.
+    fn take(&self, fresh: bool) -> Option<IdleLine> {
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|line| !line.sender.is_closed() && line.usable_until > now);
-        idle.pop()
+        let stale = |line: &IdleLine| fresh && now.since(line.since) > FRESH;
+        match idle.last().is_some_and(stale) {
+            true => None,
+            false => idle.pop(),
+        }
     }
 
     fn clear(&self) {
@@ -125,7 +135,25 @@
         within: Millis,
     ) -> Result<Answer, CallError> {
         let whole = async {
-            let opened = self.start(request).await?;
+            let opened = self.start(request, false).await?;
+            self.collect(opened, within).await
+        };
+        self.bounded(whole, within).await
+    }
+
+    /// As [`Peer::call`], for a request that must run at most once: it goes
+    /// over a connection that is new or was used a moment ago.
+    ///
+    /// # Errors
+    ///
+    /// A [`CallError`], whose verdict says whether the peer may have acted.
+    pub async fn call_once(
+        &self,
+        request: Request<Full<Bytes>>,
+        within: Millis,
+    ) -> Result<Answer, CallError> {
+        let whole = async {
+            let opened = self.start(request, true).await?;
             self.collect(opened, within).await
         };
         self.bounded(whole, within).await
@@ -141,7 +169,7 @@
         request: Request<Full<Bytes>>,
         within: Millis,
     ) -> Result<Opened, CallError> {
-        self.bounded(self.start(request), within).await
+        self.bounded(self.start(request, false), within).await
     }
 
     async fn bounded<T>(
@@ -180,7 +208,7 @@
 
     /// Sends over a kept connection, or over a new one when the kept one turns
     /// out to be closed before any byte of the request was written.
-    async fn start(&self, request: Request<Full<Bytes>>) -> Result<Opened, CallError> {
+    async fn start(&self, request: Request<Full<Bytes>>, fresh: bool) -> Result<Opened, CallError> {
         let address = self.address;
         let mut request = request;
         if !request.headers().contains_key(HOST) {
@@ -190,7 +218,7 @@
                 .extend(host.ok().map(|host| (HOST, host)));
         }
 
-        while let Some(line) = self.lines.take() {
+        while let Some(line) = self.lines.take(fresh) {
             let mut sender = line.sender;
             if sender.ready().await.is_err() {
                 continue;
--- a/src/net/stream_body.rs
+++ b/src/net/stream_body.rs
@@ -4,7 +4,6 @@
     CallError,
     call_error::BrokenSnafu,
     call_error::TimeoutSnafu,
-    idle_line::IdleLine,
     peer::Lines, //
 };
 use crate::base::Millis;
@@ -62,10 +61,7 @@
 
     fn give_back(&mut self) {
         if let Some(sender) = self.sender.take() {
-            self.lines.put(IdleLine {
-                sender,
-                usable_until: self.usable_until,
-            });
+            self.lines.put(sender, self.usable_until);
         }
     }
 }
--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -1,12 +1,12 @@
-//! Which group of which batch a runner takes next.
+//! Which bundle of which batch a runner takes next.
 //!
-//! Load pattern: trainers submit a batch of tens of groups at once and wait for
-//! the slowest; every runner sees it within a few tens of ms and takes groups
+//! Load pattern: trainers submit a batch of tens of bundles at once and wait for
+//! the slowest; every runner sees it within a few tens of ms and takes bundles
 //! as its engine has room. Engines crash, slow down or fall silent in between.
 
 use crate::base::Millis;
 
-/// A group that a runner could take.
+/// A bundle that a runner could take.
 #[derive(Clone, Copy, Debug)]
 pub struct Offer {
     /// How long its batch has been there.
@@ -15,7 +15,7 @@
     pub batch: usize,
     /// When its batch's results are due, by the runner's clock.
     pub due: Millis,
-    pub group: u16,
+    pub bundle: u16,
     pub holder: Holder,
     /// Whether its model is the one that this runner serves first.
     pub home: bool,
@@ -23,11 +23,11 @@
     pub left: u32,
     /// Whether the engine's weights are new enough for it.
     pub loaded: bool,
-    /// Its place in the order in which the batch's groups should begin.
+    /// Its place in the order in which the batch's bundles should begin.
     pub order: u16,
 }
 
-/// Who runs a group already.
+/// Who runs a bundle already.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Holder {
     /// Another runner since so long; its engine takes `pace` times as long for
@@ -68,7 +68,7 @@
 const SLOW_SHARE: f64 = 0.25;
 
 /// The items that an engine should have at once. One that takes much longer
-/// than `usual` for an event holds up every group it takes.
+/// than `usual` for an event holds up every bundle it takes.
 pub fn capacity(slots: u32, pace: f64, usual: f64) -> u32 {
     match is_slow(pace, usual) {
         true => ((f64::from(slots) * SLOW_SHARE) as u32).max(1),
@@ -81,8 +81,8 @@
     pace > 0.0 && usual > 0.0 && pace / usual >= SLOW_PACE
 }
 
-/// Whether a runner runs a group that nobody has claimed while no claim can be
-/// written: each group has one runner by the order that all work out alike.
+/// Whether a runner runs a bundle that nobody has claimed while no claim can be
+/// written: each bundle has one runner by the order that all work out alike.
 pub fn is_mine_by_rule(offer: &Offer, place: Place) -> bool {
     let mine = usize::from(offer.order) % place.count.max(1) == place.rank;
     mine && offer.home && offer.loaded && offer.holder == Holder::Nobody
@@ -94,7 +94,7 @@
     let takes = |offer: &&Offer| offer.loaded && room > 0 && class(offer, room).is_some();
     offers.iter().filter(takes).min_by_key(|offer| {
         // Runners that see a new batch at the same moment begin with different
-        // groups: without it all would claim the first one, and all but one
+        // bundles: without it all would claim the first one, and all but one
         // would lose a round trip to the store each time.
         let turn = usize::from(offer.order) % place.count.max(1) != place.rank;
         (class(offer, room), offer.due, turn, offer.order)
--- a/src/runner/groups.rs
+++ b/src/runner/bundles.rs
@@ -1,14 +1,18 @@
-//! Takes groups, reads their items and starts their runs.
+//! Takes bundles, reads their items and starts their runs.
 
 use super::{
-    event::{Event, GroupId},
+    event::{BundleId, Event},
     open_batch::{Mine, OpenBatch},
     run_item::{self, Task},
     work::Work, //
 };
 use crate::{
     base::Millis,
-    batch::{BODIES, Claim, Item, WORK, WorkKey, chunk_of, decode, encode, part_of},
+    batch::{
+        BODIES, Claim, Item, PARTIALS, Partial, WORK, WorkKey, chunk_of, decode, encode, part_of,
+        partial_key,
+    },
+    platform::Store,
     policy::{
         claim_choice::{Holder, Offer, Place, capacity, choose, is_mine_by_rule, is_slow},
         model_share::{Demand, deal}, //
@@ -16,7 +20,10 @@
     routing::Route,
     store::{Key, Outcome, StoreError, Transaction}, //
 };
-use std::sync::Arc;
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
 
 /// The wait after a claim that the store did not take. Without it a store that
 /// refuses at once was asked 35,000 times in 16 s of outage by nine runners.
@@ -87,7 +94,7 @@
         Some(weights.version)
     }
 
-    /// Takes groups while the engine has room.
+    /// Takes bundles while the engine has room.
     pub(super) fn plan_claims(&mut self, now: Millis) {
         if !self.is_working() || self.leaving {
             return;
@@ -111,7 +118,7 @@
             for offer in offers {
                 if room > 0 {
                     room = room.saturating_sub(offer.left);
-                    self.run_unclaimed(&ids[offer.batch], offer.group);
+                    self.run_unclaimed(&ids[offer.batch], offer.bundle);
                 }
             }
             return;
@@ -120,7 +127,7 @@
             return;
         }
         while let Some(offer) = choose(&offers, place, room).copied() {
-            offers.retain(|other| (other.batch, other.group) != (offer.batch, offer.group));
+            offers.retain(|other| (other.batch, other.bundle) != (offer.batch, offer.bundle));
             room = room.saturating_sub(offer.left);
             self.claim(&ids[offer.batch], &offer);
         }
@@ -140,20 +147,20 @@
             };
             let loaded = self.held(&batch.head.model);
             let loaded = loaded.is_some_and(|held| held >= batch.head.least_version);
-            for group in 0..batch.head.groups.len() as u16 {
-                let left = batch.left(group).len() as u32;
-                if left == 0 || batch.mine.contains_key(&group) {
+            for bundle in 0..batch.head.bundles.len() as u16 {
+                let left = batch.left(bundle).len() as u32;
+                if left == 0 || batch.mine.contains_key(&bundle) {
                     continue;
                 }
-                let Some(holder) = self.holder(batch, group, now) else {
+                let Some(holder) = self.holder(batch, bundle, now) else {
                     continue;
                 };
                 offers.push(Offer {
                     age: now.since(batch.seen),
                     batch: number,
                     due: batch.seen + route.results_due,
-                    group,
-                    order: batch.order_of(group),
+                    bundle,
+                    order: batch.order_of(bundle),
                     holder,
                     home: home == Some(batch.head.model.as_str()),
                     left,
@@ -164,9 +171,9 @@
         offers
     }
 
-    /// Who runs `group`; `None` when this runner has joined it before.
-    fn holder(&self, batch: &OpenBatch, group: u16, now: Millis) -> Option<Holder> {
-        let Some(held) = batch.claims.get(&group) else {
+    /// Who runs `bundle`; `None` when this runner has joined it before.
+    fn holder(&self, batch: &OpenBatch, bundle: u16, now: Millis) -> Option<Holder> {
+        let Some(held) = batch.claims.get(&bundle) else {
             return Some(Holder::Nobody);
         };
         let claim = &held.claim;
@@ -191,23 +198,23 @@
         })
     }
 
-    /// Runs a group without a claim, as the store can't take one. Its results
+    /// Runs a bundle without a claim, as the store can't take one. Its results
     /// wait here until the store is back: on a day with 12 s of outages this
     /// is what lets steps that were accepted before finish in time.
-    fn run_unclaimed(&mut self, id: &str, group: u16) {
+    fn run_unclaimed(&mut self, id: &str, bundle: u16) {
         let Some(batch) = self.batches.get_mut(id) else {
             return;
         };
         tracing::info!(
             batch = id,
-            group,
-            "runs a group unclaimed: the store is away"
+            bundle,
+            "runs a bundle unclaimed: the store is away"
         );
-        batch.mine.insert(group, Mine::Fetching);
-        self.start(id, group);
+        batch.mine.insert(bundle, Mine::Fetching);
+        self.start(id, bundle);
     }
 
-    /// Reads the items of the groups that are this runner's by the rule, so
+    /// Reads the items of the bundles that are this runner's by the rule, so
     /// that it can run them also while the store is away.
     pub(super) fn prefetch(&mut self, id: &str) {
         let now = self.clock.now();
@@ -218,12 +225,12 @@
         if home.as_ref() != Some(&batch.head.model) || !self.is_working() {
             return;
         }
-        let groups = 0..batch.head.groups.len() as u16;
-        let mine: Vec<u16> = groups
-            .filter(|group| usize::from(batch.order_of(*group)) % place.count == place.rank)
+        let bundles = 0..batch.head.bundles.len() as u16;
+        let mine: Vec<u16> = bundles
+            .filter(|bundle| usize::from(batch.order_of(*bundle)) % place.count == place.rank)
             .collect();
-        for group in mine {
-            self.fetch(id, group);
+        for bundle in mine {
+            self.fetch(id, bundle);
         }
     }
 
@@ -231,13 +238,20 @@
         let Some(batch) = self.batches.get_mut(id) else {
             return;
         };
-        let held = batch.claims.get(&offer.group);
+        let held = batch.claims.get(&offer.bundle);
         let revision = held.map_or(0, |held| held.revision);
         let claim = match (offer.holder, held) {
             (Holder::Held { pace, since, .. }, Some(held)) => {
-                let (holder, group) = (&held.claim.holder, offer.group);
+                let (holder, bundle) = (&held.claim.holder, offer.bundle);
                 let since = since.0;
-                tracing::info!(batch = id, group, holder, pace, since, "joins a late group");
+                tracing::info!(
+                    batch = id,
+                    bundle,
+                    holder,
+                    pace,
+                    since,
+                    "joins a late bundle"
+                );
                 Claim {
                     second: Some(self.instance.clone()),
                     ..held.claim.clone()
@@ -245,8 +259,8 @@
             }
             _ => {
                 let before = held.map(|held| held.claim.holder.as_str());
-                let (group, age) = (offer.group, offer.age.0);
-                tracing::info!(batch = id, group, ?before, age, "takes a group");
+                let (bundle, age) = (offer.bundle, offer.age.0);
+                tracing::info!(batch = id, bundle, ?before, age, "takes a bundle");
                 Claim {
                     at: self.store.now(),
                     holder: self.instance.clone(),
@@ -255,84 +269,125 @@
                 }
             }
         };
-        batch.mine.insert(offer.group, Mine::Claiming);
-        let key = Key::new(WORK, part_of(id), WorkKey::Claim(offer.group).to_string());
+        batch.mine.insert(offer.bundle, Mine::Claiming);
+        let key = Key::new(WORK, part_of(id), WorkKey::Claim(offer.bundle).to_string());
         let transaction = Transaction {
             expect: vec![(key.clone(), revision)],
             remove: Vec::new(),
             set: vec![(key, encode(&claim))],
         };
-        let group = GroupId {
+        let bundle = BundleId {
             batch: id.to_owned(),
-            group: offer.group,
+            bundle: offer.bundle,
         };
         let (store, events) = (self.store.clone(), self.events.clone());
         tokio::spawn(async move {
             let outcome = store.transact(&transaction).await;
             let event = Event::Claimed {
                 claim,
-                group,
+                bundle,
                 outcome,
             };
             let _ = events.send(event).await;
         });
-        self.fetch(id, offer.group);
+        self.fetch(id, offer.bundle);
     }
 
     pub(super) fn claimed(
         &mut self,
         claim: Claim,
-        group: GroupId,
+        bundle: BundleId,
         outcome: Result<Outcome, StoreError>,
     ) {
         let now = self.clock.now();
-        let GroupId { batch: id, group } = group;
+        let BundleId { batch: id, bundle } = bundle;
         let Some(batch) = self.batches.get_mut(&id) else {
             return;
         };
-        if !batch.mine.contains_key(&group) {
+        if !batch.mine.contains_key(&bundle) {
             return;
         }
         match outcome {
             Ok(Outcome::Done { revision }) => {
-                batch.set_claim(group, claim, revision, now);
-                batch.mine.insert(group, Mine::Fetching);
-                self.start(&id, group);
+                let begun = batch.claims.contains_key(&bundle);
+                batch.set_claim(bundle, claim, revision, now);
+                match begun {
+                    true => self.resume(&id, bundle),
+                    false => {
+                        batch.mine.insert(bundle, Mine::Fetching);
+                        self.start(&id, bundle);
+                    }
+                }
             }
             Ok(Outcome::Conflict { rows }) => {
                 let mut ours = false;
                 for row in rows {
                     let held = row.value.and_then(|value| decode::<Claim>("claim", &value));
                     let Some(held) = held else {
-                        batch.claims.remove(&group);
+                        batch.claims.remove(&bundle);
                         continue;
                     };
                     // The answer to an earlier try of the same claim was lost.
                     ours |= held.is_same_run(&claim);
-                    batch.set_claim(group, held, row.revision, now);
+                    batch.set_claim(bundle, held, row.revision, now);
                 }
                 if ours {
-                    batch.mine.insert(group, Mine::Fetching);
-                    self.start(&id, group);
+                    batch.mine.insert(bundle, Mine::Fetching);
+                    self.start(&id, bundle);
                 } else {
-                    batch.mine.remove(&group);
+                    batch.mine.remove(&bundle);
                 }
             }
             Err(error) => {
-                tracing::info!(batch = id, group, %error, "claim not known to be written");
-                batch.mine.remove(&group);
+                tracing::info!(batch = id, bundle, %error, "claim not known to be written");
+                batch.mine.remove(&bundle);
                 self.claims_from = now + CLAIM_AGAIN;
             }
         }
     }
 
-    /// Reads the chunks with the group's items that are not here yet.
-    fn fetch(&mut self, id: &str, group: u16) {
+    /// Reads what earlier runs have left of a bundle that was claimed before.
+    fn resume(&mut self, id: &str, bundle: u16) {
+        let Some(batch) = self.batches.get_mut(id) else {
+            return;
+        };
+        batch.mine.insert(bundle, Mine::Resuming);
+        let left = batch.left(bundle);
+        let bundle = BundleId {
+            batch: id.to_owned(),
+            bundle,
+        };
+        let (store, events) = (self.store.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let partials = read_partials(&store, &bundle.batch, &left).await;
+            let _ = events.send(Event::Partials { bundle, partials }).await;
+        });
+    }
+
+    pub(super) fn resumed(&mut self, bundle: BundleId, partials: HashMap<u16, Partial>) {
+        let BundleId { batch: id, bundle } = bundle;
+        let Some(batch) = self.batches.get_mut(&id) else {
+            return;
+        };
+        if !matches!(batch.mine.get(&bundle), Some(Mine::Resuming)) {
+            return;
+        }
+        if !partials.is_empty() {
+            let count = partials.len();
+            tracing::info!(batch = id, bundle, count, "goes on with kept texts");
+        }
+        batch.partials.extend(partials);
+        batch.mine.insert(bundle, Mine::Fetching);
+        self.start(&id, bundle);
+    }
+
+    /// Reads the chunks with the bundle's items that are not here yet.
+    fn fetch(&mut self, id: &str, bundle: u16) {
         let Some(batch) = self.batches.get_mut(id) else {
             return;
         };
         let mut chunks: Vec<u16> = batch
-            .left(group)
+            .left(bundle)
             .iter()
             .map(|index| batch.head.items[usize::from(*index)].chunk)
             .collect();
@@ -378,16 +433,16 @@
         self.start_fetching(id);
     }
 
-    /// Starts the groups whose items are here, and reads the items of others.
+    /// Starts the bundles whose items are here, and reads the items of others.
     fn start_fetching(&mut self, id: &str) {
-        let groups = self.batches.get(id).map(OpenBatch::fetching_groups);
-        for group in groups.unwrap_or_default() {
-            self.start(id, group);
+        let bundles = self.batches.get(id).map(OpenBatch::fetching_bundles);
+        for bundle in bundles.unwrap_or_default() {
+            self.start(id, bundle);
         }
     }
 
-    /// Starts the runs of a group once all its items are here.
-    fn start(&mut self, id: &str, group: u16) {
+    /// Starts the runs of a bundle once all its items are here.
+    fn start(&mut self, id: &str, bundle: u16) {
         let now = self.clock.now();
         let Some(batch) = self.batches.get(id) else {
             return;
@@ -395,7 +450,7 @@
         let Some(route) = self.route_of(batch) else {
             return;
         };
-        let left = batch.left(group);
+        let left = batch.left(bundle);
         let found: Option<Vec<(u16, Item)>> = left
             .iter()
             .map(|index| {
@@ -407,21 +462,26 @@
             .collect();
         let Some(items) = found else {
             if now >= self.claims_from {
-                self.fetch(id, group);
+                self.fetch(id, bundle);
             }
             return;
         };
 
         let head = batch.head.clone();
         let ids: Vec<&str> = items.iter().map(|(_, item)| item.id.as_str()).collect();
-        tracing::info!(batch = id, group, items = ids.join(" "), "runs a group");
+        tracing::info!(batch = id, bundle, items = ids.join(" "), "runs a bundle");
         let Some(batch) = self.batches.get_mut(id) else {
             return;
         };
-        batch.mine.insert(group, Mine::Running);
+        batch.mine.insert(bundle, Mine::Running);
         for (index, item) in items {
+            let begun = batch.partials.remove(&index);
+            let begun = begun.filter(|_| !route.single_version);
             let task = Task {
+                batch: id.to_owned(),
+                begun,
                 host: head.host.clone(),
+                index,
                 item,
                 least_version: head.least_version,
                 most_failures: route.attempts,
@@ -443,3 +503,22 @@
         }
     }
 }
+
+/// Reads the kept texts of some items; one that can't be read begins anew.
+async fn read_partials(store: &Store, batch: &str, items: &[u16]) -> HashMap<u16, Partial> {
+    let reading = items.iter().map(|index| async move {
+        let key = Key::new(PARTIALS, part_of(batch), partial_key(*index));
+        match store.row(&key).await {
+            Ok(row) => {
+                let value = row.and_then(|row| row.value)?;
+                Some((*index, decode::<Partial>("partial", &value)?))
+            }
+            Err(error) => {
+                tracing::info!(batch, index, %error, "a kept text was not read");
+                None
+            }
+        }
+    });
+    let read = futures_util::future::join_all(reading).await;
+    read.into_iter().flatten().collect()
+}
--- a/src/runner/event.rs
+++ b/src/runner/event.rs
@@ -2,16 +2,17 @@
 
 use super::run_item::ItemEnd;
 use crate::{
-    batch::{Claim, Item, Log},
+    batch::{Claim, Item, Log, Partial},
     platform::{EngineReport, OrderAnswer},
     store::{Followed, Outcome, StoreError}, //
 };
+use std::collections::HashMap;
 
-/// Names a group of a batch.
+/// Names a bundle of a batch.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub(super) struct GroupId {
+pub(super) struct BundleId {
     pub(super) batch: String,
-    pub(super) group: u16,
+    pub(super) bundle: u16,
 }
 
 /// Something happened that the work loop has to know.
@@ -24,7 +25,7 @@
     HeartbeatWritten(Result<Outcome, StoreError>),
     Claimed {
         claim: Claim,
-        group: GroupId,
+        bundle: BundleId,
         outcome: Result<Outcome, StoreError>,
     },
     /// The chunk of items with this number was read.
@@ -38,6 +39,11 @@
         index: u16,
         end: ItemEnd,
     },
+    /// What earlier runs have left of a batch's items, by index.
+    Partials {
+        bundle: BundleId,
+        partials: HashMap<u16, Partial>,
+    },
     /// What the engine made of an order; `None` when it did not answer.
     Ordered {
         answer: Option<OrderAnswer>,
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -1,9 +1,9 @@
-//! The program beside an engine: it takes groups of items from the store, runs
+//! The program beside an engine: it takes bundles of items from the store, runs
 //! them on its engine, has them scored and lists their results.
 
+mod bundles;
 mod engine_watch;
 mod event;
-mod groups;
 mod heartbeats;
 mod open_batch;
 mod orders;
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     base::Millis,
-    batch::{Claim, Head, Item, Log, Sample}, //
+    batch::{Claim, Head, Item, Log, Partial, Sample}, //
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -19,13 +19,15 @@
     pub(super) seen: Millis,
 }
 
-/// A group that this runner has taken.
+/// A bundle that this runner has taken.
 #[derive(Debug)]
 pub(super) enum Mine {
     /// The claim is on its way to the store.
     Claiming,
     /// Its items are being read.
     Fetching,
+    /// What earlier runs have left of it is being read.
+    Resuming,
     Running,
 }
 
@@ -39,8 +41,10 @@
     pub(super) head: Arc<Head>,
     pub(super) log: Log,
     pub(super) log_revision: u64,
+    /// What earlier runs have left of items, by index.
+    pub(super) partials: HashMap<u16, Partial>,
     pub(super) mine: BTreeMap<u16, Mine>,
-    /// Each group's place in the order in which groups should begin.
+    /// Each bundle's place in the order in which bundles should begin.
     places: Vec<u16>,
     /// Results that are not listed yet.
     pub(super) results: Vec<(u16, Sample)>,
@@ -51,9 +55,9 @@
 impl OpenBatch {
     /// A batch that was just seen.
     pub(super) fn new(head: Head, now: Millis) -> Self {
-        let mut places = vec![0; head.groups.len()];
-        for (place, group) in head.order().into_iter().enumerate() {
-            places[usize::from(group)] = place as u16;
+        let mut places = vec![0; head.bundles.len()];
+        for (place, bundle) in head.order().into_iter().enumerate() {
+            places[usize::from(bundle)] = place as u16;
         }
         Self {
             appending: false,
@@ -63,6 +67,7 @@
             head: Arc::new(head),
             log: Log::default(),
             log_revision: 0,
+            partials: HashMap::new(),
             mine: BTreeMap::new(),
             places,
             results: Vec::new(),
@@ -76,40 +81,40 @@
         self.log.ended || self.log.listed.len() >= self.head.items.len()
     }
 
-    /// The items of `group` that have no result yet, here or in the store.
-    pub(super) fn left(&self, group: u16) -> Vec<u16> {
-        let Some(group) = self.head.groups.get(usize::from(group)) else {
+    /// The items of `bundle` that have no result yet, here or in the store.
+    pub(super) fn left(&self, bundle: u16) -> Vec<u16> {
+        let Some(bundle) = self.head.bundles.get(usize::from(bundle)) else {
             return Vec::new();
         };
         let open = |index: &&u16| !self.log.has(**index) && !self.has_result(**index);
-        group.items.iter().filter(open).copied().collect()
+        bundle.items.iter().filter(open).copied().collect()
     }
 
     fn has_result(&self, index: u16) -> bool {
         self.results.iter().any(|(done, _)| *done == index)
     }
 
-    /// The place of `group` in the order in which groups should begin.
-    pub(super) fn order_of(&self, group: u16) -> u16 {
+    /// The place of `bundle` in the order in which bundles should begin.
+    pub(super) fn order_of(&self, bundle: u16) -> u16 {
         self.places
-            .get(usize::from(group))
+            .get(usize::from(bundle))
             .copied()
-            .unwrap_or(group)
+            .unwrap_or(bundle)
     }
 
     /// Groups that are claimed and whose items are not all here.
-    pub(super) fn fetching_groups(&self) -> Vec<u16> {
+    pub(super) fn fetching_bundles(&self) -> Vec<u16> {
         let fetching = self
             .mine
             .iter()
             .filter(|(_, state)| matches!(state, Mine::Fetching));
-        fetching.map(|(group, _)| *group).collect()
+        fetching.map(|(bundle, _)| *bundle).collect()
     }
 
-    /// Items of groups that this runner has taken and that have no result yet.
+    /// Items of bundles that this runner has taken and that have no result yet.
     pub(super) fn load(&self) -> usize {
-        let groups = self.mine.keys();
-        groups.map(|group| self.left(*group).len()).sum()
+        let bundles = self.mine.keys();
+        bundles.map(|bundle| self.left(*bundle).len()).sum()
     }
 
     /// Takes a newer log; stops the runs of items that others have listed.
@@ -135,11 +140,11 @@
         let done: Vec<u16> = self
             .mine
             .keys()
-            .filter(|group| self.left(**group).is_empty())
+            .filter(|bundle| self.left(**bundle).is_empty())
             .copied()
             .collect();
-        for group in done {
-            self.mine.remove(&group);
+        for bundle in done {
+            self.mine.remove(&bundle);
         }
     }
 
@@ -149,5 +154,6 @@
         self.mine.clear();
         self.results.clear();
         self.chunks.clear();
+        self.partials.clear();
     }
 }
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -133,7 +133,7 @@
         })
     }
 
-    /// The oldest version that work of `model` at hand needs, and whether groups
+    /// The oldest version that work of `model` at hand needs, and whether bundles
     /// of it wait for a runner.
     fn needs(&self, model: &str, home: bool, now: Millis) -> (u64, bool) {
         let open = |batch: &&OpenBatch| {
@@ -142,7 +142,7 @@
         let mut needed = 0;
         let mut waiting = false;
         for batch in self.batches.values().filter(open) {
-            let waits = batch.waiting_groups() > 0;
+            let waits = batch.waiting_bundles() > 0;
             let rescue = now.since(batch.seen) >= RESCUE_AGE;
             if waits && (home || rescue) {
                 needed = needed.max(batch.head.least_version);
@@ -155,10 +155,10 @@
 
 impl OpenBatch {
     /// Groups that nobody has claimed.
-    fn waiting_groups(&self) -> usize {
-        let groups = 0..self.head.groups.len() as u16;
-        groups
-            .filter(|group| !self.claims.contains_key(group) && !self.left(*group).is_empty())
+    fn waiting_bundles(&self) -> usize {
+        let bundles = 0..self.head.bundles.len() as u16;
+        bundles
+            .filter(|bundle| !self.claims.contains_key(bundle) && !self.left(*bundle).is_empty())
             .count()
     }
 }
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -6,9 +6,10 @@
 };
 use crate::{
     base::{Clock, Millis},
-    batch::{Item, Sample, State},
+    batch::{Item, PARTIALS, Partial, Sample, State, encode, part_of, partial_key},
     net::{CallError, Opened, Peer},
-    platform::{EngineRequest, EventReader, not_executed, version_of_head}, //
+    platform::{EngineRequest, EventReader, Store, not_executed, version_of_head},
+    store::{Key, Transaction}, //
 };
 use std::{
     collections::BTreeSet,
@@ -33,11 +34,16 @@
     /// The engine's present life while it takes work.
     pub(super) server: watch::Receiver<Option<String>>,
     pub(super) scorers: Arc<Scorers>,
+    pub(super) store: Store,
 }
 
 /// One item to run.
 pub(super) struct Task {
+    pub(super) batch: String,
+    /// What an earlier run has left.
+    pub(super) begun: Option<Partial>,
     pub(super) host: String,
+    pub(super) index: u16,
     pub(super) item: Item,
     /// The oldest weight version that may generate its tokens.
     pub(super) least_version: u64,
@@ -65,6 +71,18 @@
 /// 6,200 on a day of 950 items.
 const REFUSAL_WITHIN: Millis = Millis(100);
 
+/// Long texts are kept this often while they grow, so that another engine goes
+/// on instead of beginning anew. Most items end before the first time; the
+/// longest run for five seconds, and steps waited for them twice over when
+/// their engine crashed or left.
+const KEEP_EVERY: Millis = Millis(700);
+
+/// The least new events for which a text is kept again.
+const KEEP_EVENTS: usize = 6;
+
+/// The most bytes of a kept text: one row of the store.
+const KEEP_BYTES: usize = 44 * 1024;
+
 /// What came of one run.
 enum Run {
     /// The stream ended as a whole.
@@ -88,10 +106,59 @@
     newest: Millis,
     since: u32,
     last: Option<u64>,
+    /// When it was last kept, and how many events it had.
+    kept: Millis,
+    kept_events: usize,
     versions: BTreeSet<u64>,
 }
 
 impl Text {
+    /// The text that an earlier run has left.
+    fn resume(begun: Option<Partial>, now: Millis) -> Self {
+        let begun = begun.unwrap_or_default();
+        Self {
+            kept: now,
+            kept_events: begun.events.len(),
+            last: (!begun.events.is_empty()).then_some(begun.last),
+            versions: begun.versions.into_iter().collect(),
+            events: begun.events,
+            ..Self::default()
+        }
+    }
+
+    /// Keeps what there is in the store if that is due. Nobody waits for it,
+    /// and losing it costs time only.
+    fn keep(&mut self, engine: &Engine, task: &Task) {
+        let due = self.newest.since(self.kept) >= KEEP_EVERY;
+        let grown = self.events.len() >= self.kept_events + KEEP_EVENTS;
+        let Some(last) = self.last.filter(|_| due && grown) else {
+            return;
+        };
+        self.kept = self.newest;
+        self.kept_events = self.events.len();
+        let partial = Partial {
+            events: self.events.clone(),
+            last,
+            versions: self.versions.iter().copied().collect(),
+        };
+        let value = encode(&partial);
+        if value.len() > KEEP_BYTES {
+            return;
+        }
+        let key = Key::new(PARTIALS, part_of(&task.batch), partial_key(task.index));
+        let transaction = Transaction {
+            set: vec![(key, value)],
+            ..Transaction::default()
+        };
+        let store = engine.store.clone();
+        let item = task.item.id.clone();
+        tokio::spawn(async move {
+            if let Err(error) = store.transact(&transaction).await {
+                tracing::debug!(item, %error, "a partial text was not kept");
+            }
+        });
+    }
+
     /// What the engine took for an event, without the wait before the first.
     fn pace(&self) -> Option<f64> {
         let first = self.first.filter(|_| self.since > 0)?;
@@ -101,7 +168,8 @@
 
 /// Runs the item to its end.
 pub(super) async fn run(engine: Engine, task: Task) -> ItemEnd {
-    let mut text = Text::default();
+    let now = engine.clock.now();
+    let mut text = Text::resume(task.begun.clone(), now);
     let mut failures = 0;
     let mut wait = AGAIN;
     loop {
@@ -251,6 +319,7 @@
             text.last = event.id;
             text.versions.insert(version);
             text.events.push(event.data);
+            text.keep(engine, task);
         }
     }
 }
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -60,6 +60,7 @@
                 peer: Peer::open(settings.engine, clock),
                 scorers: Arc::new(scorers),
                 server: life,
+                store: store.clone(),
             },
             engine_address: settings.engine,
             instance: common.instance,
--- a/src/runner/sweep.rs
+++ b/src/runner/sweep.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     base::{Millis, stable_hash},
-    batch::{BODIES, RESULTS, WORK, part_of},
+    batch::{BODIES, PARTIALS, RESULTS, WORK, part_of},
     platform::Store,
     store::{Key, StoreError, Transaction}, //
 };
@@ -77,7 +77,7 @@
 /// Removes all rows of a batch; those that make it known go last.
 async fn remove(store: &Store, id: &str) -> Result<(), StoreError> {
     let part = part_of(id);
-    for table in [RESULTS, BODIES, WORK] {
+    for table in [PARTIALS, RESULTS, BODIES, WORK] {
         let rows = store.whole_part(table, &part).await?.rows;
         for few in rows.chunks(ROWS_MOST) {
             let keys = few
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -28,7 +28,7 @@
 pub(super) struct Work {
     pub(super) batches: BTreeMap<String, OpenBatch>,
     pub(super) heartbeats: Heartbeats,
-    /// No group is claimed before, as the store did not take the last claim.
+    /// No bundle is claimed before, as the store did not take the last claim.
     pub(super) claims_from: Millis,
     pub(super) clock: Clock,
     pub(super) engine: Engine,
@@ -179,9 +179,9 @@
             }
             Event::Claimed {
                 claim,
-                group,
+                bundle,
                 outcome,
-            } => self.claimed(claim, group, outcome),
+            } => self.claimed(claim, bundle, outcome),
             Event::Fetched {
                 batch,
                 chunk,
@@ -193,6 +193,7 @@
                 model,
                 version,
             } => self.ordered(answer, &model, version),
+            Event::Partials { bundle, partials } => self.resumed(bundle, partials),
             Event::Report(report) => {
                 if let Some(report) = report {
                     self.report = Some((report, now));
@@ -273,9 +274,9 @@
                             batch.stop();
                         }
                     }
-                    Some(WorkKey::Claim(group)) => {
+                    Some(WorkKey::Claim(bundle)) => {
                         if let Some(batch) = self.batches.get_mut(id) {
-                            batch.claims.remove(&group);
+                            batch.claims.remove(&bundle);
                         }
                     }
                     Some(WorkKey::Log) | None => {}
@@ -313,9 +314,9 @@
                     }
                 }
             }
-            (Some(WorkKey::Claim(group)), Some(batch)) => {
+            (Some(WorkKey::Claim(bundle)), Some(batch)) => {
                 if let Some(claim) = decode(key, value) {
-                    batch.set_claim(group, claim, revision, now);
+                    batch.set_claim(bundle, claim, revision, now);
                 }
             }
             (Some(_), None) => self.orphan(id, key, value, revision),
@@ -528,18 +529,18 @@
 }
 
 impl OpenBatch {
-    /// Takes a newer claim; a group that another runner has taken over is
+    /// Takes a newer claim; a bundle that another runner has taken over is
     /// still run here, as the first whole result wins.
     pub(super) fn set_claim(
         &mut self,
-        group: u16,
+        bundle: u16,
         claim: crate::batch::Claim,
         revision: u64,
         now: Millis,
     ) {
         let newer = self
             .claims
-            .get(&group)
+            .get(&bundle)
             .is_none_or(|held| held.revision < revision);
         if newer {
             let held = Held {
@@ -547,19 +548,19 @@
                 revision,
                 seen: now,
             };
-            self.claims.insert(group, held);
+            self.claims.insert(bundle, held);
         }
     }
 
-    /// Gives up the groups of which nothing runs and something is left.
+    /// Gives up the bundles of which nothing runs and something is left.
     fn release_idle(&mut self) {
         let running = &self.running;
         let head = &self.head;
         let log = &self.log;
-        self.mine.retain(|group, state| {
+        self.mine.retain(|bundle, state| {
             let waits = !matches!(state, super::open_batch::Mine::Running);
-            let items = head.groups.get(usize::from(*group));
-            let items = items.map_or(&[][..], |group| &group.items);
+            let items = head.bundles.get(usize::from(*bundle));
+            let items = items.map_or(&[][..], |bundle| &bundle.items);
             let runs = items.iter().any(|index| running.contains_key(index));
             let open = items.iter().any(|index| !log.has(*index));
             waits || runs || !open
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -644,3 +644,26 @@
     assert_eq!(answer.header("connection"), Some("close"));
     assert_eq!(ready, 503);
 }
+
+/// An engine crashes two seconds into long items. Another engine goes on after
+/// the events that were kept, instead of beginning anew; the texts are whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_items_go_on_after_a_crash() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(50));
+    }
+    let batch = Batch::new("long", 3, 2, 80);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(2_000).await;
+    let crashed = scene
+        .engines
+        .iter()
+        .position(|engine| !engine.runs().is_empty());
+    scene.engines[crashed.unwrap()].switch().send_replace(false);
+    check_whole(&batch, &scene.read(&batch, 6, SOON).await);
+    let runs = scene.engines.iter().flat_map(Engine::runs);
+    let resumed: Vec<u64> = runs.filter_map(|run| run.after).collect();
+    assert!(!resumed.is_empty(), "no run went on");
+    assert!(resumed.iter().all(|after| *after >= 5), "{resumed:?}");
+}
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -14,17 +14,17 @@
 
 const ALONE: Place = Place { count: 1, rank: 0 };
 
-fn offer(group: u16) -> Offer {
+fn offer(bundle: u16) -> Offer {
     Offer {
         age: Millis(0),
         batch: 0,
         due: Millis(7_500),
-        group,
+        bundle,
         holder: Holder::Nobody,
         home: true,
         left: 4,
         loaded: true,
-        order: group,
+        order: bundle,
     }
 }
 
@@ -36,7 +36,7 @@
     }
 }
 
-/// Offers to a runner, and the group that it takes.
+/// Offers to a runner, and the bundle that it takes.
 struct Choice {
     name: &'static str,
     offers: Vec<Offer>,
@@ -48,11 +48,11 @@
 impl Choice {
     fn run(&self) {
         let taken = choose(&self.offers, self.place, self.room);
-        assert_eq!(taken.map(|offer| offer.group), self.takes, "{}", self.name);
+        assert_eq!(taken.map(|offer| offer.bundle), self.takes, "{}", self.name);
     }
 }
 
-/// Which of the groups that nobody runs a runner takes.
+/// Which of the bundles that nobody runs a runner takes.
 #[test]
 fn a_runner_takes_the_group_that_helps_most() {
     let foreign = Offer {
@@ -105,14 +105,14 @@
             takes: None,
         },
         Choice {
-            name: "another model's group only after a while",
+            name: "another model's bundle only after a while",
             offers: vec![foreign],
             place: ALONE,
             room: 12,
             takes: None,
         },
         Choice {
-            name: "another model's group that nobody took",
+            name: "another model's bundle that nobody took",
             offers: vec![Offer {
                 age: Millis(500),
                 ..foreign
@@ -126,7 +126,7 @@
     }
 }
 
-/// Which of the groups that another runner holds a runner joins.
+/// Which of the bundles that another runner holds a runner joins.
 #[test]
 fn a_runner_joins_only_slow_holders() {
     for test in [
@@ -151,7 +151,7 @@
             takes: Some(0),
         },
         Choice {
-            name: "an unclaimed group before a slow holder's",
+            name: "an unclaimed bundle before a slow holder's",
             offers: vec![
                 Offer {
                     holder: held(3.5, 800),
@@ -164,7 +164,7 @@
             takes: Some(5),
         },
         Choice {
-            name: "a slow holder's group only whole",
+            name: "a slow holder's bundle only whole",
             offers: vec![Offer {
                 holder: held(3.5, 800),
                 ..offer(0)
@@ -178,7 +178,7 @@
     }
 }
 
-/// A step of 24 groups arrives at five runners at the same moment. Each takes
+/// A step of 24 bundles arrives at five runners at the same moment. Each takes
 /// three before it sees what the others took: no two take the same, so no
 /// claim is lost.
 #[test]
@@ -189,9 +189,9 @@
         let mut offers: Vec<Offer> = (0..24).map(offer).collect();
         let mut room = 12;
         while let Some(chosen) = choose(&offers, place, room).copied() {
-            offers.retain(|other| other.group != chosen.group);
+            offers.retain(|other| other.bundle != chosen.bundle);
             room -= chosen.left.min(room);
-            taken.push(chosen.group);
+            taken.push(chosen.bundle);
         }
     }
     taken.sort_unstable();
@@ -200,18 +200,18 @@
     assert_eq!((all, taken.len()), (15, 15));
 }
 
-/// While no claim can be written, each group has exactly one runner.
+/// While no claim can be written, each bundle has exactly one runner.
 #[test]
 fn each_group_has_one_runner_by_the_rule() {
-    for group in 0..24 {
+    for bundle in 0..24 {
         let runners = (0..5).filter(|rank| {
             let place = Place {
                 count: 5,
                 rank: *rank,
             };
-            is_mine_by_rule(&offer(group), place)
+            is_mine_by_rule(&offer(bundle), place)
         });
-        assert_eq!(runners.count(), 1, "group {group}");
+        assert_eq!(runners.count(), 1, "bundle {bundle}");
     }
     let claimed = Offer {
         holder: held(1.0, 0),
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -97,9 +97,9 @@
     }
 }
 
-/// The groups with the longest items begin first.
+/// The bundles with the longest items begin first.
 #[test]
-fn long_groups_begin_first() {
+fn long_bundles_begin_first() {
     let items = vec![
         item(3, "a", 0),
         item(9, "b", 0),
@@ -107,13 +107,38 @@
         item(8, "a", 0),
     ];
     let (head, _) = Head::of(&submission(items), Millis(0));
-    let groups: Vec<Vec<u16>> = head
-        .groups
+    assert_eq!(bundles(&head), [vec![0, 3], vec![1], vec![2]]);
+    assert_eq!(head.order(), [1, 0, 2]);
+}
+
+fn bundles(head: &Head) -> Vec<Vec<u16>> {
+    let bundles = head.bundles.iter();
+    bundles.map(|bundle| bundle.items.clone()).collect()
+}
+
+/// A step of 16 groups of 16 items comes to 15 engines with 6 slots each. Its
+/// groups are dealt out in bundles of four, so that no engine runs one group
+/// in three turns while others are idle; each item is in one bundle.
+#[test]
+fn large_groups_are_dealt_out() {
+    let group = |number: usize| format!("g{}", number / 16);
+    let items = (0..256).map(|number| item(number, &group(number), 0));
+    let (head, _) = Head::of(&submission(items.collect()), Millis(0));
+    let bundles = bundles(&head);
+    assert!(bundles.iter().all(|bundle| bundle.len() == 4));
+    let mut all: Vec<u16> = bundles.concat();
+    all.sort_unstable();
+    assert_eq!(all, (0..256).collect::<Vec<u16>>());
+
+    // Five items make two bundles of about the same size.
+    let items = (0..5).map(|number| item(number, "g", 0)).collect();
+    let (head, _) = Head::of(&submission(items), Millis(0));
+    let sizes: Vec<usize> = head
+        .bundles
         .iter()
-        .map(|group| group.items.clone())
+        .map(|bundle| bundle.items.len())
         .collect();
-    assert_eq!(groups, [vec![0, 3], vec![1], vec![2]]);
-    assert_eq!(head.order(), [1, 0, 2]);
+    assert_eq!(sizes, [3, 2]);
 }
 
 fn sample(number: usize, size: usize) -> Sample {
