Add a fault soak of the real programs

Seeded: gateways and runners as processes among stand-ins, their ways to the store through relays; kills, stops, pauses, hangups, silenced connections, a store that is away, slow, forgets, loses answers or writes late, engines and servers that fail; checked by what callers, trainers and servers see.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod server;
 pub mod service;
 pub mod site;
+pub mod soak;
 
 pub mod trainer;
 pub mod truth;
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -133,16 +133,7 @@
 
     /// Announces a server.
     pub fn announce(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
-        let entry = serde_json::json!({
-            "service": service,
-            "address": address,
-            "zone": "north",
-            "version": "v1",
-            "batchSlots": 4,
-            "state": state,
-            "coldRemainingMs": 0,
-            "sequence": 0,
-        });
+        let entry = server_entry(service, address, state);
         self.store.put("servers", id, Some(&entry));
     }
 
@@ -150,40 +141,7 @@
     /// that every scene has, and `more`.
     pub fn put_config(&mut self, more: serde_json::Value) {
         self.version += 3;
-        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
-            serde_json::json!({
-                "name": name,
-                "host": "site.example",
-                "pathPrefix": prefix,
-                "routeType": kind,
-                "timeoutMs": 2_000,
-                "targetLatencyMs": 200,
-                "resultDeadlineMs": 5_000,
-                "itemTtlS": 20,
-                "priority": 1,
-                "maxAttempts": 3,
-                "service": service,
-            })
-        };
-        let mut routes = vec![
-            route("roll", "/roll/", "rollout", "engines"),
-            route("safe", "/safe/", "safe", "plain"),
-            route("once", "/once/", "unsafe", "plain"),
-            route("score", "/score/", "safe", "plain"),
-        ];
-        routes.extend(more.as_array().cloned().unwrap_or_default());
-        let config = serde_json::json!({
-            "version": self.version,
-            "routes": routes,
-            "services": [
-                {"name": "engines", "healthCheckPath": "/healthz", "maxConnections": 100,
-                 "engine": {"batchSlots": 4, "models": [{"name": "m0"}]}},
-                {"name": "plain", "healthCheckPath": "/healthz", "maxConnections": 100},
-            ],
-            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
-                       "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-        });
-        self.store.put("op", "config", Some(&config));
+        put_config(&self.store, self.version, &more);
     }
 
     /// Names a weight version as a trainer does.
@@ -291,3 +249,56 @@
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
+
+/// A server's announcement.
+pub fn server_entry(service: &str, address: SocketAddr, state: &str) -> serde_json::Value {
+    serde_json::json!({
+        "service": service,
+        "address": address,
+        "zone": "north",
+        "version": "v1",
+        "batchSlots": 4,
+        "state": state,
+        "coldRemainingMs": 0,
+        "sequence": 0,
+    })
+}
+
+/// Writes the configuration `version`: the routes that every site of the tests
+/// has, and `more`.
+pub fn put_config(store: &Store, version: u64, more: &serde_json::Value) {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        serde_json::json!({
+            "name": name,
+            "host": "site.example",
+            "pathPrefix": prefix,
+            "routeType": kind,
+            "timeoutMs": 2_000,
+            "targetLatencyMs": 200,
+            "resultDeadlineMs": 5_000,
+            "itemTtlS": 20,
+            "priority": 1,
+            "maxAttempts": 3,
+            "service": service,
+        })
+    };
+    let mut routes = vec![
+        route("roll", "/roll/", "rollout", "engines"),
+        route("safe", "/safe/", "safe", "plain"),
+        route("once", "/once/", "unsafe", "plain"),
+        route("score", "/score/", "safe", "plain"),
+    ];
+    routes.extend(more.as_array().cloned().unwrap_or_default());
+    let config = serde_json::json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "engines", "healthCheckPath": "/healthz", "maxConnections": 100,
+             "engine": {"batchSlots": 4, "models": [{"name": "m0"}]}},
+            {"name": "plain", "healthCheckPath": "/healthz", "maxConnections": 100},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
+                   "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
+    });
+    store.put("op", "config", Some(&config));
+}
--- /dev/null
+++ b/standins/src/soak/callers.rs
@@ -0,0 +1,80 @@
+//! Callers of plain services, and what they may never see.
+
+use crate::{
+    client::Client,
+    site::Plain, //
+};
+use hyper::Method;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// One call and its answer; `None` when there was none.
+#[derive(Clone, Debug)]
+struct Call {
+    body: Option<bytes::Bytes>,
+    id: String,
+    once: bool,
+    status: Option<u16>,
+}
+
+/// All calls so far.
+#[derive(Debug, Default)]
+pub(super) struct Callers {
+    calls: Vec<Call>,
+}
+
+/// How long a caller waits.
+const WITHIN: Duration = Duration::from_millis(2_500);
+
+impl Callers {
+    /// Makes one call.
+    pub(super) async fn call(&mut self, client: &Client, gateway: SocketAddr, id: String) {
+        let once = self.calls.len().is_multiple_of(2);
+        let path = if once { "/once/x" } else { "/safe/x" };
+        let headers = [
+            ("host", "site.example"),
+            ("x-attempt-id", id.as_str()),
+            ("x-deadline-ms", "1500"),
+        ];
+        let body = format!("body of {id}");
+        let answer = client.call(Method::POST, gateway, path, &headers, body, WITHIN);
+        let answer = answer.await.ok();
+        self.calls.push(Call {
+            body: answer.as_ref().map(|answer| answer.body.clone()),
+            status: answer.map(|answer| answer.status.as_u16()),
+            id,
+            once,
+        });
+    }
+
+    /// What was broken: a call that ran twice, a refusal that was not true, an
+    /// answer of another call.
+    pub(super) fn broken(&self, servers: &[Plain]) -> Vec<String> {
+        let mut broken = Vec::new();
+        for call in &self.calls {
+            let runs: usize = servers.iter().map(|server| server.runs_of(&call.id)).sum();
+            if call.once && runs > 1 {
+                broken.push(format!("call {} ran {runs} times", call.id));
+            }
+            if call.once && call.status == Some(503) && runs > 0 {
+                broken.push(format!("call {} was refused and ran", call.id));
+            }
+            let own = format!("body of {}", call.id);
+            if call.status == Some(200) && call.body.as_deref() != Some(own.as_bytes()) {
+                broken.push(format!("call {} got another answer", call.id));
+            }
+            if call.status == Some(404) {
+                broken.push(format!("call {} was told that it has no route", call.id));
+            }
+        }
+        broken
+    }
+
+    /// Calls made, and calls answered with success.
+    pub(super) fn count(&self) -> (usize, usize) {
+        let served = self.calls.iter().filter(|call| call.status == Some(200));
+        (self.calls.len(), served.count())
+    }
+}
--- /dev/null
+++ b/standins/src/soak/command.rs
@@ -0,0 +1,83 @@
+//! The command line of `redwing-soak`.
+
+use super::run::run;
+use argh::FromArgs;
+use redwingpond::{
+    base::Millis,
+    operator::parse, //
+};
+use std::{
+    io,
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+/// Runs the real gateways and runners as processes among stand-ins, injects the
+/// faults that the seed draws, and checks what callers, trainers and servers
+/// see. Exits with 1 if a promise was broken; the files are kept then.
+#[derive(FromArgs)]
+struct SoakCommand {
+    /// how many seeds are run, from `--seed` on (default: 1)
+    #[argh(option, default = "1")]
+    count: u64,
+
+    /// where settings and logs are written (default: a folder for temporary files)
+    #[argh(option)]
+    folder: Option<PathBuf>,
+
+    /// how long faults are injected for each seed, in seconds (default: 10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+
+    /// the first seed (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Runs the program; returns its exit code.
+pub fn soak_main() -> ExitCode {
+    let command: SoakCommand = match parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build();
+    match runtime.and_then(|runtime| runtime.block_on(soak(&command))) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn soak(command: &SoakCommand) -> io::Result<bool> {
+    let folder = command.folder.clone().unwrap_or_else(std::env::temp_dir);
+    let mut held = true;
+    for seed in command.seed..command.seed + command.count {
+        let folder = folder.join(format!("redwing-soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let verdict = run(seed, Millis(command.seconds * 1_000), &folder).await?;
+        let (made, served) = verdict.calls;
+        println!(
+            "seed {seed}: {} faults, {} batches accepted, {served} of {made} calls served, {}",
+            verdict.faults,
+            verdict.batches,
+            match verdict.broken.len() {
+                0 => "every promise held".to_owned(),
+                count => format!("{count} broken, files in {}", folder.display()),
+            }
+        );
+        for broken in &verdict.broken {
+            println!("  {broken}");
+        }
+        held &= verdict.broken.is_empty();
+        if verdict.broken.is_empty() {
+            std::fs::remove_dir_all(&folder)?;
+        }
+    }
+    Ok(held)
+}
--- /dev/null
+++ b/standins/src/soak/fault.rs
@@ -0,0 +1,116 @@
+//! What the soak does to the site, drawn from its seed.
+
+use crate::{
+    relay::Silence,
+    site::{Outage, PlainFault, StoreFaults}, //
+};
+use rand::Rng;
+use redwingpond::base::Millis;
+
+/// How many of each a soak has.
+pub(super) const ENGINES: usize = 4;
+pub(super) const GATEWAYS: usize = 3;
+pub(super) const PLAIN: usize = 3;
+
+/// One fault. Processes are counted gateways first, then runners.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Fault {
+    /// The engine cuts its streams within events for a while.
+    CutStreams { engine: usize, length: Millis },
+    /// The engine is gone for a while.
+    EngineDown { engine: usize, length: Millis },
+    /// The store forgets its history.
+    Forget,
+    /// SIGHUP.
+    Hangup { process: usize },
+    /// SIGKILL; it starts again after the pause.
+    Kill { process: usize, pause: Millis },
+    /// SIGSTOP, and SIGCONT after a while.
+    Pause { process: usize, length: Millis },
+    /// The plain server misbehaves for a while.
+    Plain {
+        fault: PlainFault,
+        length: Millis,
+        server: usize,
+    },
+    /// The process's connections to the store go silent; new ones work.
+    Silence { process: usize, silence: Silence },
+    /// The store misbehaves for a while.
+    Store { faults: StoreFaults, length: Millis },
+    /// SIGTERM; it starts again once it has ended.
+    Stop { process: usize },
+}
+
+/// Draws a plan for `length`: faults in series that overlap.
+pub(super) fn draw(rng: &mut impl Rng, length: Millis) -> Vec<(Millis, Fault)> {
+    let mut plan = Vec::new();
+    let mut at = 300;
+    while at < length.0 {
+        plan.push((Millis(at), one(rng)));
+        // A third of them follow on the last one's heels.
+        at += match rng.random_range(0..3) {
+            0 => rng.random_range(10..80),
+            _ => rng.random_range(300..1_200),
+        };
+    }
+    plan
+}
+
+fn one(rng: &mut impl Rng) -> Fault {
+    let process = rng.random_range(0..GATEWAYS + ENGINES);
+    let engine = rng.random_range(0..ENGINES);
+    let length = Millis(rng.random_range(200..2_500));
+    match rng.random_range(0..11) {
+        0 => Fault::CutStreams { engine, length },
+        1 => Fault::EngineDown { engine, length },
+        2 => Fault::Forget,
+        3 => Fault::Hangup { process },
+        4 | 5 => Fault::Kill {
+            pause: Millis(rng.random_range(0..600)),
+            process,
+        },
+        6 => Fault::Pause { length, process },
+        7 => Fault::Plain {
+            fault: plain(rng),
+            length,
+            server: rng.random_range(0..PLAIN),
+        },
+        8 => Fault::Silence {
+            process,
+            silence: Silence {
+                from_target: rng.random(),
+                to_target: rng.random(),
+            },
+        },
+        9 => Fault::Store {
+            faults: store(rng),
+            length,
+        },
+        _ => Fault::Stop { process },
+    }
+}
+
+fn plain(rng: &mut impl Rng) -> PlainFault {
+    match rng.random_range(0..4) {
+        0 => PlainFault::Foreign,
+        1 => PlainFault::Full,
+        2 => PlainFault::Mute,
+        _ => PlainFault::Reset,
+    }
+}
+
+fn store(rng: &mut impl Rng) -> StoreFaults {
+    let mut faults = StoreFaults::default();
+    match rng.random_range(0..6) {
+        0 => faults.outage = Outage::Busy,
+        1 => faults.outage = Outage::Reset,
+        2 => faults.outage = Outage::Silent,
+        3 => faults.slow = Millis(rng.random_range(50..300)),
+        4 => faults.lost_answers = Some(rng.random_range(2..6)),
+        _ => {
+            let every = rng.random_range(3..8);
+            faults.late_writes = Some((every, Millis(rng.random_range(300..2_000))));
+        }
+    }
+    faults
+}
--- /dev/null
+++ b/standins/src/soak/process.rs
@@ -0,0 +1,142 @@
+//! One of the real programs as a process.
+
+use crate::relay::Relay;
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
+use std::{
+    fs::{self, File},
+    io,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio}, //
+};
+
+/// A program, its settings, and its process while it runs. Dropping it ends the
+/// process that it started, and no other.
+pub(super) struct Process {
+    child: Option<Child>,
+    pub(super) name: String,
+    program: PathBuf,
+    /// Where callers reach it; a runner has no such address.
+    pub(super) callers: Option<SocketAddr>,
+    /// Its way to the store.
+    pub(super) relay: Relay,
+    settings: PathBuf,
+    /// How often it was started.
+    starts: u32,
+}
+
+impl Process {
+    /// Prepares a gateway in `folder`.
+    pub(super) async fn gateway(
+        folder: &Path,
+        number: usize,
+        store: SocketAddr,
+    ) -> io::Result<Self> {
+        let (callers, ready) = (free_port()?, free_port()?);
+        let listen = format!("  callers: \"{callers}\"\n  ready: \"{ready}\"\n");
+        let name = format!("gateway-{number}");
+        Self::new(folder, &name, store, &listen, "", Some(callers)).await
+    }
+
+    /// Prepares a runner in `folder`.
+    pub(super) async fn runner(
+        folder: &Path,
+        number: usize,
+        store: SocketAddr,
+        engine: SocketAddr,
+    ) -> io::Result<Self> {
+        let name = format!("runner-{number}");
+        let more = format!("engine:\n  address: \"{engine}\"\n  service: engines\n");
+        Self::new(folder, &name, store, "", &more, None).await
+    }
+
+    async fn new(
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        listen: &str,
+        more: &str,
+        callers: Option<SocketAddr>,
+    ) -> io::Result<Self> {
+        let relay = Relay::open(store).await?;
+        let (metrics, way) = (free_port()?, relay.address);
+        let text = format!(
+            "instance: {name}\ndata_centre: north\nlisten:\n  metrics: \"{metrics}\"\n{listen}\
+             store: \"{way}\"\ngrace_s: 6\nretention_s: 60\n{more}"
+        );
+        let settings = folder.join(format!("{name}.yaml"));
+        fs::write(&settings, text)?;
+        let kind = name.split('-').next().unwrap_or(name);
+        let here = std::env::current_exe()?;
+        let program = here.with_file_name(format!("redwing-{kind}"));
+        Ok(Self {
+            callers,
+            child: None,
+            name: name.to_owned(),
+            program,
+            relay,
+            settings,
+            starts: 0,
+        })
+    }
+
+    /// Starts the process, with its log beside its settings.
+    pub(super) fn start(&mut self) -> io::Result<()> {
+        self.starts += 1;
+        let log = self.settings.with_extension(format!("{}.log", self.starts));
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(File::create(log)?)
+            .stderr(Stdio::inherit())
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal, if the process runs.
+    pub(super) fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let pid = self
+            .child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id().cast_signed()));
+        if let Some(pid) = pid
+            && let Err(error) = kill_process(pid, signal)
+        {
+            eprintln!("{}: {signal:?} was not sent: {error}", self.name);
+        }
+    }
+
+    /// Whether the process runs; reaps it when it has ended.
+    pub(super) fn is_running(&mut self) -> bool {
+        let Some(child) = &mut self.child else {
+            return false;
+        };
+        let running = matches!(child.try_wait(), Ok(None));
+        if !running {
+            self.child = None;
+        }
+        running
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // It may have ended by itself just now.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn free_port() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
