Count a scorer's failures one by one; load a fifth of the engines at once

Change: each call tells how many servers answered that they failed; only those count. an_item_is_given_up_after_its_scorers_failures: given up after 1 failure before, after 3 now.

Cause of steps waiting 2 to 5 s for weights on the grown Tema: two loads at a time for 46 engines; the sites name 2 of 9 and 9 of 46. Change: a fifth.

The soak takes ports that outgoing connections can't take: a process that was started again could not listen. Each choice of a server is logged.

--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -30,10 +30,12 @@
 /// How a call ended.
 #[derive(Debug)]
 pub enum CallEnd {
-    /// A server's whole answer, to be handed on unchanged.
-    Answered(Answer),
-    /// It may have run, and its answer is lost.
-    Lost { reason: String },
+    /// A server's whole answer, to be handed on unchanged. `failures` servers
+    /// answered that they failed, this one included if it did.
+    Answered { answer: Answer, failures: u32 },
+    /// It may have run, and its answer is lost; `failures` servers answered
+    /// that they failed.
+    Lost { failures: u32, reason: String },
     /// It did not run and will not; it is worth asking again after the wait.
     NotRun { reason: String, wait: Millis },
     /// Its time is over.
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -13,7 +13,7 @@
     platform,
     policy::{
         retry_budget::RetryBudget,
-        server_choice::{choose, hedge_after},
+        server_choice::{Candidate, choose, hedge_after},
         typical::Typical, //
     },
     routing::{Kind, Server},
@@ -100,6 +100,7 @@
         let run = Run {
             call,
             caller: self,
+            failures: 0,
             hedged: false,
             ran: 0,
             refusals: 0,
@@ -188,7 +189,27 @@
             .collect();
         let spread = stable_hash(&[call.id.as_bytes()]);
         let chosen = choose(&candidates, spread)?;
-        servers.get(chosen).cloned()
+        let server = servers.get(chosen).cloned()?;
+        let Candidate {
+            in_flight,
+            latency,
+            reported,
+            trusted,
+            ..
+        } = candidates[chosen];
+        let (id, latency, of) = (&server.id, latency as u64, candidates.len());
+        tracing::info!(
+            call = call.id,
+            server = id,
+            service,
+            in_flight,
+            latency,
+            ?reported,
+            trusted,
+            of,
+            "server chosen"
+        );
+        Some(server)
     }
 
     fn peer(&self, address: SocketAddr) -> Peer {
@@ -293,6 +314,8 @@
 struct Run<'a> {
     call: &'a Call,
     caller: &'a Caller,
+    /// Servers that answered that they failed.
+    failures: u32,
     /// Whether another server was asked beside a slow one.
     hedged: bool,
     /// Why the last attempt failed.
@@ -331,9 +354,11 @@
             caller.learn(call, &sent, &attempt);
             match attempt {
                 Attempt::Answered(answer) if self.is_final(&answer) => {
-                    return CallEnd::Answered(answer);
+                    let failures = self.failures + u32::from(answer.status.is_server_error());
+                    return CallEnd::Answered { answer, failures };
                 }
                 Attempt::Answered(answer) => {
+                    self.failures += 1;
                     self.ran += 1;
                     kept = Some(answer);
                 }
@@ -407,8 +432,9 @@
     }
 
     fn end(&self, kept: Option<Answer>) -> CallEnd {
+        let failures = self.failures;
         if let Some(answer) = kept {
-            return CallEnd::Answered(answer);
+            return CallEnd::Answered { answer, failures };
         }
         let reason = self.last.to_owned();
         match (self.ran, self.tried.is_empty()) {
@@ -420,7 +446,7 @@
                 reason,
                 wait: WAIT_FULL,
             },
-            _ => CallEnd::Lost { reason },
+            _ => CallEnd::Lost { failures, reason },
         }
     }
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -14,12 +14,12 @@
     let taken = caller.clock().now().since(arrived).0;
     let (id, route) = (&call.id, &call.route.name);
     match end {
-        CallEnd::Answered(answer) => {
+        CallEnd::Answered { answer, .. } => {
             let status = answer.status.as_u16();
             tracing::info!(call = id, route, status, taken, "answered");
             reply::of_server(answer)
         }
-        CallEnd::Lost { reason } => {
+        CallEnd::Lost { reason, .. } => {
             tracing::warn!(call = id, route, reason, taken, "lost: it may have run");
             reply::status(StatusCode::BAD_GATEWAY, "the answer is lost")
         }
--- a/src/policy/version_plan.rs
+++ b/src/policy/version_plan.rs
@@ -13,6 +13,8 @@
 pub struct Situation {
     /// Other engines that are changing weights.
     pub loading: usize,
+    /// The models that the service's engines hold.
+    pub models: usize,
     /// The oldest version that work at hand needs.
     pub needed: u64,
     /// The version that the engine has.
@@ -27,6 +29,8 @@
     pub waiting: bool,
     /// This runner's place among those of the model.
     pub rank: usize,
+    /// The runners of the service.
+    pub runners: usize,
 }
 
 /// What to do.
@@ -37,9 +41,11 @@
     Wait,
 }
 
-/// Engines that load at once without slowing each other down; each one more
-/// slows them all.
-const AT_ONCE: usize = 2;
+/// The share of a service's engines that load at once without slowing each other
+/// down, and the least: 2 of 9 and 9 of 46 on the users' sites. Each one more
+/// slows them all; fewer keep steps waiting that need the weights.
+const SHARE_AT_ONCE: f64 = 0.2;
+const LEAST_AT_ONCE: usize = 2;
 
 /// What one load takes.
 const LOAD_TIME: Millis = Millis(900);
@@ -48,20 +54,27 @@
 /// with it may be on its way.
 const QUIET: Millis = Millis(500);
 
-/// Runners begin one after the other by this much, so that each sees by the
-/// heartbeats whether those before it are loading.
+/// Runners begin in waves this far apart, so that each sees by the heartbeats
+/// how many before it are loading.
 const STAGGER: Millis = Millis(70);
 
+/// How many of `runners` engines may load at once.
+pub fn at_once(runners: usize) -> usize {
+    ((runners as f64 * SHARE_AT_ONCE) as usize).max(LEAST_AT_ONCE)
+}
+
 /// Whether the engine takes new weights now.
 pub fn step(now: &Situation) -> Step {
     if now.held >= now.named {
         return Step::Wait;
     }
-    let turn = Millis(STAGGER.0 * now.rank as u64);
-    let free = now.loading < AT_ONCE;
+    let most = at_once(now.runners);
+    let wave = (most / now.models.max(1)).max(1);
+    let turn = Millis(STAGGER.0 * (now.rank / wave) as u64);
+    let free = now.loading < most;
     if now.needed > now.held {
         // A heartbeat that says "loading" may be all that is left of a runner.
-        let waves = now.rank as u64 / AT_ONCE as u64 + 2;
+        let waves = (now.rank / wave) as u64 + 2;
         let overdue = now.named_for >= Millis(LOAD_TIME.0 * waves);
         return when((free && now.named_for >= turn) || overdue, now.named);
     }
--- a/src/runner/bundles.rs
+++ b/src/runner/bundles.rs
@@ -105,12 +105,12 @@
         }
         let load: usize = self.batches.values().map(OpenBatch::load).sum();
         let usual = self.heartbeats.usual_pace(&self.service);
-        let mut room = capacity(self.slots, self.pace, usual).saturating_sub(load as u32);
+        let mut room = capacity(self.slots, self.known_pace(), usual).saturating_sub(load as u32);
         if room == 0 {
             return;
         }
         let (home, place) = self.place(now);
-        let home = home.filter(|_| !is_slow(self.pace, usual));
+        let home = home.filter(|_| !is_slow(self.known_pace(), usual));
         let mut offers = self.offers(&ids, home.as_deref(), now);
         if self.store_away {
             offers.retain(|offer| is_mine_by_rule(offer, place));
@@ -187,8 +187,9 @@
             return None;
         }
         let theirs = self.heartbeats.pace(&claim.holder);
-        let pace = match self.pace > 0.0 && theirs > 0.0 {
-            true => theirs / self.pace,
+        let mine = self.known_pace();
+        let pace = match mine > 0.0 && theirs > 0.0 {
+            true => theirs / mine,
             false => 1.0,
         };
         Some(Holder::Held {
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -49,6 +49,7 @@
 
         let (home, place) = self.place(now);
         let loading = self.heartbeats.loading(&self.instance, now);
+        let runners = self.heartbeats.working(&self.service, now).len();
         let mut due = None;
         for weights in &report.weights {
             let is_home = home.as_ref() == Some(&weights.model);
@@ -58,10 +59,12 @@
                 held: weights.version,
                 home: is_home,
                 loading,
+                models: report.weights.len(),
                 named,
                 named_for: now.since(seen),
                 needed,
                 rank: place.rank,
+                runners,
                 waiting,
             };
             if let Step::Load(version) = step(&situation) {
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -24,7 +24,9 @@
 #[derive(Debug)]
 pub(super) enum Score {
     Given(String),
-    /// The scorer failed it as often as its route allows.
+    /// Scorers answered that they failed as often as the route allows. Calls
+    /// that were lost or not taken don't count: an item was given up after one
+    /// failure while another server was full.
     GivenUp,
     /// The item's time is over.
     TimedOut,
@@ -64,19 +66,23 @@
                 route,
             };
             match self.caller.run(&call).await {
-                CallEnd::Answered(answer) if answer.status.is_success() => {
+                CallEnd::Answered { answer, .. } if answer.status.is_success() => {
                     let signature = platform::signature(&answer.headers);
                     if let Some(score) = signature.and_then(|value| value.to_str().ok()) {
                         return Score::Given(score.to_owned());
                     }
                 }
-                CallEnd::Answered(answer) => {
-                    failures += call.route.attempts;
+                CallEnd::Answered {
+                    answer,
+                    failures: more,
+                } => {
+                    failures += more;
                     let status = answer.status.as_u16();
                     tracing::info!(call = scorer.id, status, failures, "the scorer failed");
                 }
                 CallEnd::NotRun { wait, .. } => tokio::time::sleep(wait.as_duration()).await,
-                CallEnd::Lost { .. } | CallEnd::TimedOut => {}
+                CallEnd::Lost { failures: more, .. } => failures += more,
+                CallEnd::TimedOut => {}
             }
             if failures >= most_failures {
                 return Score::GivenUp;
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -41,6 +41,8 @@
     orphans: BTreeMap<String, Vec<Row>>,
     /// What the engine takes for an event, in ms; 0 before the first.
     pub(super) pace: f64,
+    /// Runs that the pace is made of.
+    paced: u32,
     pub(super) report: Option<(EngineReport, Millis)>,
     pub(super) retention: Millis,
     /// The engine's present life while it takes work.
@@ -84,6 +86,9 @@
 /// The wait before a write that failed is looked at again.
 const WRITE_AGAIN: Millis = Millis(80);
 
+/// The runs after which the engine's pace is told to others.
+const PACED_LEAST: u32 = 8;
+
 /// The weight of each new run in the engine's pace.
 const PACE_WEIGHT: f64 = 0.15;
 
@@ -131,6 +136,7 @@
             order: None,
             orphans: BTreeMap::new(),
             pace: 0.0,
+            paced: 0,
             report: None,
             retention: seed.retention,
             server: seed.server,
@@ -251,6 +257,16 @@
         });
     }
 
+    /// What the engine takes for an event, once enough runs have told: the
+    /// first ones meet an engine that is filling up, and one odd run made
+    /// others join its holder's bundles.
+    pub(super) fn known_pace(&self) -> f64 {
+        match self.paced >= PACED_LEAST {
+            true => self.pace,
+            false => 0.0,
+        }
+    }
+
     fn is_idle(&self) -> bool {
         let busy = |batch: &OpenBatch| !batch.running.is_empty() || !batch.results.is_empty();
         !self.batches.values().any(busy)
@@ -352,6 +368,7 @@
         match end {
             ItemEnd::Done { pace, sample } => {
                 if let Some(pace) = pace {
+                    self.paced += 1;
                     let old = if self.pace > 0.0 { self.pace } else { pace };
                     self.pace = old + PACE_WEIGHT * (pace - old);
                 }
@@ -439,7 +456,7 @@
         let mut next = Heartbeat {
             leaving: self.leaving,
             loading: self.order.is_some() || self.report.as_ref().is_some_and(|(r, _)| r.busy),
-            pace: self.pace,
+            pace: self.known_pace(),
             sequence: last.sequence,
             service: self.service.clone(),
             token: self.token,
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -26,6 +26,8 @@
 /// How a plain server behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum PlainFault {
+    /// It runs the request and answers 500, under its own seal.
+    Fails,
     /// It runs the request, then answers with another request's id.
     Foreign,
     /// It turns every request away.
@@ -144,9 +146,13 @@
         match fault {
             PlainFault::Mute => std::future::pending::<()>().await,
             PlainFault::Reset => return Err(io::Error::other("reset on command")),
-            PlainFault::Foreign | PlainFault::Full | PlainFault::None => {}
+            PlainFault::Fails | PlainFault::Foreign | PlainFault::Full | PlainFault::None => {}
         }
-        let mut answer = text(StatusCode::OK, "text/plain", body);
+        let status = match fault {
+            PlainFault::Fails => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::OK,
+        };
+        let mut answer = text(status, "text/plain", body);
         let headers = answer.headers_mut();
         let echoed = match fault {
             PlainFault::Foreign => HeaderValue::from_static("another"),
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -11,7 +11,8 @@
     io,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio}, //
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering}, //
 };
 
 /// A program, its settings, and its process while it runs. Dropping it ends the
@@ -137,6 +138,21 @@
     }
 }
 
+/// The ports that processes listen at: below those that the system gives to
+/// outgoing connections, one of which could take the port of a process that is
+/// being started again.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+
 fn free_port() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(61);
+    for _ in PORTS {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::other("no free port"))
 }
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -667,3 +667,19 @@
     assert!(!resumed.is_empty(), "no run went on");
     assert!(resumed.iter().all(|after| *after >= 5), "{resumed:?}");
 }
+
+/// One of two scorers fails every call, the other turns every call away. An
+/// item is given up only after as many failures as its scorer's route allows;
+/// a call that another server did not take is none.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_is_given_up_after_its_scorers_failures() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    scene.plain[0].set_fault(PlainFault::Fails);
+    scene.plain[1].set_fault(PlainFault::Full);
+    let batch = Batch::new("unscored", 1, 1, 2);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    let results = scene.read(&batch, 1, SOON).await;
+    assert_eq!(results[0].state, "terminated");
+    let runs = scene.plain[0].runs_of(&format!("score-{}", batch.item(0, 0)));
+    assert!(runs >= 3, "given up after {runs} failures");
+}
