--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -43,7 +43,7 @@
 pub const ROWS_MOST: usize = 500;
 
 /// What a call for changes may take beyond the time that the store holds it.
-const FEED_SLACK: Millis = Millis(700);
+const FEED_SLACK: Millis = Millis(600);
 
 #[derive(Serialize)]
 struct WireKey<'a> {
--- a/src/store/follower.rs
+++ b/src/store/follower.rs
@@ -35,8 +35,10 @@
 }
 
 /// How long the store holds a call for changes when there are none. A feed may
-/// fall silent while the store goes on, so it is asked anew every second.
-const HOLD: Millis = Millis(1_000);
+/// fall silent while the store goes on: it is asked anew twice a second, so
+/// that a configuration that was accepted meanwhile is seen in 1.1 s at most,
+/// of the 2 s that the users allow.
+const HOLD: Millis = Millis(500);
 
 /// The first wait after a failed call, and the longest.
 const BACKOFF: Millis = Millis(50);
@@ -65,15 +67,14 @@
             Ok(revision) => {
                 backoff = BACKOFF;
                 after = Some(revision);
-                follower.set_link(true).await;
+                follower.succeed().await;
             }
             Err(StoreError::HistoryLost) => {
                 tracing::info!(table = following.table, "history lost, listing afresh");
                 after = None;
             }
             Err(error) => {
-                tracing::debug!(table = following.table, %error, "can't follow");
-                follower.set_link(false).await;
+                follower.fail(&error).await;
                 tokio::time::sleep(backoff.as_duration()).await;
                 backoff = Millis((backoff.0 * 2).min(BACKOFF_MOST.0));
             }
@@ -133,21 +134,23 @@
         Ok(from)
     }
 
-    async fn set_link(&mut self, up: bool) {
-        if self.link == up {
+    async fn succeed(&mut self) {
+        if self.link {
             return;
         }
-        self.link = up;
-        let table = self.following.table;
-        match up {
-            true => tracing::info!(table, "store regained"),
-            false => tracing::warn!(table, "store lost"),
+        self.link = true;
+        tracing::info!(table = self.following.table, "store regained");
+        // The receiver is gone only when the program ends.
+        let _ = self.sink.send(Followed::Regained).await;
+    }
+
+    async fn fail(&mut self, error: &StoreError) {
+        if !self.link {
+            return;
         }
-        let told = match up {
-            true => Followed::Regained,
-            false => Followed::Lost,
-        };
-        let _ = self.sink.send(told).await;
+        self.link = false;
+        tracing::warn!(table = self.following.table, %error, "store lost");
+        let _ = self.sink.send(Followed::Lost).await;
     }
 
     async fn tell(&self, changes: Vec<Change>, listed: bool) {
