Split the runner's and the callers' large files by duty

No behaviour changes: bundles.rs becomes offers, claims and items; work.rs keeps the loop, with changes, results and heartbeat beside it; a call's attempts move to run.rs.

--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -4,26 +4,23 @@
     Call,
     CallEnd,
     StreamEnd,
-    attempt::{Attempt, is_refusal, judge},
-    book::Book, //
+    attempt::{Attempt, is_refusal},
+    book::Book,
+    run::Run, //
 };
 use crate::{
-    base::{Clock, Millis, Verdict, stable_hash},
+    base::{Clock, Millis, stable_hash},
     net::{Answer, CallError, Peer},
     platform,
     policy::{
         retry_budget::RetryBudget,
-        server_choice::{Candidate, choose, hedge_after},
+        server_choice::{Candidate, choose},
         typical::Typical, //
     },
     routing::{Kind, Server},
     view::Site, //
 };
 use bytes::Bytes;
-use futures_util::{
-    StreamExt,
-    stream::FuturesUnordered, //
-};
 use http_body_util::Full;
 use hyper::Request;
 use std::{
@@ -36,27 +33,27 @@
 pub struct Caller {
     /// The caller's data centre.
     home: String,
-    site: Arc<Site>,
+    pub(super) site: Arc<Site>,
     state: Mutex<State>,
 }
 
-struct State {
+pub(super) struct State {
     book: Book,
-    budget: RetryBudget,
+    pub(super) budget: RetryBudget,
     peers: HashMap<SocketAddr, Peer>,
     /// What a service's answers take.
     services: HashMap<String, Typical>,
 }
 
 /// An attempt's server and when it was sent.
-struct Sent {
-    at: Millis,
-    server: Arc<Server>,
+pub(super) struct Sent {
+    pub(super) at: Millis,
+    pub(super) server: Arc<Server>,
 }
 
 /// Refusals by full servers don't count as attempts, but a call that was
 /// refused this often isn't sent on: all servers are full.
-const REFUSALS_MOST: u32 = 3;
+pub(super) const REFUSALS_MOST: u32 = 3;
 
 /// The share of successes that pays for second attempts beside slow first
 /// ones. Second attempts after a failure are bounded by the route.
@@ -68,11 +65,11 @@
 
 /// When a call that no server took is worth asking again: about what one call
 /// takes, so that a slot is likely to be free.
-const WAIT_FULL: Millis = Millis(60);
+pub(super) const WAIT_FULL: Millis = Millis(60);
 
 /// When a call for which no server is known is worth asking again: servers
 /// announce themselves within a second or two.
-const WAIT_NO_SERVER: Millis = Millis(300);
+pub(super) const WAIT_NO_SERVER: Millis = Millis(300);
 
 impl Caller {
     /// A caller in the data centre `home`.
@@ -97,16 +94,7 @@
             return CallEnd::TimedOut;
         }
         let left = call.until - now;
-        let run = Run {
-            call,
-            caller: self,
-            failures: 0,
-            hedged: false,
-            ran: 0,
-            refusals: 0,
-            tried: Vec::new(),
-            last: "no-server",
-        };
+        let run = Run::new(self, call);
         match tokio::time::timeout(left.as_duration(), run.run()).await {
             Ok(end) => end,
             Err(_) => CallEnd::TimedOut,
@@ -169,11 +157,11 @@
         request
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn pick(&self, call: &Call, tried: &[String]) -> Option<Arc<Server>> {
+    pub(super) fn pick(&self, call: &Call, tried: &[String]) -> Option<Arc<Server>> {
         let service = call.route.service_of(&call.id)?;
         let now = self.site.now();
         let mut servers: Vec<Arc<Server>> =
@@ -219,7 +207,7 @@
         peer.or_insert_with(|| Peer::open(address, clock)).clone()
     }
 
-    async fn send(&self, call: &Call, sent: Sent) -> (Sent, Result<Answer, CallError>) {
+    pub(super) async fn send(&self, call: &Call, sent: Sent) -> (Sent, Result<Answer, CallError>) {
         let left = call.until.since(self.site.now());
         let request = Self::request(call, &sent.server, left);
         self.state().book.begin(&sent.server.id, sent.at);
@@ -242,7 +230,7 @@
     }
 
     /// Notes what an attempt showed of its server.
-    fn learn(&self, call: &Call, sent: &Sent, attempt: &Attempt) {
+    pub(super) fn learn(&self, call: &Call, sent: &Sent, attempt: &Attempt) {
         let now = self.site.now();
         let taken = now.since(sent.at).0 as f64;
         let server = &sent.server.id;
@@ -276,7 +264,7 @@
         }
     }
 
-    fn typical(&self, service: &str) -> f64 {
+    pub(super) fn typical(&self, service: &str) -> f64 {
         let state = self.state();
         state
             .services
@@ -309,151 +297,3 @@
         }
     }
 }
-
-/// One call's attempts.
-struct Run<'a> {
-    call: &'a Call,
-    caller: &'a Caller,
-    /// Servers that answered that they failed.
-    failures: u32,
-    /// Whether another server was asked beside a slow one.
-    hedged: bool,
-    /// Why the last attempt failed.
-    last: &'static str,
-    /// Attempts that may have run.
-    ran: u32,
-    /// Attempts that did not.
-    refusals: u32,
-    tried: Vec<String>,
-}
-
-impl Run<'_> {
-    async fn run(mut self) -> CallEnd {
-        let call = self.call;
-        let caller = self.caller;
-        let mut under_way = FuturesUnordered::new();
-        let mut kept: Option<Answer> = None;
-        loop {
-            if under_way.is_empty() {
-                let Some(sent) = self.next() else {
-                    return self.end(kept);
-                };
-                under_way.push(caller.send(call, sent));
-            }
-            let hedge = sleep_or_never(self.hedge_wait(under_way.len()));
-            let (sent, outcome) = tokio::select! {
-                Some(done) = under_way.next() => done,
-                () = hedge => {
-                    if let Some(sent) = self.hedge() {
-                        under_way.push(caller.send(call, sent));
-                    }
-                    continue;
-                }
-            };
-            let attempt = judge(&call.id, outcome);
-            caller.learn(call, &sent, &attempt);
-            match attempt {
-                Attempt::Answered(answer) if self.is_final(&answer) => {
-                    let failures = self.failures + u32::from(answer.status.is_server_error());
-                    return CallEnd::Answered { answer, failures };
-                }
-                Attempt::Answered(answer) => {
-                    self.failures += 1;
-                    self.ran += 1;
-                    kept = Some(answer);
-                }
-                Attempt::Failed {
-                    reason, verdict, ..
-                } => {
-                    self.last = reason;
-                    match verdict {
-                        Verdict::NotRun => self.refusals += 1,
-                        Verdict::MayHaveRun | Verdict::Ran => self.ran += 1,
-                    }
-                }
-            }
-        }
-    }
-
-    /// The server for another attempt, if the call may have one.
-    fn next(&mut self) -> Option<Sent> {
-        let repeatable = self.is_idempotent() || self.ran == 0;
-        let allowed = repeatable
-            && self.refusals < REFUSALS_MOST
-            && self.ran + self.pending() < self.call.route.attempts;
-        if !allowed {
-            return None;
-        }
-        let server = self.caller.pick(self.call, &self.tried)?;
-        if self.tried.contains(&server.id) && self.refusals > 0 {
-            return None;
-        }
-        self.tried.push(server.id.clone());
-        let at = self.caller.site.now();
-        Some(Sent { at, server })
-    }
-
-    /// Attempts that are under way.
-    fn pending(&self) -> u32 {
-        self.tried.len() as u32 - self.ran - self.refusals
-    }
-
-    /// How long the attempt under way may stay silent before another server is
-    /// asked beside it; `None` for good.
-    fn hedge_wait(&self, under_way: usize) -> Option<Millis> {
-        let wanted = under_way == 1 && self.is_idempotent() && !self.hedged;
-        if !wanted || self.pending() + self.ran >= self.call.route.attempts {
-            return None;
-        }
-        let service = self.call.route.service_of(&self.call.id)?;
-        let typical = self.caller.typical(service);
-        let left = self.call.until.since(self.caller.site.now());
-        Some(hedge_after(typical, left))
-    }
-
-    /// The server to ask beside a slow one, if successes have paid for it.
-    fn hedge(&mut self) -> Option<Sent> {
-        self.hedged = true;
-        let paid = self.caller.state().budget.spend();
-        let sent = paid.then(|| self.next()).flatten()?;
-        let (call, server) = (&self.call.id, &sent.server.id);
-        tracing::info!(call, server, "asked beside a slow server");
-        Some(sent)
-    }
-
-    fn is_idempotent(&self) -> bool {
-        self.call.route.kind == Kind::Safe
-    }
-
-    /// Whether `answer` is handed on, or another server should be asked: a
-    /// server's own failure may not be another's.
-    fn is_final(&self, answer: &Answer) -> bool {
-        !answer.status.is_server_error() || !self.is_idempotent()
-    }
-
-    fn end(&self, kept: Option<Answer>) -> CallEnd {
-        let failures = self.failures;
-        if let Some(answer) = kept {
-            return CallEnd::Answered { answer, failures };
-        }
-        let reason = self.last.to_owned();
-        match (self.ran, self.tried.is_empty()) {
-            (0, true) => CallEnd::NotRun {
-                reason,
-                wait: WAIT_NO_SERVER,
-            },
-            (0, false) => CallEnd::NotRun {
-                reason,
-                wait: WAIT_FULL,
-            },
-            _ => CallEnd::Lost { failures, reason },
-        }
-    }
-}
-
-async fn sleep_or_never(wait: Option<Millis>) {
-    match wait {
-        Some(wait) => tokio::time::sleep(wait.as_duration()).await,
-        None => std::future::pending().await,
-    }
-}
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -4,6 +4,7 @@
 mod book;
 mod call;
 mod caller;
+mod run;
 
 pub use self::{
     call::{Call, CallEnd, StreamEnd},
--- /dev/null
+++ b/src/runner/changes.rs
@@ -0,0 +1,101 @@
+//! Takes what the store tells of batches, claims and runners.
+
+use super::{
+    open_batch::OpenBatch,
+    work::Work, //
+};
+use crate::{
+    base::Millis,
+    batch::{HEARTBEATS, Heartbeat, Log, WorkKey, decode, part_of},
+    store::{Change, Row}, //
+};
+
+impl Work {
+    pub(super) fn change(&mut self, change: Change, now: Millis) {
+        match change {
+            Change::Put {
+                part,
+                key,
+                value,
+                revision,
+            } => self.put(&part, &key, &value, revision, now),
+            Change::Removed { part, key } => {
+                let Some(id) = part.strip_prefix("batch-") else {
+                    return;
+                };
+                match WorkKey::parse(&key) {
+                    Some(WorkKey::Head) => {
+                        if let Some(mut batch) = self.batches.remove(id) {
+                            batch.stop();
+                        }
+                    }
+                    Some(WorkKey::Claim(bundle)) => {
+                        if let Some(batch) = self.batches.get_mut(id) {
+                            batch.claims.remove(&bundle);
+                        }
+                    }
+                    Some(WorkKey::Log) | None => {}
+                }
+            }
+        }
+    }
+
+    pub(super) fn put(&mut self, part: &str, key: &str, value: &[u8], revision: u64, now: Millis) {
+        if part == HEARTBEATS {
+            if let Some(heartbeat) = decode::<Heartbeat>("heartbeat", value) {
+                self.heartbeats.take(key, heartbeat, now);
+            }
+            return;
+        }
+        let Some(id) = part.strip_prefix("batch-") else {
+            return;
+        };
+        let known = self.batches.get_mut(id);
+        match (WorkKey::parse(key), known) {
+            (Some(WorkKey::Head), None) => {
+                if let Some(head) = decode(key, value) {
+                    self.batches
+                        .insert(id.to_owned(), OpenBatch::new(head, now));
+                    self.settle_orphans(id);
+                    self.prefetch(id);
+                }
+            }
+            (Some(WorkKey::Log), Some(batch)) => {
+                if let Some(log) = decode::<Log>(key, value) {
+                    let ended = log.ended && !batch.log.ended;
+                    batch.set_log(log, revision);
+                    if ended {
+                        tracing::info!(batch = id, "batch ended, its runs are stopped");
+                    }
+                }
+            }
+            (Some(WorkKey::Claim(bundle)), Some(batch)) => {
+                if let Some(claim) = decode(key, value) {
+                    batch.set_claim(bundle, claim, revision, now);
+                }
+            }
+            (Some(_), None) => self.orphan(id, key, value, revision),
+            (Some(WorkKey::Head), Some(_)) | (None, _) => {}
+        }
+    }
+
+    /// Rows of a batch can come before its head, as a listing orders its rows
+    /// by key: they are taken once the head is there.
+    pub(super) fn orphan(&mut self, id: &str, key: &str, value: &[u8], revision: u64) {
+        let row = Row {
+            part: part_of(id),
+            key: key.to_owned(),
+            value: Some(value.to_vec().into()),
+            revision,
+        };
+        self.orphans.entry(id.to_owned()).or_default().push(row);
+    }
+
+    pub(super) fn settle_orphans(&mut self, id: &str) {
+        let now = self.clock.now();
+        for row in self.orphans.remove(id).unwrap_or_default() {
+            let value = row.value.unwrap_or_default();
+            self.put(&row.part, &row.key, &value, row.revision, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/runner/heartbeat.rs
@@ -0,0 +1,84 @@
+//! This runner's own signs of life.
+
+use super::{
+    event::Event,
+    work::Work, //
+};
+use crate::{
+    base::Millis,
+    batch::{HEARTBEATS, Heartbeat, WORK, encode},
+    platform::Store,
+    store::{Key, Outcome, Transaction}, //
+};
+
+/// The time between heartbeats.
+const HEARTBEAT_EVERY: Millis = Millis(1_000);
+
+/// The wait before the first heartbeat is tried again.
+const FIRST_AGAIN: Millis = Millis(80);
+
+/// The last heartbeat, and whether it is on its way.
+#[derive(Default)]
+pub(super) struct HeartbeatState {
+    pub(super) last: Heartbeat,
+    pub(super) sending: bool,
+    pub(super) sent: Millis,
+}
+
+impl Work {
+    pub(super) fn plan_heartbeat(&mut self, now: Millis) {
+        let last = &self.heartbeat.last;
+        let mut next = Heartbeat {
+            leaving: self.leaving,
+            loading: self.order.is_some() || self.report.as_ref().is_some_and(|(r, _)| r.busy),
+            pace: self.known_pace(),
+            sequence: last.sequence,
+            service: self.service.clone(),
+            token: self.token,
+            weights: Vec::new(),
+            working: self.is_working(),
+        };
+        let changed = (next.leaving, next.loading, next.working)
+            != (last.leaving, last.loading, last.working);
+        let due = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY || changed;
+        if self.heartbeat.sending || !due {
+            return;
+        }
+        next.sequence += 1;
+        self.heartbeat.last = next.clone();
+        self.heartbeat.sending = true;
+        self.heartbeat.sent = now;
+        self.heartbeats.take(&self.instance, next.clone(), now);
+        let (store, events) = (self.store.clone(), self.events.clone());
+        let transaction = heartbeat_write(&self.instance, &next);
+        tokio::spawn(async move {
+            let outcome = store.transact(&transaction).await;
+            let _ = events.send(Event::HeartbeatWritten(outcome)).await;
+        });
+    }
+}
+
+fn heartbeat_write(instance: &str, heartbeat: &Heartbeat) -> Transaction {
+    Transaction {
+        expect: Vec::new(),
+        remove: Vec::new(),
+        set: vec![(Key::new(WORK, HEARTBEATS, instance), encode(heartbeat))],
+    }
+}
+
+/// Writes the first heartbeat of this life; its revision is higher than that of any
+/// life before, on whatever instance, and becomes the life's number.
+pub(super) async fn first_heartbeat(store: &Store, instance: &str, service: &str) -> u64 {
+    let heartbeat = Heartbeat {
+        service: service.to_owned(),
+        ..Heartbeat::default()
+    };
+    loop {
+        match store.transact(&heartbeat_write(instance, &heartbeat)).await {
+            Ok(Outcome::Done { revision }) => return revision,
+            Ok(Outcome::Conflict { .. }) => {}
+            Err(error) => tracing::warn!(%error, "no number for this life yet"),
+        }
+        tokio::time::sleep(FIRST_AGAIN.as_duration()).await;
+    }
+}
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -1,12 +1,17 @@
 //! The program beside an engine: it takes bundles of items from the store, runs
 //! them on its engine, has them scored and lists their results.
 
-mod bundles;
+mod changes;
+mod claims;
 mod engine_watch;
 mod event;
+mod heartbeat;
 mod heartbeats;
+mod items;
+mod offers;
 mod open_batch;
 mod orders;
+mod results;
 mod run_item;
 mod runner_handle;
 mod score;
--- /dev/null
+++ b/src/runner/offers.rs
@@ -0,0 +1,144 @@
+//! What this runner could take, by what it knows.
+
+use super::{
+    open_batch::OpenBatch,
+    work::Work, //
+};
+use crate::{
+    base::Millis,
+    policy::{
+        claim_choice::{Holder, Offer, Place},
+        model_share::{Demand, deal}, //
+    },
+    routing::Route, //
+};
+use std::sync::Arc;
+
+impl Work {
+    /// The model that this runner serves first, and its place among those that
+    /// serve the same. All runners work it out alike from heartbeats and batches.
+    pub(super) fn place(&self, now: Millis) -> (Option<String>, Place) {
+        let mut runners = self.heartbeats.working(&self.service, now);
+        if !runners.contains(&self.instance) {
+            runners.push(self.instance.clone());
+        }
+        let demands = self.demands();
+        let rank = runners.iter().position(|name| *name == self.instance);
+        let rank = rank.unwrap_or_default();
+        let dealt = deal(&demands, runners.len());
+        let Some(mine) = dealt.get(rank).copied() else {
+            let count = runners.len();
+            return (None, Place { count, rank });
+        };
+        let same = |model: &&usize| **model == mine;
+        let place = Place {
+            count: dealt.iter().filter(same).count(),
+            rank: dealt[..rank].iter().filter(same).count(),
+        };
+        (Some(demands[mine].model.clone()), place)
+    }
+
+    /// What each model's last batch asked for.
+    pub(super) fn demands(&self) -> Vec<Demand> {
+        let config = self.site.config();
+        let service = config
+            .as_ref()
+            .and_then(|config| config.service(&self.service));
+        let models = service.map_or(&[][..], |service| &service.models);
+        let mut demands: Vec<Demand> = models
+            .iter()
+            .map(|model| {
+                let batches = self.batches.values().map(|batch| &batch.head);
+                let last = batches
+                    .filter(|head| head.model == model.name)
+                    .max_by_key(|head| head.step);
+                Demand {
+                    model: model.name.clone(),
+                    work: last.map_or(1.0, |head| head.items.len() as f64),
+                }
+            })
+            .collect();
+        demands.sort_by(|a, b| a.model.cmp(&b.model));
+        demands
+    }
+
+    /// The route of a batch, if its items may run on this engine.
+    pub(super) fn route_of(&self, batch: &OpenBatch) -> Option<Arc<Route>> {
+        let config = self.site.config()?;
+        let route = config.route(&batch.head.host, &batch.head.path)?;
+        route.serves(&self.service).then(|| route.clone())
+    }
+
+    /// The version that this runner's engine holds of `model`.
+    pub(super) fn held(&self, model: &str) -> Option<u64> {
+        let (report, _) = self.report.as_ref()?;
+        let weights = report.weights.iter().find(|held| held.model == model)?;
+        Some(weights.version)
+    }
+
+    pub(super) fn offers(&self, ids: &[String], home: Option<&str>, now: Millis) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        for (number, id) in ids.iter().enumerate() {
+            let Some(batch) = self.batches.get(id) else {
+                continue;
+            };
+            if batch.is_over() || batch.log_revision == 0 {
+                continue;
+            }
+            let Some(route) = self.route_of(batch) else {
+                continue;
+            };
+            let loaded = self.held(&batch.head.model);
+            let loaded = loaded.is_some_and(|held| held >= batch.head.least_version);
+            for bundle in 0..batch.head.bundles.len() as u16 {
+                let left = batch.left(bundle).len() as u32;
+                if left == 0 || batch.mine.contains_key(&bundle) {
+                    continue;
+                }
+                let Some(holder) = self.holder(batch, bundle, now) else {
+                    continue;
+                };
+                offers.push(Offer {
+                    age: now.since(batch.seen),
+                    batch: number,
+                    due: batch.seen + route.results_due,
+                    bundle,
+                    order: batch.order_of(bundle),
+                    holder,
+                    home: home == Some(batch.head.model.as_str()),
+                    left,
+                    loaded,
+                });
+            }
+        }
+        offers
+    }
+
+    /// Who runs `bundle`; `None` when this runner has joined it before.
+    pub(super) fn holder(&self, batch: &OpenBatch, bundle: u16, now: Millis) -> Option<Holder> {
+        let Some(held) = batch.claims.get(&bundle) else {
+            return Some(Holder::Nobody);
+        };
+        let claim = &held.claim;
+        if claim.holder == self.instance {
+            return Some(Holder::Nobody);
+        }
+        if !self.store_away && !self.heartbeats.works(&claim.holder, claim.token, now) {
+            return Some(Holder::Nobody);
+        }
+        if claim.second.as_deref() == Some(&self.instance) {
+            return None;
+        }
+        let theirs = self.heartbeats.pace(&claim.holder);
+        let mine = self.known_pace();
+        let pace = match mine > 0.0 && theirs > 0.0 {
+            true => theirs / mine,
+            false => 1.0,
+        };
+        Some(Holder::Held {
+            joinable: claim.second.is_none(),
+            pace,
+            since: now.since(held.seen),
+        })
+    }
+}
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -156,4 +156,36 @@
         self.chunks.clear();
         self.partials.clear();
     }
+
+    /// Takes a newer claim; a bundle that another runner has taken over is
+    /// still run here, as the first whole result wins.
+    pub(super) fn set_claim(&mut self, bundle: u16, claim: Claim, revision: u64, now: Millis) {
+        let newer = self
+            .claims
+            .get(&bundle)
+            .is_none_or(|held| held.revision < revision);
+        if newer {
+            let held = Held {
+                claim,
+                revision,
+                seen: now,
+            };
+            self.claims.insert(bundle, held);
+        }
+    }
+
+    /// Gives up the bundles of which nothing runs and something is left.
+    pub(super) fn release_idle(&mut self) {
+        let running = &self.running;
+        let head = &self.head;
+        let log = &self.log;
+        self.mine.retain(|bundle, state| {
+            let waits = !matches!(state, Mine::Running);
+            let items = head.bundles.get(usize::from(*bundle));
+            let items = items.map_or(&[][..], |bundle| &bundle.items);
+            let runs = items.iter().any(|index| running.contains_key(index));
+            let open = items.iter().any(|index| !log.has(*index));
+            waits || runs || !open
+        });
+    }
 }
--- /dev/null
+++ b/src/runner/results.rs
@@ -0,0 +1,135 @@
+//! Lists the results of finished items.
+
+use super::{
+    event::Event,
+    run_item::ItemEnd,
+    work::Work, //
+};
+use crate::{
+    base::Millis,
+    batch::{Log, Sample, WORK, WorkKey, append, decode, part_of},
+    platform::Store,
+    store::{Key, Outcome, StoreError, Transaction}, //
+};
+
+/// The most results in one transaction: bounded by its size.
+const APPEND_MOST: usize = 24;
+const APPEND_BYTES: usize = 400 * 1024;
+
+/// The wait before a write that failed is looked at again.
+const WRITE_AGAIN: Millis = Millis(80);
+
+/// The weight of each new run in the engine's pace.
+const PACE_WEIGHT: f64 = 0.15;
+
+impl Work {
+    pub(super) fn item_ended(&mut self, batch_id: &str, index: u16, end: ItemEnd) {
+        let Some(batch) = self.batches.get_mut(batch_id) else {
+            return;
+        };
+        batch.running.remove(&index);
+        match end {
+            ItemEnd::Done { pace, sample } => {
+                if let Some(pace) = pace {
+                    self.paced += 1;
+                    let old = if self.pace > 0.0 { self.pace } else { pace };
+                    self.pace = old + PACE_WEIGHT * (pace - old);
+                }
+                if !batch.is_over() && !batch.log.has(index) {
+                    batch.results.push((index, sample));
+                }
+            }
+            ItemEnd::Dropped => {
+                tracing::info!(
+                    batch = batch_id,
+                    index,
+                    "run dropped: the engine takes no work"
+                );
+                batch.release_idle();
+            }
+        }
+    }
+
+    pub(super) fn append_results(&mut self) {
+        for (id, batch) in &mut self.batches {
+            if batch.appending || batch.results.is_empty() || batch.log_revision == 0 {
+                continue;
+            }
+            let mut bytes = 0;
+            let fits = |(_, sample): &&(u16, Sample)| {
+                bytes += sample.text.len();
+                bytes <= APPEND_BYTES
+            };
+            let mut samples: Vec<(u16, Sample)> = batch
+                .results
+                .iter()
+                .take(APPEND_MOST)
+                .take_while(fits)
+                .cloned()
+                .collect();
+            if samples.is_empty() {
+                samples.extend(batch.results.first().cloned());
+            }
+            batch.appending = true;
+            let (log, transaction) = append(id, &batch.log, batch.log_revision, &samples);
+            let (store, events, batch) = (self.store.clone(), self.events.clone(), id.clone());
+            tokio::spawn(async move {
+                let outcome = transact_or_read(&store, &batch, &transaction).await;
+                let event = Event::Appended {
+                    batch,
+                    log,
+                    outcome,
+                };
+                let _ = events.send(event).await;
+            });
+        }
+    }
+
+    pub(super) fn appended(&mut self, id: &str, log: Log, outcome: Result<Outcome, StoreError>) {
+        let Some(batch) = self.batches.get_mut(id) else {
+            return;
+        };
+        batch.appending = false;
+        match outcome {
+            Ok(Outcome::Done { revision }) => {
+                let (count, total) = (log.listed.len(), batch.head.items.len());
+                let new = log.listed.iter().skip(batch.log.listed.len());
+                let ids = new.map(|index| batch.head.items[usize::from(*index)].id.as_str());
+                let items = ids.collect::<Vec<&str>>().join(" ");
+                tracing::info!(batch = id, items, count, total, revision, "results listed");
+                batch.set_log(log, revision);
+            }
+            Ok(Outcome::Conflict { rows }) => {
+                for row in rows {
+                    let log = row.value.and_then(|value| decode::<Log>("log", &value));
+                    if let (Some(log), Some(WorkKey::Log)) = (log, WorkKey::parse(&row.key)) {
+                        batch.set_log(log, row.revision);
+                    }
+                }
+            }
+            Err(error) => {
+                let waiting = batch.results.len();
+                tracing::warn!(batch = id, waiting, %error, "results wait for the store");
+            }
+        }
+    }
+}
+
+/// Does an append. When its outcome is unknown, the log row tells: a late copy
+/// of the write expects a revision that will be gone after the next one.
+async fn transact_or_read(
+    store: &Store,
+    batch: &str,
+    transaction: &Transaction,
+) -> Result<Outcome, StoreError> {
+    let error = match store.transact(transaction).await {
+        Ok(outcome) => return Ok(outcome),
+        Err(error) => error,
+    };
+    tokio::time::sleep(WRITE_AGAIN.as_duration()).await;
+    let key = Key::new(WORK, part_of(batch), WorkKey::Log.to_string());
+    match store.row(&key).await {
+        Ok(Some(row)) => Ok(Outcome::Conflict { rows: vec![row] }),
+        Ok(None) | Err(_) => Err(error),
+    }
+}
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -2,16 +2,17 @@
 
 use super::{
     event::{Event, RING},
+    heartbeat::{HeartbeatState, first_heartbeat},
     heartbeats::Heartbeats,
-    open_batch::{Held, OpenBatch},
-    run_item::{Engine, ItemEnd}, //
+    open_batch::OpenBatch,
+    run_item::Engine, //
 };
 use crate::{
     base::{Clock, Millis},
-    batch::{HEARTBEATS, Heartbeat, Log, Sample, WORK, WorkKey, append, decode, encode, part_of},
+    batch::WORK,
     duty::{Context, Phase},
     platform::{EngineReport, Store},
-    store::{Change, Followed, Following, Key, Outcome, Row, StoreError, Transaction, follow},
+    store::{Followed, Following, Row, follow},
     view::Site, //
 };
 use std::{
@@ -38,11 +39,11 @@
     pub(super) leaving: bool,
     pub(super) order: Option<super::orders::Pending>,
     /// Rows of batches whose head was not seen yet.
-    orphans: BTreeMap<String, Vec<Row>>,
+    pub(super) orphans: BTreeMap<String, Vec<Row>>,
     /// What the engine takes for an event, in ms; 0 before the first.
     pub(super) pace: f64,
     /// Runs that the pace is made of.
-    paced: u32,
+    pub(super) paced: u32,
     pub(super) report: Option<(EngineReport, Millis)>,
     pub(super) retention: Millis,
     /// The engine's present life while it takes work.
@@ -56,22 +57,12 @@
     pub(super) swept: Millis,
     /// Names this life of the runner; the number under which it gives orders.
     pub(super) token: u64,
-    heartbeat: HeartbeatState,
-}
-
-#[derive(Default)]
-struct HeartbeatState {
-    last: Heartbeat,
-    sending: bool,
-    sent: Millis,
+    pub(super) heartbeat: HeartbeatState,
 }
 
 /// How often the loop looks around when nothing happens.
 const TICK: Millis = Millis(50);
 
-/// The time between heartbeats.
-const HEARTBEAT_EVERY: Millis = Millis(1_000);
-
 /// A report this old says nothing of the engine any more.
 const REPORT_FRESH: Millis = Millis(900);
 
@@ -79,19 +70,9 @@
 /// results come in hundreds, and each call for changes costs every runner.
 const PACE: Millis = Millis(40);
 
-/// The most results in one transaction: bounded by its size.
-const APPEND_MOST: usize = 24;
-const APPEND_BYTES: usize = 400 * 1024;
-
-/// The wait before a write that failed is looked at again.
-const WRITE_AGAIN: Millis = Millis(80);
-
 /// The runs after which the engine's pace is told to others.
 const PACED_LEAST: u32 = 8;
 
-/// The weight of each new run in the engine's pace.
-const PACE_WEIGHT: f64 = 0.15;
-
 /// What a work loop begins with.
 pub(super) struct Seed {
     pub(super) clock: Clock,
@@ -271,260 +252,6 @@
         let busy = |batch: &OpenBatch| !batch.running.is_empty() || !batch.results.is_empty();
         !self.batches.values().any(busy)
     }
-
-    fn change(&mut self, change: Change, now: Millis) {
-        match change {
-            Change::Put {
-                part,
-                key,
-                value,
-                revision,
-            } => self.put(&part, &key, &value, revision, now),
-            Change::Removed { part, key } => {
-                let Some(id) = part.strip_prefix("batch-") else {
-                    return;
-                };
-                match WorkKey::parse(&key) {
-                    Some(WorkKey::Head) => {
-                        if let Some(mut batch) = self.batches.remove(id) {
-                            batch.stop();
-                        }
-                    }
-                    Some(WorkKey::Claim(bundle)) => {
-                        if let Some(batch) = self.batches.get_mut(id) {
-                            batch.claims.remove(&bundle);
-                        }
-                    }
-                    Some(WorkKey::Log) | None => {}
-                }
-            }
-        }
-    }
-
-    fn put(&mut self, part: &str, key: &str, value: &[u8], revision: u64, now: Millis) {
-        if part == HEARTBEATS {
-            if let Some(heartbeat) = decode::<Heartbeat>("heartbeat", value) {
-                self.heartbeats.take(key, heartbeat, now);
-            }
-            return;
-        }
-        let Some(id) = part.strip_prefix("batch-") else {
-            return;
-        };
-        let known = self.batches.get_mut(id);
-        match (WorkKey::parse(key), known) {
-            (Some(WorkKey::Head), None) => {
-                if let Some(head) = decode(key, value) {
-                    self.batches
-                        .insert(id.to_owned(), OpenBatch::new(head, now));
-                    self.settle_orphans(id);
-                    self.prefetch(id);
-                }
-            }
-            (Some(WorkKey::Log), Some(batch)) => {
-                if let Some(log) = decode::<Log>(key, value) {
-                    let ended = log.ended && !batch.log.ended;
-                    batch.set_log(log, revision);
-                    if ended {
-                        tracing::info!(batch = id, "batch ended, its runs are stopped");
-                    }
-                }
-            }
-            (Some(WorkKey::Claim(bundle)), Some(batch)) => {
-                if let Some(claim) = decode(key, value) {
-                    batch.set_claim(bundle, claim, revision, now);
-                }
-            }
-            (Some(_), None) => self.orphan(id, key, value, revision),
-            (Some(WorkKey::Head), Some(_)) | (None, _) => {}
-        }
-    }
-
-    /// Rows of a batch can come before its head, as a listing orders its rows
-    /// by key: they are taken once the head is there.
-    fn orphan(&mut self, id: &str, key: &str, value: &[u8], revision: u64) {
-        let row = Row {
-            part: part_of(id),
-            key: key.to_owned(),
-            value: Some(value.to_vec().into()),
-            revision,
-        };
-        self.orphans.entry(id.to_owned()).or_default().push(row);
-    }
-
-    fn settle_orphans(&mut self, id: &str) {
-        let now = self.clock.now();
-        for row in self.orphans.remove(id).unwrap_or_default() {
-            let value = row.value.unwrap_or_default();
-            self.put(&row.part, &row.key, &value, row.revision, now);
-        }
-    }
-
-    fn item_ended(&mut self, batch_id: &str, index: u16, end: ItemEnd) {
-        let Some(batch) = self.batches.get_mut(batch_id) else {
-            return;
-        };
-        batch.running.remove(&index);
-        match end {
-            ItemEnd::Done { pace, sample } => {
-                if let Some(pace) = pace {
-                    self.paced += 1;
-                    let old = if self.pace > 0.0 { self.pace } else { pace };
-                    self.pace = old + PACE_WEIGHT * (pace - old);
-                }
-                if !batch.is_over() && !batch.log.has(index) {
-                    batch.results.push((index, sample));
-                }
-            }
-            ItemEnd::Dropped => {
-                tracing::info!(
-                    batch = batch_id,
-                    index,
-                    "run dropped: the engine takes no work"
-                );
-                batch.release_idle();
-            }
-        }
-    }
-
-    fn append_results(&mut self) {
-        for (id, batch) in &mut self.batches {
-            if batch.appending || batch.results.is_empty() || batch.log_revision == 0 {
-                continue;
-            }
-            let mut bytes = 0;
-            let fits = |(_, sample): &&(u16, Sample)| {
-                bytes += sample.text.len();
-                bytes <= APPEND_BYTES
-            };
-            let mut samples: Vec<(u16, Sample)> = batch
-                .results
-                .iter()
-                .take(APPEND_MOST)
-                .take_while(fits)
-                .cloned()
-                .collect();
-            if samples.is_empty() {
-                samples.extend(batch.results.first().cloned());
-            }
-            batch.appending = true;
-            let (log, transaction) = append(id, &batch.log, batch.log_revision, &samples);
-            let (store, events, batch) = (self.store.clone(), self.events.clone(), id.clone());
-            tokio::spawn(async move {
-                let outcome = transact_or_read(&store, &batch, &transaction).await;
-                let event = Event::Appended {
-                    batch,
-                    log,
-                    outcome,
-                };
-                let _ = events.send(event).await;
-            });
-        }
-    }
-
-    fn appended(&mut self, id: &str, log: Log, outcome: Result<Outcome, StoreError>) {
-        let Some(batch) = self.batches.get_mut(id) else {
-            return;
-        };
-        batch.appending = false;
-        match outcome {
-            Ok(Outcome::Done { revision }) => {
-                let (count, total) = (log.listed.len(), batch.head.items.len());
-                let new = log.listed.iter().skip(batch.log.listed.len());
-                let ids = new.map(|index| batch.head.items[usize::from(*index)].id.as_str());
-                let items = ids.collect::<Vec<&str>>().join(" ");
-                tracing::info!(batch = id, items, count, total, revision, "results listed");
-                batch.set_log(log, revision);
-            }
-            Ok(Outcome::Conflict { rows }) => {
-                for row in rows {
-                    let log = row.value.and_then(|value| decode::<Log>("log", &value));
-                    if let (Some(log), Some(WorkKey::Log)) = (log, WorkKey::parse(&row.key)) {
-                        batch.set_log(log, row.revision);
-                    }
-                }
-            }
-            Err(error) => {
-                let waiting = batch.results.len();
-                tracing::warn!(batch = id, waiting, %error, "results wait for the store");
-            }
-        }
-    }
-
-    fn plan_heartbeat(&mut self, now: Millis) {
-        let last = &self.heartbeat.last;
-        let mut next = Heartbeat {
-            leaving: self.leaving,
-            loading: self.order.is_some() || self.report.as_ref().is_some_and(|(r, _)| r.busy),
-            pace: self.known_pace(),
-            sequence: last.sequence,
-            service: self.service.clone(),
-            token: self.token,
-            weights: Vec::new(),
-            working: self.is_working(),
-        };
-        let changed = (next.leaving, next.loading, next.working)
-            != (last.leaving, last.loading, last.working);
-        let due = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY || changed;
-        if self.heartbeat.sending || !due {
-            return;
-        }
-        next.sequence += 1;
-        self.heartbeat.last = next.clone();
-        self.heartbeat.sending = true;
-        self.heartbeat.sent = now;
-        self.heartbeats.take(&self.instance, next.clone(), now);
-        let (store, events) = (self.store.clone(), self.events.clone());
-        let transaction = heartbeat_write(&self.instance, &next);
-        tokio::spawn(async move {
-            let outcome = store.transact(&transaction).await;
-            let _ = events.send(Event::HeartbeatWritten(outcome)).await;
-        });
-    }
-}
-
-/// Does an append. When its outcome is unknown, the log row tells: a late copy
-/// of the write expects a revision that will be gone after the next one.
-async fn transact_or_read(
-    store: &Store,
-    batch: &str,
-    transaction: &Transaction,
-) -> Result<Outcome, StoreError> {
-    let error = match store.transact(transaction).await {
-        Ok(outcome) => return Ok(outcome),
-        Err(error) => error,
-    };
-    tokio::time::sleep(WRITE_AGAIN.as_duration()).await;
-    let key = Key::new(WORK, part_of(batch), WorkKey::Log.to_string());
-    match store.row(&key).await {
-        Ok(Some(row)) => Ok(Outcome::Conflict { rows: vec![row] }),
-        Ok(None) | Err(_) => Err(error),
-    }
-}
-
-fn heartbeat_write(instance: &str, heartbeat: &Heartbeat) -> Transaction {
-    Transaction {
-        expect: Vec::new(),
-        remove: Vec::new(),
-        set: vec![(Key::new(WORK, HEARTBEATS, instance), encode(heartbeat))],
-    }
-}
-
-/// Writes the first heartbeat of this life; its revision is higher than that of any
-/// life before, on whatever instance, and becomes the life's number.
-async fn first_heartbeat(store: &Store, instance: &str, service: &str) -> u64 {
-    let heartbeat = Heartbeat {
-        service: service.to_owned(),
-        ..Heartbeat::default()
-    };
-    loop {
-        match store.transact(&heartbeat_write(instance, &heartbeat)).await {
-            Ok(Outcome::Done { revision }) => return revision,
-            Ok(Outcome::Conflict { .. }) => {}
-            Err(error) => tracing::warn!(%error, "no number for this life yet"),
-        }
-        tokio::time::sleep(WRITE_AGAIN.as_duration()).await;
-    }
 }
 
 async fn follow_work(store: Store, events: mpsc::Sender<Event>) {
@@ -544,43 +271,3 @@
     };
     tokio::join!(following, relay);
 }
-
-impl OpenBatch {
-    /// Takes a newer claim; a bundle that another runner has taken over is
-    /// still run here, as the first whole result wins.
-    pub(super) fn set_claim(
-        &mut self,
-        bundle: u16,
-        claim: crate::batch::Claim,
-        revision: u64,
-        now: Millis,
-    ) {
-        let newer = self
-            .claims
-            .get(&bundle)
-            .is_none_or(|held| held.revision < revision);
-        if newer {
-            let held = Held {
-                claim,
-                revision,
-                seen: now,
-            };
-            self.claims.insert(bundle, held);
-        }
-    }
-
-    /// Gives up the bundles of which nothing runs and something is left.
-    fn release_idle(&mut self) {
-        let running = &self.running;
-        let head = &self.head;
-        let log = &self.log;
-        self.mine.retain(|bundle, state| {
-            let waits = !matches!(state, super::open_batch::Mine::Running);
-            let items = head.bundles.get(usize::from(*bundle));
-            let items = items.map_or(&[][..], |bundle| &bundle.items);
-            let runs = items.iter().any(|index| running.contains_key(index));
-            let open = items.iter().any(|index| !log.has(*index));
-            waits || runs || !open
-        });
-    }
-}
