--- a/src/calls/book.rs
+++ b/src/calls/book.rs
@@ -46,6 +46,7 @@
         let record = self.records.get(&server.id);
         let fresh = |(load, at): (u32, Millis)| (now.since(at) < REPORT_FRESH).then_some(load);
         Candidate {
+            connected: false,
             in_flight: record.map_or(0, |record| record.in_flight),
             latency: record.map_or(1.0, |record| record.latency.estimate(now)),
             local: server.data_centre == home,
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -172,7 +172,11 @@
             .iter()
             .map(|server| {
                 let tried = tried.contains(&server.id);
-                state.book.candidate(server, &self.home, tried, now)
+                let peer = state.peers.get(&server.address);
+                Candidate {
+                    connected: peer.is_some_and(Peer::is_connected),
+                    ..state.book.candidate(server, &self.home, tried, now)
+                }
             })
             .collect();
         let spread = stable_hash(&[call.id.as_bytes()]);
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -124,6 +124,18 @@
         self.address
     }
 
+    /// Whether a connection is kept over which a request can go at once.
+    pub fn is_connected(&self) -> bool {
+        let now = self.lines.clock.now();
+        let idle = self
+            .lines
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let usable = |line: &IdleLine| !line.sender.is_closed() && line.usable_until > now;
+        idle.iter().any(usable)
+    }
+
     /// Sends `request` and reads the whole answer, all within `within`.
     ///
     /// # Errors
--- a/src/policy/server_choice.rs
+++ b/src/policy/server_choice.rs
@@ -9,6 +9,8 @@
 /// A server that could get the call.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
+    /// Whether a connection to it is kept and idle.
+    pub connected: bool,
     /// The caller's own calls under way there.
     pub in_flight: u32,
     /// How long it takes, by what this caller saw.
@@ -28,6 +30,11 @@
 /// delay of the users' sites.
 const REMOTE_COST: f64 = 2.8;
 
+/// What a new connection costs, in ms: a way there and back and the server's
+/// handshake. It also keeps callers on few of many servers: 84 of our processes
+/// before 38 servers opened a connection for every second call.
+const CONNECT_COST: f64 = 4.0;
+
 /// A call that waits for a slot costs this share of a call's duration per
 /// place in the queue.
 const QUEUE_COST: f64 = 1.0;
@@ -63,8 +70,13 @@
     let waiting = f64::from((load + 1).saturating_sub(slots));
     let busy = f64::from(load.min(slots)) / f64::from(slots);
     let distance = if candidate.local { 0.0 } else { REMOTE_COST };
+    let connecting = if candidate.connected {
+        0.0
+    } else {
+        CONNECT_COST
+    };
     let queued = waiting / f64::from(slots) * QUEUE_COST;
-    candidate.latency * (1.0 + 0.5 * busy + queued) + distance
+    candidate.latency * (1.0 + 0.5 * busy + queued) + distance + connecting
 }
 
 /// How long one server may be silent on an idempotent call before another is
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -439,6 +439,7 @@
 
 fn candidate() -> Candidate {
     Candidate {
+        connected: true,
         in_flight: 0,
         latency: 25.0,
         local: true,
@@ -474,6 +475,17 @@
             chosen: Some(1),
             name: "the nearer of two alike",
         },
+        Test {
+            candidates: vec![
+                Candidate {
+                    connected: false,
+                    ..candidate()
+                },
+                candidate(),
+            ],
+            chosen: Some(1),
+            name: "one that is connected of two alike",
+        },
         Test {
             candidates: vec![
                 Candidate {
