Prove that old batches are removed, and judge their age apart from the store

Change: what becomes of an old batch is a pure decision with a table of cases; a story shows that a whole batch goes after its retention with all its rows. It had no test.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod agent_queue;
+pub mod batch_age;
 pub mod bitmap;
 pub mod claim_batch;
 pub mod claim_choice;
--- a/src/runner/changes.rs
+++ b/src/runner/changes.rs
@@ -11,6 +11,7 @@
 };
 
 impl Work {
+    /// Takes one change of the table of work.
     pub(super) fn change(&mut self, change: Change, now: Millis) {
         match change {
             Change::Put {
--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -131,6 +131,7 @@
         self.fetch(id, offer.bundle);
     }
 
+    /// Takes the outcome of a claim: runs the bundle, or leaves it to its holder.
     pub(super) fn claimed(
         &mut self,
         claim: Claim,
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -26,6 +26,7 @@
 }
 
 impl Work {
+    /// Writes a heartbeat when one is due or something in it has changed.
     pub(super) fn plan_heartbeat(&mut self, now: Millis) {
         let last = &self.heartbeat.last;
         let mut next = Heartbeat {
--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -60,6 +60,7 @@
         });
     }
 
+    /// Takes what earlier runs have left of a bundle, and runs it.
     pub(super) fn resumed(&mut self, bundle: BundleId, partials: HashMap<u16, Partial>) {
         let BundleId { batch: id, bundle } = bundle;
         let Some(batch) = self.batches.get_mut(&id) else {
@@ -110,6 +111,7 @@
         }
     }
 
+    /// Takes a chunk of items that was read.
     pub(super) fn fetched(&mut self, id: &str, chunk: u16, items: Result<Vec<Item>, StoreError>) {
         let now = self.clock.now();
         let Some(batch) = self.batches.get_mut(id) else {
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -118,6 +118,7 @@
         });
     }
 
+    /// Takes the engine's answer to an order; the reports show what came of it.
     pub(super) fn ordered(&mut self, answer: Option<OrderAnswer>, model: &str, version: u64) {
         tracing::info!(model, version, ?answer, "order answered");
         if answer.is_some() {
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -23,6 +23,7 @@
 const PACE_WEIGHT: f64 = 0.15;
 
 impl Work {
+    /// A run has ended: its result waits to be listed, or its bundle is let go.
     pub(super) fn item_ended(&mut self, batch_id: &str, index: u16, end: ItemEnd) {
         let Some(batch) = self.batches.get_mut(batch_id) else {
             return;
@@ -50,6 +51,7 @@
         }
     }
 
+    /// Sends the results of each batch to the store, one transaction at a time.
     pub(super) fn append_results(&mut self) {
         for (id, batch) in &mut self.batches {
             if batch.appending || batch.results.is_empty() || batch.log_revision == 0 {
@@ -85,6 +87,8 @@
         }
     }
 
+    /// Takes the log as the store has it after an append. What was not listed
+    /// stays in memory and goes with the next one.
     pub(super) fn appended(&mut self, id: &str, log: Log, outcome: Result<Outcome, StoreError>) {
         let Some(batch) = self.batches.get_mut(id) else {
             return;
--- a/src/runner/sweep.rs
+++ b/src/runner/sweep.rs
@@ -2,6 +2,7 @@
 //! any more.
 
 use super::{
+    open_batch::OpenBatch,
     run_item::terminated,
     work::Work, //
 };
@@ -9,15 +10,13 @@
     base::{Millis, stable_hash},
     batch::{BODIES, PARTIALS, RESULTS, WORK, part_of},
     platform::Store,
+    policy::batch_age::{Age, Verdict, judge},
     store::{Key, StoreError, Transaction}, //
 };
 
 /// How often batches are looked at.
 const EVERY: Millis = Millis(1_000);
 
-/// How much longer than promised a batch is kept, for clocks that differ.
-const KEEP_LONGER: Millis = Millis(60_000);
-
 /// The most rows that one transaction removes; the store takes 100.
 const ROWS_MOST: usize = 90;
 
@@ -36,7 +35,6 @@
         };
         let runners = self.heartbeats.working(&self.service, now);
         let store_now = self.store.now();
-        let keep = self.retention + KEEP_LONGER;
         let mut old = Vec::new();
         for (id, batch) in &mut self.batches {
             // One runner sees to each batch; if two do, the store settles it.
@@ -44,22 +42,17 @@
             if runners.get(turn).is_some_and(|name| *name != self.instance) {
                 continue;
             }
-            let age = store_now.since(batch.head.accepted);
             let route = config.route(&batch.head.host, &batch.head.path);
-            let ttl = route.map_or(TTL_DEFAULT, |route| route.item_ttl);
-            let given_up = ttl > Millis(0) && age > ttl;
-            if given_up && !batch.is_over() && batch.results.is_empty() {
-                let items = batch.head.items.iter().enumerate();
-                let open = items.filter(|(index, _)| !batch.log.has(*index as u16));
-                let samples: Vec<_> = open
-                    .map(|(index, item)| (index as u16, terminated(&item.id)))
-                    .collect();
-                let count = samples.len();
-                tracing::warn!(batch = id, count, age = age.0, "items given up: too old");
-                batch.results = samples;
-            }
-            if age > keep && (batch.is_over() || given_up) {
-                old.push(id.clone());
+            let age = Age {
+                age: store_now.since(batch.head.accepted),
+                over: batch.is_over(),
+                retention: self.retention,
+                ttl: route.map_or(TTL_DEFAULT, |route| route.item_ttl),
+            };
+            match judge(age) {
+                Verdict::GiveUp if batch.results.is_empty() => batch.give_up(id),
+                Verdict::GiveUp | Verdict::Keep => {}
+                Verdict::Remove => old.push(id.clone()),
             }
         }
         for id in old {
@@ -74,6 +67,19 @@
     }
 }
 
+impl OpenBatch {
+    /// Takes every item that is not listed for given up.
+    fn give_up(&mut self, id: &str) {
+        let items = self.head.items.iter().enumerate();
+        let open = items.filter(|(index, _)| !self.log.has(*index as u16));
+        self.results = open
+            .map(|(index, item)| (index as u16, terminated(&item.id)))
+            .collect();
+        let count = self.results.len();
+        tracing::warn!(batch = id, count, "items given up: their time is over");
+    }
+}
+
 /// Removes all rows of a batch; those that make it known go last.
 async fn remove(store: &Store, id: &str) -> Result<(), StoreError> {
     let part = part_of(id);
--- a/standins/src/site/rows.rs
+++ b/standins/src/site/rows.rs
@@ -81,6 +81,11 @@
         (rows.filter_map(|name| self.row(name)).collect(), more)
     }
 
+    /// The rows of a part, in all tables.
+    pub fn count(&self, part: &str) -> usize {
+        self.present.keys().filter(|name| name.1 == part).count()
+    }
+
     /// The parts of a table.
     pub fn parts(&self, table: &str) -> Vec<String> {
         let names = self.present.keys().filter(|name| name.0 == table);
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -31,6 +31,8 @@
     pub engines: usize,
     pub gateways: usize,
     pub plain: usize,
+    /// How long a batch can be read.
+    pub retention: Millis,
 }
 
 impl Default for Shape {
@@ -39,6 +41,7 @@
             engines: 3,
             gateways: 2,
             plain: 2,
+            retention: Millis(60_000),
         }
     }
 }
@@ -52,6 +55,7 @@
     pub plain: Vec<Plain>,
     /// One for each engine; `None` while it is stopped.
     pub runners: Vec<Option<Runner>>,
+    retention: Millis,
     pub store: Store,
     version: u64,
 }
@@ -89,6 +93,7 @@
             gateways: Vec::new(),
             plain,
             runners: Vec::new(),
+            retention: shape.retention,
             store,
             version: 0,
         };
@@ -240,7 +245,7 @@
             instance: instance.to_owned(),
             log_level: "info".to_owned(),
             metrics: any_port(),
-            retention: Millis(60_000),
+            retention: self.retention,
             store: self.store.address,
         }
     }
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -121,6 +121,11 @@
         self.inner.tell();
     }
 
+    /// The rows of a part, in all tables.
+    pub fn rows_of(&self, part: &str) -> usize {
+        lock(&self.inner.rows).count(part)
+    }
+
     /// The calls that asked for a write so far.
     pub fn writes(&self) -> u64 {
         self.inner.writes.load(Ordering::Relaxed)
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -705,3 +705,25 @@
     let runs = scene.plain[0].runs_of(&format!("score-{}", batch.item(0, 0)));
     assert!(runs >= 3, "given up after {runs} failures");
 }
+
+/// Batches grow old. One that is whole goes after its retention, with all its
+/// rows, and is unknown from then on; the next one isn't touched by that.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_batches_are_removed() {
+    let shape = Shape {
+        retention: Millis(1_500),
+        ..Shape::default()
+    };
+    let scene = Scene::open(shape).await.unwrap();
+    let old = Batch::new("old", 2, 2, 2);
+    assert_eq!(scene.submit(0, &old).await, Some(202));
+    check_whole(&old, &scene.read(&old, 4, SOON).await);
+    sleep(2_500).await;
+    let new = Batch::new("new", 2, 2, 2);
+    assert_eq!(scene.submit(0, &new).await, Some(202));
+    sleep(1_500).await;
+    assert_eq!(scene.store.rows_of("batch-old"), 0);
+    assert!(scene.store.rows_of("batch-new") > 0);
+    check_whole(&new, &scene.read(&new, 4, SOON).await);
+    assert_eq!(scene.end(1, &old).await, Some(404));
+}
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -5,6 +5,7 @@
 use redwingpond::{
     base::Millis,
     policy::{
+        batch_age::{Age, Verdict, judge},
         claim_choice::{Holder, Offer, Place, capacity, choose, is_mine_by_rule},
         model_share::{Demand, deal},
         server_choice::{self, Candidate, hedge_after},
@@ -567,3 +568,49 @@
         assert_eq!(hedge_after(typical, Millis(left)), Millis(wait));
     }
 }
+
+/// A batch is given up before it is removed, and never removed while it is open.
+#[test]
+fn batches_grow_old_in_order() {
+    struct Test {
+        age: u64,
+        over: bool,
+        verdict: Verdict,
+    }
+
+    for test in [
+        Test {
+            age: 10_000,
+            over: false,
+            verdict: Verdict::Keep,
+        },
+        Test {
+            age: 41_000,
+            over: false,
+            verdict: Verdict::GiveUp,
+        },
+        Test {
+            age: 41_000,
+            over: true,
+            verdict: Verdict::Keep,
+        },
+        Test {
+            age: 181_000,
+            over: true,
+            verdict: Verdict::Remove,
+        },
+        Test {
+            age: 181_000,
+            over: false,
+            verdict: Verdict::GiveUp,
+        },
+    ] {
+        let batch = Age {
+            age: Millis(test.age),
+            over: test.over,
+            retention: Millis(120_000),
+            ttl: Millis(40_000),
+        };
+        assert_eq!(judge(batch), test.verdict, "{} {}", test.age, test.over);
+    }
+}
