Don't take a scorer's timeout for its failure

Its scorer's time for the call is 3.0 s: the attempts before had used it up, and the last server answered 504 at its deadline, which counted as the fourth failure. Ruled out: failures of the engine (its run ended well), the item's time to live (one item only), one answer counted as several (mended before).

Change: only a 500 counts. a_scorers_timeout_is_no_failure: failed before, passes now.

--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -17,6 +17,7 @@
     StreamExt,
     stream::FuturesUnordered, //
 };
+use hyper::StatusCode;
 
 /// One call's attempts.
 pub(super) struct Run<'a> {
@@ -76,11 +77,11 @@
             caller.learn(call, &sent, &attempt);
             match attempt {
                 Attempt::Answered(answer) if self.is_final(&answer) => {
-                    let failures = self.failures + u32::from(answer.status.is_server_error());
+                    let failures = self.failures + u32::from(is_failure(&answer));
                     return CallEnd::Answered { answer, failures };
                 }
                 Attempt::Answered(answer) => {
-                    self.failures += 1;
+                    self.failures += u32::from(is_failure(&answer));
                     self.ran += 1;
                     kept = Some(answer);
                 }
@@ -173,6 +174,13 @@
     }
 }
 
+/// Whether a server says that it failed. Its answer that the time was over is
+/// no failure: such answers come when attempts before have used up the time,
+/// and an item was given up for one.
+fn is_failure(answer: &Answer) -> bool {
+    answer.status == StatusCode::INTERNAL_SERVER_ERROR
+}
+
 async fn sleep_or_never(wait: Option<Millis>) {
     match wait {
         Some(wait) => tokio::time::sleep(wait.as_duration()).await,
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -10,7 +10,7 @@
 /// The announced servers, by id.
 ///
 /// Announcements lapse by themselves while the store is away, and living
-/// servers are back within [`RETURN_GRACE`] of its return. Until then a lapsed
+/// servers are back within two seconds or so of its return. Until then a lapsed
 /// server stays in use; without the grace, one outage of the store would take
 /// every server from every caller.
 #[derive(Debug, Default)]
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -38,6 +38,8 @@
     None,
     /// It runs the request, then cuts the connection.
     Reset,
+    /// It runs the request until its time is over and answers 504.
+    TimesOut,
 }
 
 /// A running server; dropping it ends it.
@@ -146,10 +148,15 @@
         match fault {
             PlainFault::Mute => std::future::pending::<()>().await,
             PlainFault::Reset => return Err(io::Error::other("reset on command")),
-            PlainFault::Fails | PlainFault::Foreign | PlainFault::Full | PlainFault::None => {}
+            PlainFault::Fails
+            | PlainFault::Foreign
+            | PlainFault::Full
+            | PlainFault::None
+            | PlainFault::TimesOut => {}
         }
         let status = match fault {
             PlainFault::Fails => StatusCode::INTERNAL_SERVER_ERROR,
+            PlainFault::TimesOut => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::OK,
         };
         let mut answer = text(status, "text/plain", body);
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -727,3 +727,20 @@
     check_whole(&new, &scene.read(&new, 4, SOON).await);
     assert_eq!(scene.end(1, &old).await, Some(404));
 }
+
+/// Scorers are slow, and their time for a call runs out: they answer 504. That
+/// is no failure of theirs; once they are fast again, the item gets its score.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_scorers_timeout_is_no_failure() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for plain in &scene.plain {
+        plain.set_fault(PlainFault::TimesOut);
+    }
+    let batch = Batch::new("slow", 1, 2, 2);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(1_500).await;
+    for plain in &scene.plain {
+        plain.set_fault(PlainFault::None);
+    }
+    check_whole(&batch, &scene.read(&batch, 2, SOON).await);
+}
