End every duty of a program that is stopped while it starts

Cause: the supervisor ended once the duties that it knew had ended; a duty that came up after that found nobody to hear of the stop from, and the thread that joined it waited for good. In a process the same shows as a kill at the end of the grace. Ruled out: the test's own timing (200 starts and stops without any site hang as well).

--- a/src/duty/supervisor.rs
+++ b/src/duty/supervisor.rs
@@ -34,6 +34,8 @@
     Entered(&'static str, Phase),
     /// A duty has nothing under way any more and takes nothing new.
     Drained(&'static str),
+    /// A duty's thread is about to start.
+    Expected,
     /// A duty's thread ended.
     Ended(&'static str),
     /// End now, cutting what is under way.
@@ -52,6 +54,8 @@
     /// Duties that know of the present phase.
     entered: Vec<&'static str>,
     duties: Vec<(&'static str, ActorRef<ControlMessage>)>,
+    /// Duties that were started and have not ended.
+    expected: usize,
     health: watch::Sender<Health>,
 }
 
@@ -69,6 +73,7 @@
             drained: Vec::new(),
             entered: Vec::new(),
             duties: Vec::new(),
+            expected: 0,
             health,
         })
     }
@@ -98,9 +103,13 @@
                 }
                 state.stop_if_drained();
             }
+            SupervisorMessage::Expected => state.expected += 1,
             SupervisorMessage::Ended(name) => {
+                state.expected = state.expected.saturating_sub(1);
                 state.ended(name);
-                if state.duties.is_empty() {
+                // A duty that is still starting must find its supervisor: it
+                // hears of a stop only from it, and would never end without.
+                if state.expected == 0 {
                     myself.stop(None);
                 }
             }
@@ -142,7 +151,7 @@
     /// Ends a graceful stop once no duty has anything under way.
     fn stop_if_drained(&mut self) {
         let draining = self.health.borrow().phase == Phase::Draining;
-        if draining && self.drained.len() == self.duties.len() {
+        if draining && self.drained.len() == self.expected {
             self.enter(Phase::Stopped);
         }
     }
--- a/src/duty/thread.rs
+++ b/src/duty/thread.rs
@@ -97,6 +97,10 @@
     Fut: Future<Output = ()> + 'static,
 {
     let supervisor = supervisor.clone();
+    // Told before the thread starts, so that nothing of the duty comes first.
+    if supervisor.cast(SupervisorMessage::Expected).is_err() {
+        tracing::warn!(duty = name, "the supervisor is gone");
+    }
     let thread = std::thread::Builder::new()
         .name(name.to_owned())
         .spawn(move || {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -2,6 +2,7 @@
 
 mod integration {
     mod decisions;
+    mod duties;
     mod kept_rows;
     mod messages;
     mod platform_wire;
