Say once what was said twice, and drop what nobody reads

Found on reading the whole change again; behaviour stays as it was, but for the line "stopped" that entry and agent now log as gateway and runner do.

- the gateway's and runner's start, reload and stop were a copy of operator::Program: they call it now
- a scorer's header that is none was left out without a word: set_header, which items' headers use, logs it
- the rule which bundle falls to which runner stood three times: Place::has
- a runner worked out its place three times in each round of its loop: once
- Peer::call and call_once, TableView::list and keep_parts each share the part that was alike; keep_parts looked through a list for each row
- never read: the weights in heartbeats, the time in claims, tokens and wanted groups of a batch, an engine's counts of requests, TableView::forget

--- a/src/batch/claim.rs
+++ b/src/batch/claim.rs
@@ -1,6 +1,5 @@
 //! Who runs which bundle.
 
-use crate::base::Millis;
 use serde::{
     Deserialize,
     Serialize, //
@@ -10,8 +9,6 @@
 /// runners from doing the same work; the log alone decides what is listed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Claim {
-    /// By the store's clock.
-    pub at: Millis,
     pub holder: String,
     /// A second runner that races the holder for a straggling bundle.
     pub second: Option<String>,
@@ -41,8 +38,6 @@
     pub service: String,
     /// Names this life of the runner.
     pub token: u64,
-    /// The weights its engine holds.
-    pub weights: Vec<(String, u64)>,
     /// Whether its engine answers and takes work.
     pub working: bool,
 }
--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -19,7 +19,6 @@
     /// The trainer's estimate of its output tokens; 0 when it gave none.
     pub expected: u32,
     pub id: String,
-    pub tokens: u32,
 }
 
 /// Items of one group that one runner takes together, by their index in the
@@ -35,7 +34,6 @@
     /// By the store's clock.
     pub accepted: Millis,
     pub bundles: Vec<Bundle>,
-    pub groups_wanted: u32,
     pub host: String,
     pub items: Vec<ItemRef>,
     pub least_version: u64,
@@ -65,7 +63,6 @@
                 chunk: (chunks.len() - 1) as u16,
                 expected: item.expected,
                 id: item.id.clone(),
-                tokens: item.tokens.min(u64::from(u32::MAX)) as u32,
             });
             if let Some(chunk) = chunks.last_mut() {
                 chunk.push(item.clone());
@@ -75,7 +72,6 @@
         let head = Self {
             accepted,
             bundles: bundles_of(&submission.items),
-            groups_wanted: submission.groups_wanted,
             host: submission.host.clone(),
             items,
             least_version: submission.least_version,
--- a/src/batch/item.rs
+++ b/src/batch/item.rs
@@ -27,15 +27,11 @@
     pub id: String,
     pub path: String,
     pub scorer: Option<Scorer>,
-    /// Prompt tokens and the most output tokens, together.
-    pub tokens: u64,
 }
 
 /// A batch as a trainer hands it in.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Submission {
-    /// How many whole groups the trainer waits for.
-    pub groups_wanted: u32,
     pub host: String,
     pub id: String,
     pub items: Vec<Item>,
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -22,7 +22,7 @@
     item::{Item, Scorer, Submission},
     layout::{BODIES, HEARTBEATS, PARTIALS, RESULTS, WORK, WorkKey, part_of, partial_key},
     log::Log,
-    page::{PAGE_MOST, Page, page_of},
+    page::{Page, page_of},
     partial::Partial,
     sample::{Sample, State},
     writes::{Accept, accept, append, chunk_of}, //
--- a/src/batch/page.rs
+++ b/src/batch/page.rs
@@ -14,7 +14,7 @@
 }
 
 /// The most bytes of text in one page.
-pub const PAGE_MOST: usize = 700 * 1024;
+const PAGE_MOST: usize = 700 * 1024;
 
 /// Puts the results together that `listing` holds, from `first` on. A result
 /// whose pieces were not all read ends the page.
--- a/src/calls/book.rs
+++ b/src/calls/book.rs
@@ -30,8 +30,7 @@
 /// Records of servers that got no call for so long are dropped.
 const FORGET: Millis = Millis(60_000);
 
-/// A slow answer is a failure of the server when it took this many times what
-/// the service's answers take.
+/// Above this many records the unused ones are looked for.
 const RECORDS_MOST: usize = 4_096;
 
 impl Book {
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -31,9 +31,6 @@
 /// every second and takes a gateway out after two misses.
 const LEAVE: Millis = Millis(3_000);
 
-/// The part of the grace that a stop may use; the rest is for the exit itself.
-const GRACE_SHARE: f64 = 0.85;
-
 /// The idle time after which a caller's connection is closed. Callers reuse
 /// connections for up to four fifths of the configured idle time; the longest
 /// that the users' pages name is 15 s.
@@ -46,8 +43,7 @@
     /// Starts a gateway.
     pub fn open(settings: GatewaySettings) -> Result<Self, DutyError> {
         let common = &settings.common;
-        let bound = Millis((common.grace.0 as f64 * GRACE_SHARE) as u64);
-        let mut handle = Handle::open(bound)?;
+        let mut handle = Handle::open(common.stop_bound())?;
         let limits = Limits {
             head: HEAD_BYTES,
             head_time: IDLE,
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -3,7 +3,8 @@
 use crate::{
     base::Millis,
     duty::Answer,
-    net, //
+    net,
+    platform, //
 };
 use bytes::Bytes;
 use http_body_util::{
@@ -11,10 +12,9 @@
     Full, //
 };
 use hyper::{
-    HeaderMap,
     Response,
     StatusCode,
-    header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER}, //
+    header::{HeaderValue, RETRY_AFTER}, //
 };
 
 /// A short text with a status.
@@ -43,35 +43,11 @@
     let body = Full::new(answer.body).map_err(|never| match never {});
     let mut reply = Response::new(body.boxed_unsync());
     *reply.status_mut() = answer.status;
-    *reply.headers_mut() = end_to_end(&answer.headers);
+    *reply.headers_mut() = platform::answered(&answer.headers);
     reply
 }
 
-/// The headers of an answer that go on to the caller.
-pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let hop = |name: &HeaderName| {
-        let own = [
-            "connection",
-            "content-length",
-            "keep-alive",
-            "transfer-encoding",
-        ];
-        own.contains(&name.as_str()) || name.as_str() == "x-server-load"
-    };
-    headers
-        .iter()
-        .filter(|(name, _)| !hop(name))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
-}
-
 /// Bytes of an item.
 pub(super) fn bytes(body: Bytes) -> Answer {
-    let mut answer = status(StatusCode::OK, "");
-    *answer.body_mut() = Full::new(body)
-        .map_err(|never| match never {})
-        .boxed_unsync();
-    let kind = HeaderValue::from_static("application/octet-stream");
-    answer.headers_mut().insert(CONTENT_TYPE, kind);
-    answer
+    crate::duty::text(StatusCode::OK, "application/octet-stream", body)
 }
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -3,7 +3,8 @@
 use super::reply;
 use crate::{
     calls::{Call, Caller, StreamEnd},
-    duty::Answer, //
+    duty::Answer,
+    platform, //
 };
 use bytes::Bytes;
 use futures_util::stream;
@@ -63,6 +64,6 @@
     });
     let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
     *answer.status_mut() = opened.status;
-    *answer.headers_mut() = reply::end_to_end(&opened.headers);
+    *answer.headers_mut() = platform::answered(&opened.headers);
     answer
 }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -146,11 +146,7 @@
         request: Request<Full<Bytes>>,
         within: Millis,
     ) -> Result<Answer, CallError> {
-        let whole = async {
-            let opened = self.start(request, false).await?;
-            self.collect(opened, within).await
-        };
-        self.bounded(whole, within).await
+        self.whole(request, within, false).await
     }
 
     /// As [`Peer::call`], for a request that must run at most once: it goes
@@ -164,11 +160,7 @@
         request: Request<Full<Bytes>>,
         within: Millis,
     ) -> Result<Answer, CallError> {
-        let whole = async {
-            let opened = self.start(request, true).await?;
-            self.collect(opened, within).await
-        };
-        self.bounded(whole, within).await
+        self.whole(request, within, true).await
     }
 
     /// Sends `request` and waits at most `within` for the head of the answer.
@@ -184,6 +176,19 @@
         self.bounded(self.start(request, false), within).await
     }
 
+    async fn whole(
+        &self,
+        request: Request<Full<Bytes>>,
+        within: Millis,
+        fresh: bool,
+    ) -> Result<Answer, CallError> {
+        let whole = async {
+            let opened = self.start(request, fresh).await?;
+            self.collect(opened, within).await
+        };
+        self.bounded(whole, within).await
+    }
+
     async fn bounded<T>(
         &self,
         work: impl Future<Output = Result<T, CallError>>,
--- a/src/operator/agent_command.rs
+++ b/src/operator/agent_command.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     agent::Agent,
+    duty::open_log,
     settings::AgentSettings, //
 };
 use argh::FromArgs;
@@ -40,7 +41,7 @@
     };
     program.run(
         AgentSettings::load,
-        |settings| &settings.common,
+        |settings| open_log(settings.common.log, &settings.common.log_level),
         |settings| Agent::open(settings).map(|agent| agent.handle),
     )
 }
--- a/src/operator/entry_command.rs
+++ b/src/operator/entry_command.rs
@@ -5,6 +5,7 @@
     program::Program, //
 };
 use crate::{
+    duty::open_log,
     entry::Entry,
     settings::EntrySettings, //
 };
@@ -40,7 +41,7 @@
     };
     program.run(
         EntrySettings::load,
-        |settings| &settings.common,
+        |settings| open_log(settings.common.log, &settings.common.log_level),
         |settings| Entry::open(settings).map(|entry| entry.handle),
     )
 }
--- a/src/operator/program.rs
+++ b/src/operator/program.rs
@@ -1,12 +1,12 @@
-//! What `redwing-entry` and `redwing-agent` do alike: check, open, run, stop.
+//! What the programs do alike: check, open, run, stop.
 
 use super::{
     USAGE,
     block_on, //
 };
 use crate::{
-    duty::{DutyError, Handle, open_log, render_metrics, wait_for_stop},
-    settings::{Common, SettingsError}, //
+    duty::{DutyError, Handle, render_metrics, wait_for_stop},
+    settings::SettingsError, //
 };
 use std::{
     path::Path,
@@ -21,8 +21,9 @@
 }
 
 impl Program<'_> {
-    /// Checks the settings file again; what changed in it holds from the next
-    /// start.
+    /// Checks the settings file again. All that a process takes from it (its
+    /// addresses, its data centre, the store) is fixed for its life; what may
+    /// change while it runs comes from the store.
     fn reload<S>(&self, load: &impl Fn(&Path) -> Result<S, SettingsError>) {
         match load(self.file) {
             Ok(_) => tracing::info!("settings checked: changes hold from the next start"),
@@ -31,10 +32,11 @@
     }
 
     /// Checks the settings, then runs what `open` starts until it has stopped.
-    pub(super) fn run<S>(
+    /// What `open_log` returns is kept until then.
+    pub(super) fn run<S, G>(
         &self,
         load: impl Fn(&Path) -> Result<S, SettingsError>,
-        common: impl Fn(&S) -> &Common,
+        open_log: impl Fn(&S) -> G,
         open: impl Fn(S) -> Result<Handle, DutyError>,
     ) -> ExitCode {
         let settings = match load(self.file) {
@@ -49,7 +51,7 @@
             return ExitCode::SUCCESS;
         }
 
-        open_log(common(&settings).log, &common(&settings).log_level);
+        let log = open_log(&settings);
         render_metrics();
         let handle = match open(settings) {
             Ok(handle) => handle,
@@ -58,11 +60,14 @@
                 return ExitCode::FAILURE;
             }
         };
-        block_on(async {
+        let code = block_on(async {
             match wait_for_stop(handle, || self.reload(&load)).await {
                 true => ExitCode::SUCCESS,
                 false => ExitCode::FAILURE,
             }
-        })
+        });
+        tracing::info!("stopped");
+        drop(log);
+        code
     }
 }
--- a/src/operator/site_command.rs
+++ b/src/operator/site_command.rs
@@ -2,11 +2,11 @@
 
 use super::{
     USAGE,
-    block_on,
-    parse, //
+    parse,
+    program::Program, //
 };
 use crate::{
-    duty::{DutyError, Handle, open_stdout_log, render_metrics, wait_for_stop},
+    duty::{DutyError, Handle, open_stdout_log},
     gateway::Gateway,
     platform::SETTINGS_VARIABLE,
     runner::Runner,
@@ -87,44 +87,10 @@
         eprintln!("error: give `--settings FILE`, or set {SETTINGS_VARIABLE}");
         return ExitCode::from(USAGE);
     };
-    let settings = match load(&file) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::from(USAGE);
-        }
-    };
-    if check {
-        println!("{}: ok", file.display());
-        return ExitCode::SUCCESS;
-    }
-
-    let log = open_stdout_log(&common(&settings).log_level);
-    render_metrics();
-    let handle = match open(settings) {
-        Ok(handle) => handle,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    let code = block_on(async {
-        match wait_for_stop(handle, || reload(&file, &load)).await {
-            true => ExitCode::SUCCESS,
-            false => ExitCode::FAILURE,
-        }
-    });
-    tracing::info!("stopped");
-    drop(log);
-    code
-}
-
-/// Checks the settings file again. All that a process takes from it (its
-/// addresses, its data centre, the store) is fixed for its life; the operators'
-/// configuration comes from the store.
-fn reload<S>(file: &Path, load: &impl Fn(&Path) -> Result<S, SettingsError>) {
-    match load(file) {
-        Ok(_) => tracing::info!("settings checked: changes hold from the next start"),
-        Err(error) => tracing::error!(%error, "the settings file is wrong; it is left alone"),
-    }
+    let program = Program { check, file: &file };
+    program.run(
+        load,
+        |settings| open_stdout_log(&common(settings).log_level),
+        open,
+    )
 }
--- a/src/platform/batch_calls.rs
+++ b/src/platform/batch_calls.rs
@@ -45,8 +45,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireBatch {
-    #[serde(default)]
-    group_target: u32,
     items: Vec<WireItem>,
     #[serde(default)]
     min_version: u64,
@@ -68,9 +66,6 @@
     path: String,
     #[serde(default)]
     scorer: Option<WireScorer>,
-    /// Prompt tokens and the most output tokens, together.
-    #[serde(default)]
-    tokens: f64,
 }
 
 #[derive(Deserialize)]
@@ -110,7 +105,6 @@
         ensure!(seen.insert(item), RepeatedSnafu { item });
     }
     Ok(Submission {
-        groups_wanted: wire.group_target,
         host: host.to_owned(),
         id: id.to_owned(),
         items,
@@ -150,7 +144,6 @@
         id: wire.id,
         path: wire.path,
         scorer,
-        tokens: wire.tokens.max(0.0) as u64,
     })
 }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,7 +1,7 @@
 //! What an engine is asked: its report, orders for weights, and generations.
 
 use super::{
-    names::{self, ATTEMPT_ID},
+    names::{self, ATTEMPT_ID, set_header},
     server_entry::{WireModel, weights}, //
 };
 use crate::{
@@ -43,8 +43,6 @@
     pub busy: bool,
     /// The orders that it has accepted in this life.
     pub orders: u64,
-    pub running: u32,
-    pub waiting: u32,
     pub weights: Vec<Weights>,
 }
 
@@ -56,10 +54,6 @@
     #[serde(default)]
     models: Vec<WireModel>,
     #[serde(default)]
-    num_running: u32,
-    #[serde(default)]
-    num_waiting: u32,
-    #[serde(default)]
     sequence: u64,
 }
 
@@ -84,8 +78,6 @@
     Some(EngineReport {
         busy: wire.busy,
         orders: wire.sequence,
-        running: wire.num_running,
-        waiting: wire.num_waiting,
         weights: weights(wire.models),
     })
 }
@@ -184,10 +176,10 @@
         let mut request = request(Method::POST, &self.item.path, self.item.body.clone());
         let headers = request.headers_mut();
         for (name, value) in &self.item.headers {
-            set(headers, name, value);
+            set_header(headers, name, value);
         }
-        set(headers, "host", self.host);
-        set(headers, ATTEMPT_ID.as_str(), &self.item.id);
+        set_header(headers, "host", self.host);
+        set_header(headers, ATTEMPT_ID.as_str(), &self.item.id);
         if let Some(after) = self.after {
             headers.insert(LAST_EVENT, HeaderValue::from(after));
         }
@@ -212,7 +204,8 @@
     pub version: Option<u64>,
 }
 
-/// Cuts a stream into events. An event counts once its blank line is there, so
+/// Cuts a stream into events. The weight version stands in a field of its own,
+/// which common parsers of such streams leave out. An event counts once its blank line is there, so
 /// a stream that breaks off within one leaves that event out.
 #[derive(Debug, Default)]
 pub struct EventReader {
@@ -264,14 +257,3 @@
         .insert("content-type", HeaderValue::from_static("application/json"));
     request
 }
-
-fn set(headers: &mut HeaderMap, name: &str, value: &str) {
-    let name = HeaderName::try_from(name);
-    let value = HeaderValue::try_from(value);
-    match (name, value) {
-        (Ok(name), Ok(value)) => {
-            headers.insert(name, value);
-        }
-        _ => tracing::warn!("an item's header is not one"),
-    }
-}
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -62,6 +62,29 @@
     number(headers, &DEADLINE).map(Millis)
 }
 
+/// Headers of a server's answer that concern one connection, and its word on its
+/// load, which is for this program.
+const ANSWER_OWN: [&str; 5] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "transfer-encoding",
+    "x-server-load",
+];
+
+/// The headers of a server's answer that go on to the caller.
+pub fn answered(headers: &HeaderMap) -> HeaderMap {
+    passing(headers, |name| !ANSWER_OWN.contains(&name))
+}
+
+fn passing(headers: &HeaderMap, passes: impl Fn(&str) -> bool) -> HeaderMap {
+    headers
+        .iter()
+        .filter(|(name, _)| passes(name.as_str()))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
 /// The headers of a request that go on to the server.
 pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = headers
@@ -71,12 +94,9 @@
         .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
-    let passes = |name: &str| !OWN.contains(&name) && !named.iter().any(|own| own == name);
-    headers
-        .iter()
-        .filter(|(name, _)| passes(name.as_str()))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
+    passing(headers, |name| {
+        !OWN.contains(&name) && !named.iter().any(|own| own == name)
+    })
 }
 
 /// The life of the server that answered.
@@ -121,3 +141,16 @@
 fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
+
+/// Sets a header whose name and value come from a trainer; one that is none is
+/// logged and left out.
+pub fn set_header(headers: &mut HeaderMap, name: &str, value: &str) {
+    let name = HeaderName::try_from(name);
+    let value = HeaderValue::try_from(value);
+    match (name, value) {
+        (Ok(name), Ok(value)) => {
+            headers.insert(name, value);
+        }
+        _ => tracing::warn!("a trainer's header is not one"),
+    }
+}
--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -48,6 +48,14 @@
     pub rank: usize,
 }
 
+impl Place {
+    /// Whether the bundle at `order` falls to this runner by the common rule:
+    /// each has one runner, worked out alike by all.
+    pub fn has(self, order: u16) -> bool {
+        usize::from(order) % self.count.max(1) == self.rank
+    }
+}
+
 /// Before this age a batch is left to the runners of its model: they have seen
 /// it by then, and others would keep their own model's work waiting.
 const FOREIGN_AGE: Millis = Millis(400);
@@ -84,8 +92,7 @@
 /// Whether a runner runs a bundle that nobody has claimed while no claim can be
 /// written: each bundle has one runner by the order that all work out alike.
 pub fn is_mine_by_rule(offer: &Offer, place: Place) -> bool {
-    let mine = usize::from(offer.order) % place.count.max(1) == place.rank;
-    mine && offer.home && offer.loaded && offer.holder == Holder::Nobody
+    place.has(offer.order) && offer.home && offer.loaded && offer.holder == Holder::Nobody
 }
 
 /// The best offer for a runner, if any is worth taking. `room` is how many more
@@ -96,8 +103,12 @@
         // Runners that see a new batch at the same moment begin with different
         // bundles: without it all would claim the first one, and all but one
         // would lose a round trip to the store each time.
-        let turn = usize::from(offer.order) % place.count.max(1) != place.rank;
-        (class(offer, room), offer.due, turn, offer.order)
+        (
+            class(offer, room),
+            offer.due,
+            !place.has(offer.order),
+            offer.order,
+        )
     })
 }
 
--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -2,6 +2,7 @@
 
 use super::{
     event::{BundleId, Event},
+    offers::Standing,
     open_batch::{Mine, OpenBatch},
     work::Work, //
 };
@@ -18,7 +19,7 @@
 
 impl Work {
     /// Takes bundles while the engine has room.
-    pub(super) fn plan_claims(&mut self, now: Millis) {
+    pub(super) fn plan_claims(&mut self, standing: &Standing, now: Millis) {
         if !self.is_working() || self.leaving {
             return;
         }
@@ -32,9 +33,10 @@
         if room == 0 {
             return;
         }
-        let (home, place) = self.place(now);
+        let place = standing.place;
+        let home = standing.home.as_deref();
         let home = home.filter(|_| !is_slow(self.known_pace(), usual));
-        let mut offers = self.offers(&ids, home.as_deref(), now);
+        let mut offers = self.offers(&ids, home, now);
         if self.store_away {
             offers.retain(|offer| is_mine_by_rule(offer, place));
             offers.sort_by_key(|offer| (offer.due, offer.order));
@@ -100,7 +102,6 @@
                 let (bundle, age) = (offer.bundle, offer.age.0);
                 tracing::info!(batch = id, bundle, ?before, age, "takes a bundle");
                 Claim {
-                    at: self.store.now(),
                     holder: self.instance.clone(),
                     second: None,
                     token: self.token,
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -36,7 +36,6 @@
             sequence: last.sequence,
             service: self.service.clone(),
             token: self.token,
-            weights: Vec::new(),
             working: self.is_working(),
         };
         let changed = (next.leaving, next.loading, next.working)
--- a/src/runner/heartbeats.rs
+++ b/src/runner/heartbeats.rs
@@ -21,7 +21,7 @@
 
 /// A runner whose heartbeat has not changed for so long is taken for gone. Heartbeats
 /// come every second; one may be lost or late.
-pub(super) const SILENCE_MOST: Millis = Millis(2_300);
+const SILENCE_MOST: Millis = Millis(2_300);
 
 impl Heartbeats {
     /// Takes a heartbeat of `instance`; an older one than known changes nothing.
@@ -94,7 +94,7 @@
             .filter(|(_, seen)| works(seen))
             .map(|(name, _)| name.clone())
             .collect();
-        names.sort_by_key(|name| crate::base::stable_hash(&[name.as_bytes()]));
+        names.sort_by_cached_key(|name| crate::base::stable_hash(&[name.as_bytes()]));
         names
     }
 
--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -25,17 +25,17 @@
     /// Reads the items of the bundles that are this runner's by the rule, so
     /// that it can run them also while the store is away.
     pub(super) fn prefetch(&mut self, id: &str) {
-        let now = self.clock.now();
-        let (home, place) = self.place(now);
+        let standing = self.standing(self.clock.now());
+        let place = standing.place;
         let Some(batch) = self.batches.get(id) else {
             return;
         };
-        if home.as_ref() != Some(&batch.head.model) || !self.is_working() {
+        if standing.home.as_ref() != Some(&batch.head.model) || !self.is_working() {
             return;
         }
         let bundles = 0..batch.head.bundles.len() as u16;
         let mine: Vec<u16> = bundles
-            .filter(|bundle| usize::from(batch.order_of(*bundle)) % place.count == place.rank)
+            .filter(|bundle| place.has(batch.order_of(*bundle)))
             .collect();
         for bundle in mine {
             self.fetch(id, bundle);
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -14,11 +14,22 @@
 };
 use std::sync::Arc;
 
+/// Where a runner stands among all runners of its service.
+pub(super) struct Standing {
+    /// The model that it serves first.
+    pub(super) home: Option<String>,
+    /// Its place among those that serve the same model first.
+    pub(super) place: Place,
+    /// The runners that work.
+    pub(super) runners: usize,
+}
+
 impl Work {
-    /// The model that this runner serves first, and its place among those that
-    /// serve the same. All runners work it out alike from heartbeats and batches.
-    pub(super) fn place(&self, now: Millis) -> (Option<String>, Place) {
+    /// Where this runner stands. All runners work it out alike from heartbeats
+    /// and batches.
+    pub(super) fn standing(&self, now: Millis) -> Standing {
         let mut runners = self.heartbeats.working(&self.service, now);
+        let working = runners.len();
         if !runners.contains(&self.instance) {
             runners.push(self.instance.clone());
         }
@@ -28,14 +39,21 @@
         let dealt = deal(&demands, runners.len());
         let Some(mine) = dealt.get(rank).copied() else {
             let count = runners.len();
-            return (None, Place { count, rank });
+            return Standing {
+                home: None,
+                place: Place { count, rank },
+                runners: working,
+            };
         };
         let same = |model: &&usize| **model == mine;
-        let place = Place {
-            count: dealt.iter().filter(same).count(),
-            rank: dealt[..rank].iter().filter(same).count(),
-        };
-        (Some(demands[mine].model.clone()), place)
+        Standing {
+            home: Some(demands[mine].model.clone()),
+            place: Place {
+                count: dealt.iter().filter(same).count(),
+                rank: dealt[..rank].iter().filter(same).count(),
+            },
+            runners: working,
+        }
     }
 
     /// What each model's last batch asked for.
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -2,6 +2,7 @@
 
 use super::{
     event::Event,
+    offers::Standing,
     open_batch::OpenBatch,
     work::Work, //
 };
@@ -32,7 +33,7 @@
 
 impl Work {
     /// Gives an order if one is due.
-    pub(super) fn plan_versions(&mut self, now: Millis) {
+    pub(super) fn plan_versions(&mut self, standing: &Standing, now: Millis) {
         if self.order.as_ref().is_some_and(|order| now < order.until) {
             return;
         }
@@ -47,12 +48,10 @@
             return;
         }
 
-        let (home, place) = self.place(now);
         let loading = self.heartbeats.loading(&self.instance, now);
-        let runners = self.heartbeats.working(&self.service, now).len();
         let mut due = None;
         for weights in &report.weights {
-            let is_home = home.as_ref() == Some(&weights.model);
+            let is_home = standing.home.as_ref() == Some(&weights.model);
             let (named, seen) = self.site.named(&weights.model);
             let (needed, waiting) = self.needs(&weights.model, is_home, now);
             let situation = Situation {
@@ -63,8 +62,8 @@
                 named,
                 named_for: now.since(seen),
                 needed,
-                rank: place.rank,
-                runners,
+                rank: standing.place.rank,
+                runners: standing.runners,
                 waiting,
             };
             if let Step::Load(version) = step(&situation) {
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -6,7 +6,7 @@
     work::{Seed, Work}, //
 };
 use crate::{
-    base::{Clock, Millis},
+    base::Clock,
     calls::Caller,
     duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
     net::Peer,
@@ -26,15 +26,11 @@
     pub metrics: SocketAddr,
 }
 
-/// The part of the grace that a stop may use; the rest is for the exit itself.
-const GRACE_SHARE: f64 = 0.85;
-
 impl Runner {
     /// Starts a runner.
     pub fn open(settings: RunnerSettings) -> Result<Self, DutyError> {
         let common = settings.common;
-        let bound = Millis((common.grace.0 as f64 * GRACE_SHARE) as u64);
-        let mut handle = Handle::open(bound)?;
+        let mut handle = Handle::open(common.stop_bound())?;
         let metrics = HttpServer::bind(common.metrics, Limits::default())?;
         let address = metrics.address;
         tracing::info!(
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -9,8 +9,7 @@
 };
 use hyper::{
     HeaderMap,
-    Method,
-    header::HeaderValue, //
+    Method, //
 };
 use std::sync::Arc;
 
@@ -94,11 +93,7 @@
 
 fn headers(scorer: &Scorer) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    if let Ok(host) = HeaderValue::from_str(&scorer.host) {
-        headers.insert("host", host);
-    }
-    if let Ok(id) = HeaderValue::from_str(&scorer.id) {
-        headers.insert(ATTEMPT_ID, id);
-    }
+    platform::set_header(&mut headers, "host", &scorer.host);
+    platform::set_header(&mut headers, ATTEMPT_ID.as_str(), &scorer.id);
     headers
 }
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -205,8 +205,9 @@
         }
         self.look_at_engine(now);
         self.append_results();
-        self.plan_versions(now);
-        self.plan_claims(now);
+        let standing = self.standing(now);
+        self.plan_versions(&standing, now);
+        self.plan_claims(&standing, now);
         self.plan_sweep(now);
         self.plan_heartbeat(now);
     }
--- a/src/settings/site_settings.rs
+++ b/src/settings/site_settings.rs
@@ -45,7 +45,15 @@
     pub service: String,
 }
 
+/// The part of the grace that a stop may use; the rest is for the exit itself.
+const GRACE_SHARE: f64 = 0.85;
+
 impl SiteCommon {
+    /// After this long a graceful stop is forced.
+    pub fn stop_bound(&self) -> Millis {
+        Millis((self.grace.0 as f64 * GRACE_SHARE) as u64)
+    }
+
     fn read(reader: &Reader<'_>, listen: &Reader<'_>) -> Self {
         Self {
             data_centre: reader.text("data_centre", None),
--- a/src/store/table_view.rs
+++ b/src/store/table_view.rs
@@ -5,7 +5,10 @@
     Listing,
     Row, //
 };
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 
 /// The newest revision seen of each row of one table.
 ///
@@ -15,10 +18,12 @@
 /// already seen changes nothing.
 #[derive(Debug, Default)]
 pub struct TableView {
-    /// By part and key; the revision and whether the row exists.
-    rows: HashMap<(String, String), Seen>,
+    rows: HashMap<Name, Seen>,
 }
 
+/// Part and key.
+type Name = (String, String);
+
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     exists: bool,
@@ -35,26 +40,15 @@
     /// returns what it changes. Known rows that it lacks are gone, unless they
     /// are newer than the listing.
     pub fn list(&mut self, part: Option<&str>, listing: Listing) -> Vec<Change> {
-        let listed: std::collections::HashSet<(String, String)> = listing
+        let listed: HashSet<Name> = listing
             .rows
             .iter()
             .map(|row| (row.part.clone(), row.key.clone()))
             .collect();
         let mut changes = self.feed(listing.rows);
-
-        for (name, seen) in &mut self.rows {
-            let within = part.is_none_or(|part| part == name.0);
-            let lacking = seen.exists && !listed.contains(name);
-            if !within || !lacking || seen.revision > listing.revision {
-                continue;
-            }
-            seen.exists = false;
-            seen.revision = listing.revision;
-            changes.push(Change::Removed {
-                part: name.0.clone(),
-                key: name.1.clone(),
-            });
-        }
+        changes.extend(self.drop_rows(listing.revision, |name| {
+            part.is_none_or(|part| part == name.0) && !listed.contains(name)
+        }));
         changes
     }
 
@@ -89,10 +83,16 @@
     /// Takes the list of all parts as of `revision`; returns the rows that are
     /// gone because their part is.
     pub fn keep_parts(&mut self, parts: &[&str], revision: u64) -> Vec<Change> {
+        let parts: HashSet<&str> = parts.iter().copied().collect();
+        self.drop_rows(revision, |name| !parts.contains(name.0.as_str()))
+    }
+
+    /// Takes the existing rows that `gone` names for removed, unless they are
+    /// newer than `revision`.
+    fn drop_rows(&mut self, revision: u64, gone: impl Fn(&Name) -> bool) -> Vec<Change> {
         let mut changes = Vec::new();
         for (name, seen) in &mut self.rows {
-            let gone = seen.exists && !parts.contains(&name.0.as_str());
-            if !gone || seen.revision > revision {
+            if !seen.exists || seen.revision > revision || !gone(name) {
                 continue;
             }
             seen.exists = false;
@@ -104,9 +104,4 @@
         }
         changes
     }
-
-    /// Forgets what is known of `part`, whose rows were removed for good.
-    pub fn forget(&mut self, part: &str) {
-        self.rows.retain(|name, _| name.0 != part);
-    }
 }
--- a/standins/src/engine/handle.rs
+++ b/standins/src/engine/handle.rs
@@ -82,14 +82,8 @@
             tuning,
             work: Notify::new(),
         });
-        let server = Server::open(address, {
-            let inner = inner.clone();
-            move |request| {
-                let inner = inner.clone();
-                async move { inner.answer(request).await }
-            }
-        })
-        .await?;
+        let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
+        let server = Server::open_shared(address, &inner, answer).await?;
         Ok(Self {
             address: server.address,
             loop_task: tokio::spawn(batch::run(inner.clone())),
--- a/standins/src/platform/handle.rs
+++ b/standins/src/platform/handle.rs
@@ -77,14 +77,8 @@
             state: Mutex::default(),
             weights: Weights::new(slots, copy),
         });
-        let server = Server::open(address, {
-            let inner = inner.clone();
-            move |request| {
-                let inner = inner.clone();
-                async move { inner.answer(request).await }
-            }
-        })
-        .await?;
+        let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
+        let server = Server::open_shared(address, &inner, answer).await?;
         Ok(Self {
             address: server.address,
             inner,
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -50,6 +50,21 @@
         })
     }
 
+    /// As [`Server::open`], with state that all requests share.
+    pub async fn open_shared<T, F, Fut>(
+        address: SocketAddr,
+        state: &Arc<T>,
+        answer: F,
+    ) -> io::Result<Self>
+    where
+        T: Send + Sync + 'static,
+        F: Fn(Arc<T>, Request<Incoming>) -> Fut + Clone + Send + 'static,
+        Fut: Future<Output = io::Result<Answer>> + Send + 'static,
+    {
+        let state = state.clone();
+        Self::open(address, move |request| answer(state.clone(), request)).await
+    }
+
     /// A switch that cuts (false) or brings back (true) the server.
     pub fn switch(&self) -> Arc<watch::Sender<bool>> {
         self.up.clone()
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -81,14 +81,8 @@
             service_time,
             state: Mutex::default(),
         });
-        let server = Server::open(address, {
-            let inner = inner.clone();
-            move |request| {
-                let inner = inner.clone();
-                async move { inner.answer(request).await }
-            }
-        })
-        .await?;
+        let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
+        let server = Server::open_shared(address, &inner, answer).await?;
         Ok(Self {
             address: server.address,
             inner,
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -98,12 +98,9 @@
                 version: 1,
             }),
         });
-        let serving = inner.clone();
-        let handler = move |request| {
-            let inner = serving.clone();
-            async move { inner.answer(request).await }
-        };
-        let server = Server::open(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::open_shared(address, &inner, answer).await?;
         Ok(Self {
             address: server.address,
             id: id.to_owned(),
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -87,12 +87,9 @@
             rows: Mutex::default(),
             writes: AtomicU64::new(0),
         });
-        let serving = inner.clone();
-        let handler = move |request| {
-            let inner = serving.clone();
-            async move { inner.answer(request).await }
-        };
-        let server = Server::open(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::open_shared(address, &inner, answer).await?;
         Ok(Self {
             address: server.address,
             inner,
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -31,13 +31,11 @@
         id: format!("item-{number}"),
         path: "/p/1".to_owned(),
         scorer: None,
-        tokens: 10,
     }
 }
 
 fn submission(items: Vec<Item>) -> Submission {
     Submission {
-        groups_wanted: 1,
         host: "h".to_owned(),
         id: "b".to_owned(),
         items,
