Deal runners out by expected tokens, not by items

Cause: on grown Tahtiraita three trainers ask for as many items each, but one model's texts have 6 events and the others' 17. Change: the mean of the expected tokens over each model's last four steps; by items while a trainer gives no estimates. One log line for each whole run.

--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -96,6 +96,12 @@
         order
     }
 
+    /// The output tokens that its trainer expects; 0 when it gave no estimates.
+    pub fn tokens(&self) -> u64 {
+        let expected = self.items.iter().map(|item| u64::from(item.expected));
+        expected.sum()
+    }
+
     /// The index of the item called `id`.
     pub fn index_of(&self, id: &str) -> Option<u16> {
         let found = self.items.iter().position(|item| item.id == id);
--- a/src/policy/model_share.rs
+++ b/src/policy/model_share.rs
@@ -13,6 +13,53 @@
     pub work: f64,
 }
 
+/// What one batch asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub items: usize,
+    pub step: u64,
+    /// The sum of its items' expected output tokens; 0 when its trainer gave no
+    /// estimates.
+    pub tokens: u64,
+}
+
+/// The newest steps whose demand is averaged: one step's estimates are off by a
+/// tenth, and each runner that changes its model has to load weights.
+const STEPS: usize = 4;
+
+/// Each model's demand by its newest batches: tokens, or items while a trainer
+/// gives no estimates. Dealt by items, a model with texts of 6 events kept as
+/// many engines as one with texts of 17, whose steps took twice as long.
+pub fn demands(models: Vec<(String, Vec<Asked>)>) -> Vec<Demand> {
+    let newest: Vec<(String, Vec<Asked>)> = models
+        .into_iter()
+        .map(|(model, mut batches)| {
+            batches.sort_by_key(|batch| std::cmp::Reverse(batch.step));
+            batches.truncate(STEPS);
+            (model, batches)
+        })
+        .collect();
+    let estimated = newest.iter().flat_map(|(_, batches)| batches);
+    let by_tokens = estimated.clone().all(|batch| batch.tokens > 0);
+    let work = |batch: &Asked| match by_tokens {
+        true => batch.tokens as f64,
+        false => batch.items as f64,
+    };
+    let mut demands: Vec<Demand> = newest
+        .iter()
+        .map(|(model, batches)| {
+            let total: f64 = batches.iter().map(work).sum();
+            let mean = total / batches.len().max(1) as f64;
+            Demand {
+                model: model.clone(),
+                work: mean.max(1.0),
+            }
+        })
+        .collect();
+    demands.sort_by(|a, b| a.model.cmp(&b.model));
+    demands
+}
+
 /// Deals `count` runners out to the models by their demand, at least one to
 /// each while there are enough; returns the model of each runner by its rank.
 /// A runner more or less moves only those at the borders.
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -8,7 +8,7 @@
     base::Millis,
     policy::{
         claim_choice::{Holder, Offer, Place},
-        model_share::{Demand, deal}, //
+        model_share::{Asked, Demand, deal, demands}, //
     },
     routing::Route, //
 };
@@ -56,28 +56,25 @@
         }
     }
 
-    /// What each model's last batch asked for.
+    /// What each model's newest batches asked for.
     pub(super) fn demands(&self) -> Vec<Demand> {
         let config = self.site.config();
         let service = config
             .as_ref()
             .and_then(|config| config.service(&self.service));
         let models = service.map_or(&[][..], |service| &service.models);
-        let mut demands: Vec<Demand> = models
-            .iter()
-            .map(|model| {
-                let batches = self.batches.values().map(|batch| &batch.head);
-                let last = batches
-                    .filter(|head| head.model == model.name)
-                    .max_by_key(|head| head.step);
-                Demand {
-                    model: model.name.clone(),
-                    work: last.map_or(1.0, |head| head.items.len() as f64),
-                }
+        let asked = |model: &str| -> Vec<Asked> {
+            let heads = self.batches.values().map(|batch| &batch.head);
+            let same = heads.filter(|head| head.model == model);
+            same.map(|head| Asked {
+                items: head.items.len(),
+                step: head.step,
+                tokens: head.tokens(),
             })
-            .collect();
-        demands.sort_by(|a, b| a.model.cmp(&b.model));
-        demands
+            .collect()
+        };
+        let models = models.iter().map(|model| &model.name);
+        demands(models.map(|name| (name.clone(), asked(name))).collect())
     }
 
     /// The route of a batch, if its items may run on this engine.
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -178,8 +178,23 @@
         let Some(server) = server.filter(|_| now < task.until) else {
             return ItemEnd::Dropped;
         };
+        let begun = text.events.len();
         match run_once(&engine, &task, &server, &mut text).await {
-            Run::Whole => break,
+            Run::Whole => {
+                let (item, events) = (&task.item.id, text.events.len());
+                let taken = engine.clock.now().since(now).0;
+                let waited = text.first.map_or(taken, |first| first.since(now).0);
+                tracing::info!(
+                    item,
+                    server,
+                    begun,
+                    events,
+                    waited,
+                    taken,
+                    "run ended whole"
+                );
+                break;
+            }
             Run::Failed => {
                 failures += 1;
                 tracing::info!(item = task.item.id, failures, "the engine failed the item");
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -7,7 +7,7 @@
     policy::{
         batch_age::{Age, Verdict, judge},
         claim_choice::{Holder, Offer, Place, capacity, choose, is_mine_by_rule},
-        model_share::{Demand, deal},
+        model_share::{Asked, Demand, deal, demands},
         server_choice::{self, Candidate, hedge_after},
         version_plan::{Situation, Step, step}, //
     },
@@ -420,6 +420,71 @@
     }
 }
 
+/// Three trainers ask for as many items each, but one model's texts are short.
+/// Dealt by items, the models with long texts got a third of the runners each,
+/// and their steps fell behind while the first model's engines were idle. One
+/// odd step moves few runners, and a trainer without estimates makes all count
+/// by items.
+#[test]
+fn long_texts_get_more_runners() {
+    struct Test {
+        name: &'static str,
+        batches: &'static [(&'static str, u64, usize, u64)],
+        shares: &'static [usize],
+    }
+
+    for test in [
+        Test {
+            name: "by tokens",
+            batches: &[
+                ("a", 1, 224, 100_000),
+                ("b", 1, 248, 284_000),
+                ("c", 1, 240, 275_000),
+            ],
+            shares: &[7, 19, 18],
+        },
+        Test {
+            name: "without estimates",
+            batches: &[("a", 1, 224, 0), ("b", 1, 248, 284_000), ("c", 1, 240, 0)],
+            shares: &[14, 15, 15],
+        },
+        Test {
+            name: "one odd step among four, an old one forgotten",
+            batches: &[
+                ("a", 1, 10, 900_000),
+                ("a", 2, 10, 100_000),
+                ("a", 3, 10, 100_000),
+                ("a", 4, 10, 130_000),
+                ("a", 5, 10, 100_000),
+                ("b", 5, 10, 300_000),
+            ],
+            shares: &[12, 32],
+        },
+        Test {
+            name: "a model without batches keeps one",
+            batches: &[("a", 1, 10, 50_000)],
+            shares: &[43, 1],
+        },
+    ] {
+        let mut models: Vec<(String, Vec<Asked>)> = Vec::new();
+        let names = ["a", "b", "c"];
+        for name in &names[..test.shares.len()] {
+            let same = test.batches.iter().filter(|batch| batch.0 == *name);
+            let asked = same.map(|(_, step, items, tokens)| Asked {
+                items: *items,
+                step: *step,
+                tokens: *tokens,
+            });
+            models.push(((*name).to_owned(), asked.collect()));
+        }
+        let dealt = deal(&demands(models), 44);
+        let shares: Vec<usize> = (0..test.shares.len())
+            .map(|model| dealt.iter().filter(|dealt| **dealt == model).count())
+            .collect();
+        assert_eq!(shares, test.shares, "{}", test.name);
+    }
+}
+
 proptest! {
     /// Every runner has a model, whatever is asked for, and one runner more or
     /// less moves no more runners than there are models.
