Let engines of other models help one after another; take weights during an outage

The stagger counted from the naming of the version, which was long past. And engines that were idle in an outage of the store took no weights, as bundles that others had run looked unclaimed. Tests first failing.

--- a/src/policy/version_plan.rs
+++ b/src/policy/version_plan.rs
@@ -11,12 +11,16 @@
 /// What is known of one model at one engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Situation {
+    /// How long the store has not answered; `None` while it does.
+    pub away_for: Option<Millis>,
     /// Other engines that are changing weights.
     pub loading: usize,
     /// The models that the service's engines hold.
     pub models: usize,
     /// The oldest version that work at hand needs.
     pub needed: u64,
+    /// How long that work has waited for a runner.
+    pub needed_for: Millis,
     /// The version that the engine has.
     pub held: u64,
     /// Whether this runner serves the model first.
@@ -58,6 +62,17 @@
 /// how many before it are loading.
 const STAGGER: Millis = Millis(70);
 
+/// Without the store no heartbeat tells who loads: the waves are a whole load
+/// and some slack apart then.
+const AWAY_STAGGER: Millis = Millis(1_000);
+
+/// Work that a model's own runners leave waiting this long is taken by runners
+/// of other models, one after another, which load its weights for it. Sooner,
+/// their loads would slow those of the model's own runners; all at once, one
+/// bundle that waited for a slot made 21 of 44 engines load at the same moment.
+const RESCUE_AGE: Millis = Millis(3_000);
+const RESCUE_STAGGER: Millis = Millis(400);
+
 /// How many of `runners` engines may load at once.
 pub fn at_once(runners: usize) -> usize {
     ((runners as f64 * SHARE_AT_ONCE) as usize).max(LEAST_AT_ONCE)
@@ -70,13 +85,25 @@
     }
     let most = at_once(now.runners);
     let wave = (most / now.models.max(1)).max(1);
-    let turn = Millis(STAGGER.0 * (now.rank / wave) as u64);
+    let turns = (now.rank / wave) as u64;
+    if let Some(away_for) = now.away_for {
+        // An idle engine is ready for the next step when the store comes back.
+        // Without it the trainers' first two steps after an outage of 7 s
+        // began 1.5 to 2.2 s late, as all engines had to load.
+        let due = away_for >= QUIET + Millis(AWAY_STAGGER.0 * turns);
+        return when(now.home && !now.waiting && due, now.named);
+    }
+    let turn = Millis(STAGGER.0 * turns);
     let free = now.loading < most;
     if now.needed > now.held {
         // A heartbeat that says "loading" may be all that is left of a runner.
-        let waves = (now.rank / wave) as u64 + 2;
-        let overdue = now.named_for >= Millis(LOAD_TIME.0 * waves);
-        return when((free && now.named_for >= turn) || overdue, now.named);
+        let overdue = now.needed_for >= Millis(LOAD_TIME.0 * (turns + 2));
+        let rescue = RESCUE_AGE + Millis(RESCUE_STAGGER.0 * now.rank as u64);
+        let due = match now.home {
+            true => (free && now.needed_for >= turn) || overdue,
+            false => free && now.needed_for >= rescue,
+        };
+        return when(due, now.named);
     }
     let idle = now.home && !now.waiting;
     when(idle && free && now.named_for >= QUIET + turn, now.named)
--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -37,7 +37,7 @@
         let home = standing.home.as_deref();
         let home = home.filter(|_| !is_slow(self.known_pace(), usual));
         let mut offers = self.offers(&ids, home, now);
-        if self.store_away {
+        if self.away_since.is_some() {
             offers.retain(|offer| is_mine_by_rule(offer, place));
             offers.sort_by_key(|offer| (offer.due, offer.order));
             for offer in offers {
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -138,7 +138,7 @@
         if claim.holder == self.instance {
             return Some(Holder::Nobody);
         }
-        if !self.store_away && !self.heartbeats.works(&claim.holder, claim.token, now) {
+        if self.away_since.is_none() && !self.heartbeats.works(&claim.holder, claim.token, now) {
             return Some(Holder::Nobody);
         }
         if claim.second.as_deref() == Some(&self.instance) {
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -9,7 +9,10 @@
 use crate::{
     base::Millis,
     platform::{OrderAnswer, VersionOrder, order_answer, order_request},
-    policy::version_plan::{Situation, Step, step}, //
+    policy::{
+        claim_choice::Place,
+        version_plan::{Situation, Step, step}, //
+    },
 };
 
 /// An order that the engine has not been seen to carry out.
@@ -26,11 +29,6 @@
 /// After an answer, the reports show what came of the order within this time.
 const SETTLE: Millis = Millis(450);
 
-/// Groups of a model whose own runners leave them waiting this long are taken
-/// by runners of other models, which load its weights for them. Sooner, their
-/// loads would slow those of the model's own runners.
-const RESCUE_AGE: Millis = Millis(3_000);
-
 impl Work {
     /// Gives an order if one is due.
     pub(super) fn plan_versions(&mut self, standing: &Standing, now: Millis) {
@@ -53,18 +51,20 @@
         for weights in &report.weights {
             let is_home = standing.home.as_ref() == Some(&weights.model);
             let (named, seen) = self.site.named(&weights.model);
-            let (needed, waiting) = self.needs(&weights.model, is_home, now);
+            let needs = self.needs(&weights.model, standing, now);
             let situation = Situation {
+                away_for: self.away_since.map(|since| now.since(since)),
                 held: weights.version,
                 home: is_home,
                 loading,
                 models: report.weights.len(),
                 named,
                 named_for: now.since(seen),
-                needed,
+                needed: needs.version,
+                needed_for: needs.waited,
                 rank: standing.place.rank,
                 runners: standing.runners,
-                waiting,
+                waiting: needs.waiting,
             };
             if let Step::Load(version) = step(&situation) {
                 due = Some((weights.model.clone(), version, situation));
@@ -136,32 +136,55 @@
         })
     }
 
-    /// The oldest version that work of `model` at hand needs, and whether bundles
-    /// of it wait for a runner.
-    fn needs(&self, model: &str, home: bool, now: Millis) -> (u64, bool) {
+    /// What work of `model` at hand needs.
+    fn needs(&self, model: &str, standing: &Standing, now: Millis) -> Needs {
         let open = |batch: &&OpenBatch| {
             batch.head.model == model && !batch.is_over() && batch.log_revision > 0
         };
-        let mut needed = 0;
-        let mut waiting = false;
+        let mut needs = Needs::default();
         for batch in self.batches.values().filter(open) {
-            let waits = batch.waiting_bundles() > 0;
-            let rescue = now.since(batch.seen) >= RESCUE_AGE;
-            if waits && (home || rescue) {
-                needed = needed.max(batch.head.least_version);
+            // While no claim can be seen, what others have begun or finished is
+            // not known: only what falls to this runner waits for it.
+            let waits = match self.away_since {
+                Some(_) => batch.waiting_for(standing.place) > 0,
+                None => batch.waiting_bundles().count() > 0,
+            };
+            if !waits {
+                continue;
+            }
+            needs.waiting = true;
+            if batch.head.least_version > needs.version {
+                needs.version = batch.head.least_version;
+                needs.waited = now.since(batch.seen);
             }
-            waiting |= waits;
         }
-        (needed, waiting)
+        needs
     }
 }
 
+/// What work of one model at hand needs.
+#[derive(Default)]
+struct Needs {
+    /// The oldest version that may run it; 0 when nothing waits.
+    version: u64,
+    /// How long that work has waited.
+    waited: Millis,
+    /// Whether bundles wait for a runner.
+    waiting: bool,
+}
+
 impl OpenBatch {
-    /// Groups that nobody has claimed.
-    fn waiting_bundles(&self) -> usize {
+    /// Bundles that nobody has claimed.
+    fn waiting_bundles(&self) -> impl Iterator<Item = u16> {
         let bundles = 0..self.head.bundles.len() as u16;
-        bundles
-            .filter(|bundle| !self.claims.contains_key(bundle) && !self.left(*bundle).is_empty())
-            .count()
+        bundles.filter(|bundle| !self.claims.contains_key(bundle) && !self.left(*bundle).is_empty())
+    }
+
+    /// Unclaimed bundles that fall to the runner at `place` and that it has not
+    /// begun.
+    fn waiting_for(&self, place: Place) -> usize {
+        let mine =
+            |bundle: &u16| place.has(self.order_of(*bundle)) && !self.mine.contains_key(bundle);
+        self.waiting_bundles().filter(mine).count()
     }
 }
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -27,6 +27,8 @@
 
 /// What this runner knows and does.
 pub(super) struct Work {
+    /// Since when the store does not answer this runner; `None` while it does.
+    pub(super) away_since: Option<Millis>,
     pub(super) batches: BTreeMap<String, OpenBatch>,
     pub(super) heartbeats: Heartbeats,
     /// No bundle is claimed before, as the store did not take the last claim.
@@ -52,8 +54,6 @@
     pub(super) site: Arc<Site>,
     pub(super) slots: u32,
     pub(super) store: Store,
-    /// Whether the store does not answer this runner.
-    pub(super) store_away: bool,
     pub(super) swept: Millis,
     /// Names this life of the runner; the number under which it gives orders.
     pub(super) token: u64,
@@ -104,6 +104,7 @@
         tokio::spawn(follow_work(seed.store.clone(), events.clone()));
 
         let mut work = Self {
+            away_since: None,
             batches: BTreeMap::new(),
             heartbeat: HeartbeatState::default(),
             heartbeats: Heartbeats::default(),
@@ -125,7 +126,6 @@
             site: seed.site,
             slots: 1,
             store: seed.store,
-            store_away: false,
             swept: seed.clock.now(),
             token,
         };
@@ -191,15 +191,15 @@
                     self.change(change, now);
                 }
             }
-            Event::Store(Followed::Lost) => self.store_away = true,
-            Event::Store(Followed::Regained) => self.store_away = false,
+            Event::Store(Followed::Lost) => self.away_since = Some(now),
+            Event::Store(Followed::Regained) => self.away_since = None,
         }
     }
 
     /// Does what is due.
     fn plan(&mut self) {
         let now = self.clock.now();
-        if self.store_away {
+        if self.away_since.is_some() {
             // No heartbeat can arrive, so none is late.
             self.heartbeats.excuse(now);
         }
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -281,6 +281,31 @@
     check_whole(&batch, &scene.read(&batch, 48, Millis(3_000)).await);
 }
 
+/// A trainer names a version, its step is taken, and the store goes away before
+/// all of its groups are claimed. The engines run the step and are idle then;
+/// they take the named weights before the store is back, as the next step will
+/// need them at once: trainers waited 1.5 s for those loads after an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn weights_are_taken_during_an_outage() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(20));
+    }
+    let batch = Batch::new("before", 12, 4, 10);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    scene.name_version(2);
+    sleep(150).await;
+    scene.store.set_faults(StoreFaults {
+        outage: Outage::Reset,
+        ..StoreFaults::default()
+    });
+    sleep(5_000).await;
+    let versions: Vec<u64> = scene.engines.iter().map(Engine::version).collect();
+    assert_eq!(versions, [2, 2, 2], "versions during the outage");
+    scene.store.set_faults(StoreFaults::default());
+    check_whole(&batch, &scene.read(&batch, 48, Millis(3_000)).await);
+}
+
 /// Every third write is done and its answer lost, or done only seconds later.
 /// Nothing is listed twice, nothing is lost, and a submission that is not
 /// answered 202 is not refused either.
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -250,6 +250,7 @@
 }
 
 const CALM: Situation = Situation {
+    away_for: None,
     held: 4,
     home: true,
     loading: 0,
@@ -257,6 +258,7 @@
     named: 5,
     named_for: Millis(2_000),
     needed: 4,
+    needed_for: Millis(0),
     rank: 0,
     runners: 9,
     waiting: false,
@@ -330,6 +332,84 @@
     }
 }
 
+/// One bundle of a model waits for a slot, and other models' engines are idle.
+/// All of them loaded its weights at the same moment, three seconds after its
+/// batch came, and were away from their own models' next steps for two seconds.
+/// Now they follow one another, and those with an earlier place leave the later
+/// ones nothing to do.
+#[test]
+fn other_models_engines_help_one_after_another() {
+    let helpers = |waited: u64| {
+        let helps = |rank: &usize| {
+            let now = Situation {
+                home: false,
+                needed: 5,
+                needed_for: Millis(waited),
+                rank: *rank,
+                runners: 44,
+                waiting: true,
+                ..CALM
+            };
+            step(&now) != Step::Wait
+        };
+        (0..18).filter(helps).count()
+    };
+    let counts = [2_900, 3_000, 3_400, 4_600].map(helpers);
+    assert_eq!(counts, [0, 1, 2, 5]);
+}
+
+/// The store is away, and no heartbeat tells who loads: idle engines take the
+/// named weights in waves by their place, so that the next step finds them.
+#[test]
+fn weights_are_taken_in_waves_without_the_store() {
+    let away = |millis: u64, rank: usize| Situation {
+        away_for: Some(Millis(millis)),
+        loading: 9,
+        rank,
+        ..CALM
+    };
+    for test in [
+        Loading {
+            name: "a moment without the store",
+            now: away(200, 0),
+            step: Step::Wait,
+        },
+        Loading {
+            name: "the first wave, whatever old heartbeats say",
+            now: away(500, 0),
+            step: Step::Load(5),
+        },
+        Loading {
+            name: "the third wave waits for two loads",
+            now: away(2_400, 2),
+            step: Step::Wait,
+        },
+        Loading {
+            name: "the third wave",
+            now: away(2_500, 2),
+            step: Step::Load(5),
+        },
+        Loading {
+            name: "work waits for this engine",
+            now: Situation {
+                waiting: true,
+                ..away(9_000, 0)
+            },
+            step: Step::Wait,
+        },
+        Loading {
+            name: "another model's engine",
+            now: Situation {
+                home: false,
+                ..away(9_000, 0)
+            },
+            step: Step::Wait,
+        },
+    ] {
+        test.run();
+    }
+}
+
 /// When an engine takes weights that work at hand needs.
 #[test]
 fn needed_weights_are_taken_soon() {
@@ -359,6 +439,7 @@
             now: Situation {
                 loading: 2,
                 named_for: Millis(1_900),
+                needed_for: Millis(1_900),
                 needed: 5,
                 ..CALM
             },
