Run a batch that comes with the store's return once

Change: who hears of changes reaches the store. Test first failing: a_batch_at_the_stores_return_runs_once (18 and 17 runs of 9 items before, 9 after).

--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -191,6 +191,10 @@
                 }
             }
             Event::Store(Followed::Changes { changes, .. }) => {
+                // Who hears of changes reaches the store, though its follower
+                // tells so only after them: batches that came with the store's
+                // return were run unclaimed, and half of their items twice.
+                self.away_since = None;
                 for change in changes {
                     self.change(change, now);
                 }
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -257,6 +257,29 @@
     }
 }
 
+/// A trainer waits for the store and submits its batch as soon as it is back.
+/// The runners hear of the batch with the store's return; each item runs once.
+/// They took the store for away until a moment later and ran the bundles by the
+/// common order, and again by claims: half of the items ran twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_at_the_stores_return_runs_once() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(20));
+    }
+    scene.store.set_faults(StoreFaults {
+        outage: Outage::Reset,
+        ..StoreFaults::default()
+    });
+    sleep(1_500).await;
+    scene.store.set_faults(StoreFaults::default());
+    let batch = Batch::new("return", 9, 1, 40);
+    submit_until_taken(&scene, &batch).await;
+    check_whole(&batch, &scene.read(&batch, 9, SOON).await);
+    let runs: usize = scene.engines.iter().map(|engine| engine.runs().len()).sum();
+    assert_eq!(runs, 9, "runs of 9 items");
+}
+
 /// Engines lose power and start again. The store announces their new lives only
 /// seconds later, and the old ones stay announced meanwhile. Items that are
 /// meant for the old lives are refused; the refusals tell the new ones, and the
