Know a server's life by its id and its start; leave out entries by other writers

Cause: a server may start again under its id, told by the start that its announcement and its report name. Everything that is remembered of a server took a new id for the only sign of a restart: trust and load in the callers' book, the servers a call was sent to, the engine's pace, an order under way, the order of announcements at one address. A run on an engine that lost power hung until its stream had paused for 2.5 s. And an announcement counted as ready in any state but one, an entry of another service at an engine's address stopped the engine's runner, and one value that is no base64 broke a listing.

Change: `routing::Life` (id, start) is the key of what is remembered; runs end and go on at once when the report shows another life; an announcement must be whole, is counted and told of once otherwise, and hides nobody.

Ruled out: taking a lower order count for a restart; counts of 0 look alike.

Seen: without the change `an_engine_that_starts_again_under_its_id_is_another_life` has 0 of 6 results after 2.2 s, and `entries_by_another_writer_disturb_nobody` finds an engine without runs.

--- a/src/calls/book.rs
+++ b/src/calls/book.rs
@@ -3,7 +3,7 @@
 use crate::{
     base::Millis,
     policy::{health::Health, latency::Latency, server_choice::Candidate},
-    routing::Server, //
+    routing::{Life, Server}, //
 };
 use std::collections::HashMap;
 
@@ -18,10 +18,10 @@
     used: Millis,
 }
 
-/// The records of all servers, by id.
+/// The records of all servers, by life.
 #[derive(Debug, Default)]
 pub(super) struct Book {
-    records: HashMap<String, Record>,
+    records: HashMap<Life, Record>,
 }
 
 /// A server's word on its load counts this long; calls last tens of ms.
@@ -42,7 +42,7 @@
         tried: bool,
         now: Millis,
     ) -> Candidate {
-        let record = self.records.get(&server.id);
+        let record = self.records.get(&server.life);
         let fresh = |(load, at): (u32, Millis)| (now.since(at) < REPORT_FRESH).then_some(load);
         Candidate {
             connected: false,
@@ -57,26 +57,26 @@
     }
 
     /// A call is sent to `server`.
-    pub(super) fn begin(&mut self, server: &str, now: Millis) {
+    pub(super) fn begin(&mut self, server: &Life, now: Millis) {
         if self.records.len() > RECORDS_MOST {
             let unused = |record: &Record| record.in_flight == 0 && now.since(record.used) > FORGET;
             self.records.retain(|_, record| !unused(record));
         }
-        let record = self.records.entry(server.to_owned()).or_default();
+        let record = self.records.entry(server.clone()).or_default();
         record.in_flight += 1;
         record.used = now;
         record.health.try_once(now);
     }
 
     /// A call at `server` is no longer under way.
-    pub(super) fn end(&mut self, server: &str) {
+    pub(super) fn end(&mut self, server: &Life) {
         if let Some(record) = self.records.get_mut(server) {
             record.in_flight = record.in_flight.saturating_sub(1);
         }
     }
 
     /// An answer came after `taken` ms.
-    pub(super) fn succeed(&mut self, server: &str, now: Millis, taken: f64) {
+    pub(super) fn succeed(&mut self, server: &Life, now: Millis, taken: f64) {
         if let Some(record) = self.records.get_mut(server) {
             record.health.succeed();
             record.latency.note(now, taken);
@@ -84,7 +84,7 @@
     }
 
     /// The server failed; true when this takes it out.
-    pub(super) fn fail(&mut self, server: &str, now: Millis) -> bool {
+    pub(super) fn fail(&mut self, server: &Life, now: Millis) -> bool {
         let Some(record) = self.records.get_mut(server) else {
             return false;
         };
@@ -94,14 +94,14 @@
     }
 
     /// No answer came within `waited` ms: what it takes is at least that.
-    pub(super) fn lag(&mut self, server: &str, now: Millis, waited: f64) {
+    pub(super) fn lag(&mut self, server: &Life, now: Millis, waited: f64) {
         if let Some(record) = self.records.get_mut(server) {
             record.latency.note(now, waited);
         }
     }
 
     /// The server said how many calls it has.
-    pub(super) fn report(&mut self, server: &str, now: Millis, load: u32) {
+    pub(super) fn report(&mut self, server: &Life, now: Millis, load: u32) {
         if let Some(record) = self.records.get_mut(server) {
             record.reported = Some((load, now));
         }
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -17,7 +17,7 @@
         server_choice::{Candidate, choose},
         typical::Typical, //
     },
-    routing::{Kind, Server},
+    routing::{Kind, Life, Server},
     view::Site, //
 };
 use bytes::Bytes;
@@ -110,7 +110,7 @@
             let Some(server) = self.pick(call, &tried) else {
                 break;
             };
-            tried.push(server.id.clone());
+            tried.push(server.life.clone());
             let at = self.site.now();
             let left = call.until.since(at);
             let peer = self.peer(server.address);
@@ -124,7 +124,7 @@
                 Ok(opened) => return StreamEnd::Opened(opened),
                 Err(error) => error,
             };
-            tracing::info!(call = call.id, server = server.id, %error, "stream not opened");
+            tracing::info!(call = call.id, server = server.life.id, %error, "stream not opened");
             reason = "no-connection";
             if error.verdict().may_have_run() {
                 let reason = "connection-broke".to_owned();
@@ -153,7 +153,7 @@
         }
         *request.headers_mut() = call.headers.clone();
         platform::set_deadline(request.headers_mut(), left);
-        platform::set_instance(request.headers_mut(), &server.id);
+        platform::set_instance(request.headers_mut(), &server.life.id);
         request
     }
 
@@ -161,17 +161,17 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn pick(&self, call: &Call, tried: &[String]) -> Option<Arc<Server>> {
+    pub(super) fn pick(&self, call: &Call, tried: &[Life]) -> Option<Arc<Server>> {
         let service = call.route.service_of(&call.id)?;
         let now = self.site.now();
         let mut servers: Vec<Arc<Server>> =
             self.site.directory().serving(service).cloned().collect();
-        servers.sort_by(|a, b| a.id.cmp(&b.id));
+        servers.sort_by(|a, b| a.life.id.cmp(&b.life.id));
         let state = self.state();
         let candidates: Vec<_> = servers
             .iter()
             .map(|server| {
-                let tried = tried.contains(&server.id);
+                let tried = tried.contains(&server.life);
                 let peer = state.peers.get(&server.address);
                 Candidate {
                     connected: peer.is_some_and(Peer::is_connected),
@@ -189,7 +189,7 @@
             trusted,
             ..
         } = candidates[chosen];
-        let (id, latency, of) = (&server.id, latency as u64, candidates.len());
+        let (id, latency, of) = (&server.life.id, latency as u64, candidates.len());
         tracing::info!(
             call = call.id,
             server = id,
@@ -214,7 +214,7 @@
     pub(super) async fn send(&self, call: &Call, sent: Sent) -> (Sent, Result<Answer, CallError>) {
         let left = call.until.since(self.site.now());
         let request = Self::request(call, &sent.server, left);
-        self.state().book.begin(&sent.server.id, sent.at);
+        self.state().book.begin(&sent.server.life, sent.at);
         let mut running = Running {
             caller: self,
             done: false,
@@ -237,7 +237,7 @@
     pub(super) fn learn(&self, call: &Call, sent: &Sent, attempt: &Attempt) {
         let now = self.site.now();
         let taken = now.since(sent.at).0 as f64;
-        let server = &sent.server.id;
+        let server = &sent.server.life;
         let mut state = self.state();
         match attempt {
             Attempt::Answered(answer) => {
@@ -259,7 +259,7 @@
             } => {
                 let out = *server_fault && state.book.fail(server, now);
                 drop(state);
-                let (call, taken) = (&call.id, taken as u64);
+                let (call, server, taken) = (&call.id, &server.id, taken as u64);
                 tracing::info!(call, server, reason, taken, "attempt failed");
                 if out {
                     tracing::warn!(server, reason, "server distrusted after failures in a row");
@@ -290,7 +290,7 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let now = self.caller.site.now();
-        let server = &self.sent.server.id;
+        let server = &self.sent.server.life;
         let mut state = self.caller.state();
         state.book.end(server);
         if !self.done {
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -11,7 +11,7 @@
     base::{Millis, Verdict},
     net::Answer,
     policy::server_choice::hedge_after,
-    routing::Kind, //
+    routing::{Kind, Life}, //
 };
 use futures_util::{
     StreamExt,
@@ -33,7 +33,7 @@
     ran: u32,
     /// Attempts that did not.
     refusals: u32,
-    tried: Vec<String>,
+    tried: Vec<Life>,
 }
 
 impl<'a> Run<'a> {
@@ -108,10 +108,10 @@
             return None;
         }
         let server = self.caller.pick(self.call, &self.tried)?;
-        if self.tried.contains(&server.id) && self.refusals > 0 {
+        if self.tried.contains(&server.life) && self.refusals > 0 {
             return None;
         }
-        self.tried.push(server.id.clone());
+        self.tried.push(server.life.clone());
         let at = self.caller.site.now();
         Some(Sent { at, server })
     }
@@ -139,7 +139,7 @@
         self.hedged = true;
         let paid = self.caller.state().budget.spend();
         let sent = paid.then(|| self.next()).flatten()?;
-        let (call, server) = (&self.call.id, &sent.server.id);
+        let (call, server) = (&self.call.id, &sent.server.life.id);
         tracing::info!(call, server, "asked beside a slow server");
         Some(sent)
     }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -39,6 +39,8 @@
 /// What an engine says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineReport {
+    /// When the engine's present life began; 0 where engines don't tell.
+    pub born: Millis,
     /// It is carrying out an order.
     pub busy: bool,
     /// The orders that it has accepted in this life.
@@ -49,6 +51,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireReport {
+    #[serde(default)]
+    born: u64,
     #[serde(default)]
     busy: bool,
     #[serde(default)]
@@ -76,6 +80,7 @@
         }
     };
     Some(EngineReport {
+        born: Millis(wire.born),
         busy: wire.busy,
         orders: wire.sequence,
         weights: weights(wire.models),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -46,6 +46,6 @@
         set_instance,
         signature, //
     },
-    server_entry::read_server,
+    server_entry::{EntryError, read_server},
     store::{ROWS_MOST, Store}, //
 };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -142,7 +142,7 @@
         let wire: WireListing = self.read(&answer)?;
         match answer.status {
             StatusCode::PRECONDITION_FAILED => Ok(Outcome::Conflict {
-                rows: rows(wire.records)?,
+                rows: wire.records.into_iter().map(row).collect(),
             }),
             _ => Ok(Outcome::Done { revision: wire.ver }),
         }
@@ -275,7 +275,7 @@
     fn listing(&self, answer: &Answer) -> Result<Listing, StoreError> {
         let wire: WireListing = self.read(answer)?;
         Ok(Listing {
-            rows: rows(wire.records)?,
+            rows: wire.records.into_iter().map(row).collect(),
             more: wire.has_more,
             revision: wire.ver,
         })
@@ -303,27 +303,27 @@
     }
 }
 
-fn rows(records: Vec<WireRow>) -> Result<Vec<Row>, StoreError> {
-    records.into_iter().map(row).collect()
-}
-
-fn row(wire: WireRow) -> Result<Row, StoreError> {
-    let value = match wire.deleted {
-        true => None,
-        false => {
-            let value = BASE64_STANDARD.decode(&wire.value);
-            let value = value.map_err(|error| StoreError::Answer {
-                message: error.to_string(),
-            })?;
-            Some(Bytes::from(value))
-        }
-    };
-    Ok(Row {
+fn row(wire: WireRow) -> Row {
+    Row {
+        value: (!wire.deleted).then(|| value_of(&wire)),
         part: wire.part,
         key: wire.key,
-        value,
         revision: wire.ver,
-    })
+    }
+}
+
+/// The row's value; empty when it can't be read, which no reader of a row takes
+/// for one of its own. One such row by another writer must not hide all others
+/// of a listing.
+fn value_of(wire: &WireRow) -> Bytes {
+    match BASE64_STANDARD.decode(&wire.value) {
+        Ok(value) => value.into(),
+        Err(error) => {
+            metrics::counter!("redwing_values_unreadable_total").increment(1);
+            tracing::debug!(key = wire.key, %error, "a row's value can't be read");
+            Bytes::new()
+        }
+    }
 }
 
 fn outcome(answer: Result<Answer, crate::net::CallError>) -> Result<Answer, StoreError> {
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -4,6 +4,7 @@
 use crate::base::Millis;
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::Arc, //
 };
 
@@ -15,7 +16,7 @@
 /// every server from every caller.
 #[derive(Debug, Default)]
 pub struct Directory {
-    /// Counts the servers that were ever announced.
+    /// Counts the lives that were ever announced.
     announced: u64,
     /// When the store was last found away, and since when it is back.
     outage: Option<Outage>,
@@ -33,7 +34,7 @@
 struct Entry {
     /// When its announcement went while the store was away or just back.
     lapsed: bool,
-    /// Its place in the order of first announcements.
+    /// Its life's place in the order of first announcements.
     order: u64,
     server: Arc<Server>,
 }
@@ -45,17 +46,21 @@
 impl Directory {
     /// A server announced itself or changed what it says.
     pub fn put(&mut self, server: Server) {
-        let known = self.servers.get(&server.id).map(|entry| entry.order);
-        let order = known.unwrap_or_else(|| {
-            self.announced += 1;
-            self.announced
-        });
+        let known = self.servers.get(&server.life.id);
+        let known = known.filter(|entry| entry.server.life == server.life);
+        let order = match known {
+            Some(entry) => entry.order,
+            None => {
+                self.announced += 1;
+                self.announced
+            }
+        };
         let entry = Entry {
             lapsed: false,
             order,
             server: Arc::new(server),
         };
-        self.servers.insert(entry.server.id.clone(), entry);
+        self.servers.insert(entry.server.life.id.clone(), entry);
     }
 
     /// The announcement of `id` is gone.
@@ -112,12 +117,16 @@
         self.servers.get(id).map(|entry| &entry.server)
     }
 
-    /// The server at `address`: one that takes work before one that leaves, and
-    /// of two that take work the one announced last. A server that crashed stays announced for some
-    /// seconds beside its next life, which refused what was meant for the first.
-    pub fn at(&self, address: std::net::SocketAddr) -> Option<&Arc<Server>> {
+    /// The server of `service` at `address`: one that takes work before one that
+    /// leaves, and of two that take work the one announced last. A server that
+    /// crashed stays announced for some seconds beside its next life, which
+    /// refused what was meant for the first. An entry of another service at the
+    /// same address may be a stranger's, and would hide the server.
+    pub fn at(&self, address: SocketAddr, service: &str) -> Option<&Arc<Server>> {
+        let meant =
+            |server: &Server| (server.address, server.service.as_str()) == (address, service);
         let entries = self.servers.values();
-        let there = entries.filter(|entry| entry.server.address == address);
+        let there = entries.filter(|entry| meant(&entry.server));
         let meant = there.max_by_key(|entry| (!entry.lapsed, !entry.server.draining, entry.order));
         meant.map(|entry| &entry.server)
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,5 +10,5 @@
     config::{Config, EngineModel, Limits, Service},
     directory::Directory,
     route::{Kind, Route, Target},
-    server::{Server, Weights}, //
+    server::{Life, Server, Weights}, //
 };
--- a/src/routing/server.rs
+++ b/src/routing/server.rs
@@ -1,5 +1,6 @@
 //! A backend server as it announces itself.
 
+use crate::base::Millis;
 use std::net::SocketAddr;
 
 /// The weight version that a server holds of one model.
@@ -9,6 +10,27 @@
     pub version: u64,
 }
 
+/// Names one life of a backend server: from a start of its process to its end.
+///
+/// A server may start again under its id. It then holds nothing of before, so
+/// what is remembered of a server is kept under its life, never under its id.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Life {
+    /// When it started, by the server's wall clock; 0 where servers don't tell.
+    pub born: Millis,
+    pub id: String,
+}
+
+impl Life {
+    /// The life of the server called `id` that began at `born`.
+    pub fn new(id: &str, born: Millis) -> Self {
+        Self {
+            born,
+            id: id.to_owned(),
+        }
+    }
+}
+
 /// One life of a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
@@ -16,8 +38,7 @@
     pub data_centre: String,
     /// It finishes what it has and takes nothing new.
     pub draining: bool,
-    /// Names this life; a restarted server has another.
-    pub id: String,
+    pub life: Life,
     pub models: Vec<Weights>,
     pub service: String,
     /// Requests that it works on at once.
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -93,7 +93,7 @@
             holder: &self.instance,
             model: &model,
             orders,
-            server: &server,
+            server: &server.id,
             version,
         };
         let request = order_request(&order);
@@ -104,7 +104,7 @@
         tokio::spawn(async move {
             let answer = match engine.peer.call(request, WITHIN).await {
                 Ok(answer) => {
-                    engine.meet(&server, answer.status, &answer.headers);
+                    engine.meet(&server.id, answer.status, &answer.headers);
                     Some(order_answer(&answer))
                 }
                 Err(error) => {
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -10,6 +10,7 @@
     net::{CallError, Opened, Peer},
     platform::{EngineRequest, EventReader, Store, instance_of, not_executed, version_of_head},
     policy::engine_life::Met,
+    routing::Life,
     store::{Key, Transaction}, //
 };
 use hyper::{
@@ -39,12 +40,24 @@
     pub(super) met: watch::Sender<Option<Met>>,
     pub(super) peer: Peer,
     /// The engine's present life while it takes work.
-    pub(super) server: watch::Receiver<Option<String>>,
+    pub(super) server: watch::Receiver<Option<Life>>,
     pub(super) scorers: Arc<Scorers>,
     pub(super) store: Store,
 }
 
 impl Engine {
+    /// Waits until the engine has another life than `life`. A connection to an
+    /// engine that lost power hangs: its runs began again only 2.5 s later, when
+    /// their streams had paused too long.
+    async fn next_life(&self, life: &Life) {
+        let mut server = self.server.clone();
+        let other = |now: &Option<Life>| now.as_ref().is_some_and(|now| now != life);
+        if server.wait_for(other).await.is_err() {
+            // The work loop has ended, and with it all runs.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Notes the engine's life when an answer says that the request was meant
     /// for another one than `expected`.
     pub(super) fn meet(&self, expected: &str, status: StatusCode, headers: &HeaderMap) {
@@ -129,6 +142,8 @@
     Impossible,
     /// The connection broke or fell silent.
     Broken(CallError),
+    /// The engine has started anew, and the run is lost with its life before.
+    Outlived,
 }
 
 /// What has been generated so far.
@@ -213,9 +228,13 @@
             return ItemEnd::Dropped;
         };
         let begun = text.events.len();
-        match run_once(&engine, &task, &server, &mut text).await {
+        let run = tokio::select! {
+            run = run_once(&engine, &task, &server, &mut text) => run,
+            () = engine.next_life(&server) => Run::Outlived,
+        };
+        match run {
             Run::Whole => {
-                let (item, events) = (&task.item.id, text.events.len());
+                let (item, events, server) = (&task.item.id, text.events.len(), &server.id);
                 let taken = engine.clock.now().since(now).0;
                 let waited = text.first.map_or(taken, |first| first.since(now).0);
                 tracing::info!(
@@ -235,6 +254,11 @@
             }
             Run::Impossible => failures = task.most_failures,
             Run::Refused => {}
+            Run::Outlived => {
+                let events = text.events.len();
+                tracing::info!(item = task.item.id, events, "its engine has started anew");
+                wait = AGAIN;
+            }
             Run::Broken(error) => {
                 let events = text.events.len();
                 tracing::info!(item = task.item.id, events, %error, "run broke off");
@@ -285,13 +309,13 @@
     }
 }
 
-async fn run_once(engine: &Engine, task: &Task, server: &str, text: &mut Text) -> Run {
+async fn run_once(engine: &Engine, task: &Task, server: &Life, text: &mut Text) -> Run {
     let request = EngineRequest {
         after: text.last,
         host: &task.host,
         item: &task.item,
         left: task.until.since(engine.clock.now()),
-        server,
+        server: &server.id,
     };
     let opened = match engine.peer.open_stream(request.build(), HEAD_WITHIN).await {
         Ok(opened) => opened,
@@ -302,7 +326,7 @@
         return read(engine, opened, task, text).await;
     }
     let refused = not_executed(&opened.headers);
-    engine.meet(server, opened.status, &opened.headers);
+    engine.meet(&server.id, opened.status, &opened.headers);
     read_away(opened).await;
     match status {
         422 => Run::Impossible,
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -13,6 +13,7 @@
     duty::{Context, Phase},
     platform::{EngineReport, Store},
     policy::engine_life::{is_settled, present},
+    routing::Life,
     store::{Followed, Following, Row, follow},
     view::Site, //
 };
@@ -40,6 +41,8 @@
     pub(super) events: mpsc::Sender<Event>,
     pub(super) instance: String,
     pub(super) leaving: bool,
+    /// The engine's newest life that took work.
+    life: Option<Life>,
     pub(super) order: Option<super::orders::Pending>,
     /// Rows of batches whose head was not seen yet.
     pub(super) orphans: BTreeMap<String, Vec<Row>>,
@@ -52,7 +55,7 @@
     pub(super) report: Option<(EngineReport, Millis)>,
     pub(super) retention: Millis,
     /// The engine's present life while it takes work.
-    pub(super) server: watch::Sender<Option<String>>,
+    pub(super) server: watch::Sender<Option<Life>>,
     pub(super) service: String,
     pub(super) site: Arc<Site>,
     pub(super) slots: u32,
@@ -83,7 +86,7 @@
     pub(super) engine_address: SocketAddr,
     pub(super) instance: String,
     pub(super) retention: Millis,
-    pub(super) server: watch::Sender<Option<String>>,
+    pub(super) server: watch::Sender<Option<Life>>,
     pub(super) service: String,
     pub(super) site: Arc<Site>,
     pub(super) store: Store,
@@ -118,6 +121,7 @@
             events,
             instance: seed.instance,
             leaving: false,
+            life: None,
             order: None,
             orphans: BTreeMap::new(),
             overlapping: HashSet::new(),
@@ -226,12 +230,11 @@
     }
 
     fn look_at_engine(&mut self, now: Millis) {
-        let announced = self.site.server_at(self.engine_address);
-        let announced = announced.filter(|server| server.service == self.service);
+        let announced = self.site.server_at(self.engine_address, &self.service);
         if let Some(server) = &announced {
             self.slots = server.slots.max(1);
         }
-        let announced_id = announced.as_ref().map(|server| server.id.as_str());
+        let announced_id = announced.as_ref().map(|server| server.life.id.as_str());
         let met = self.engine.met.borrow().clone();
         let confirmed = met.as_ref().is_some_and(|met| self.is_ours_since(met.at));
         let present = present(announced_id, met.as_ref(), confirmed);
@@ -244,21 +247,40 @@
             let directory = self.site.directory();
             directory.get(id).is_some_and(|server| server.draining)
         };
+        let born = self
+            .report
+            .as_ref()
+            .map_or(Millis(0), |(report, _)| report.born);
         let id = present.filter(|id| fresh && !draining(id));
-        let id = id.map(ToOwned::to_owned);
+        let life = id.map(|id| Life::new(id, born));
         if met.is_some_and(|met| is_settled(announced_id, &met)) {
             self.engine.met.send_replace(None);
         }
+        if life.is_some() && self.life != life {
+            self.forget_engine();
+            self.life.clone_from(&life);
+        }
         self.server.send_if_modified(|current| {
-            let changed = *current != id;
+            let changed = *current != life;
             if changed {
-                tracing::info!(engine = ?id, before = ?current, fresh, "engine takes work or not");
-                current.clone_from(&id);
+                let name = |life: &Option<Life>| life.as_ref().map(|life| life.id.clone());
+                let (engine, before) = (name(&life), name(current));
+                let born = born.0;
+                tracing::info!(?engine, born, ?before, fresh, "engine takes work or not");
+                current.clone_from(&life);
             }
             changed
         });
     }
 
+    /// Forgets what was learnt of the engine's life before: its next life knows
+    /// nothing of an order that was under way, and may be faster or slower.
+    fn forget_engine(&mut self) {
+        self.order = None;
+        self.pace = 0.0;
+        self.paced = 0;
+    }
+
     /// Whether a report after `at` shows the models of this runner's service.
     fn is_ours_since(&self, at: Millis) -> bool {
         let Some((report, seen)) = &self.report else {
--- a/src/view/keeper.rs
+++ b/src/view/keeper.rs
@@ -5,6 +5,7 @@
     base::Millis,
     platform::{
         CONFIG_KEY,
+        EntryError,
         NAMED_VERSION,
         OPERATOR_TABLE,
         SERVERS_TABLE,
@@ -15,7 +16,10 @@
     },
     store::{Change, Followed, Following, follow}, //
 };
-use std::sync::Arc;
+use std::{
+    collections::HashSet,
+    sync::Arc, //
+};
 use tokio::sync::mpsc;
 
 /// Batches of changes that may wait for the keeper; the follower waits then.
@@ -48,6 +52,7 @@
         servers,
     ));
 
+    let mut strangers = Strangers::default();
     let mut settle = tokio::time::interval(SETTLE.as_duration());
     loop {
         tokio::select! {
@@ -58,7 +63,7 @@
                     }
                 }
             }
-            Some(followed) = server_feed.recv() => server_news(&site, followed),
+            Some(followed) = server_feed.recv() => server_news(&site, &mut strangers, followed),
             _ = settle.tick() => {
                 let gone = site.directory().settle(site.now());
                 for server in gone {
@@ -86,7 +91,23 @@
     }
 }
 
-fn server_news(site: &Site, followed: Followed) {
+/// The servers' rows that name no server.
+///
+/// Other writers may write there too. Each such row is told of once, however
+/// often it is written, until it names a server or is gone.
+#[derive(Default)]
+struct Strangers(HashSet<String>);
+
+impl Strangers {
+    fn note(&mut self, key: &str, error: &EntryError) {
+        metrics::counter!("redwing_entries_left_out_total").increment(1);
+        if self.0.insert(key.to_owned()) {
+            tracing::warn!(server = key, %error, "an entry names no server");
+        }
+    }
+}
+
+fn server_news(site: &Site, strangers: &mut Strangers, followed: Followed) {
     let now = site.now();
     match followed {
         Followed::Changes { changes, listed } => {
@@ -94,7 +115,7 @@
                 site.set_listed();
             }
             for change in changes {
-                server_change(site, change, now);
+                server_change(site, strangers, change, now);
             }
         }
         Followed::Lost => site.directory().store_lost(now),
@@ -102,27 +123,30 @@
     }
 }
 
-fn server_change(site: &Site, change: Change, now: Millis) {
+fn server_change(site: &Site, strangers: &mut Strangers, change: Change, now: Millis) {
     match change {
         Change::Put { key, value, .. } => {
-            let Some(server) = read_server(&key, &value) else {
-                return;
+            let server = match read_server(&key, &value) {
+                Ok(server) => server,
+                Err(error) => {
+                    strangers.note(&key, &error);
+                    site.directory().remove(&key, now);
+                    return;
+                }
             };
+            strangers.0.remove(&key);
             let mut directory = site.directory();
-            let before = directory.get(&key).map(|server| server.draining);
-            if before != Some(server.draining) {
-                let draining = server.draining;
-                tracing::info!(
-                    server = key,
-                    service = server.service,
-                    draining,
-                    "server seen"
-                );
+            let (life, draining) = (&server.life, server.draining);
+            let before = directory.get(&key);
+            if before.is_none_or(|before| (&before.life, before.draining) != (life, draining)) {
+                let (service, born) = (&server.service, life.born.0);
+                tracing::info!(server = key, service, born, draining, "server seen");
             }
             directory.put(server);
         }
         Change::Removed { key, .. } => {
             tracing::info!(server = key, "server's announcement gone");
+            strangers.0.remove(&key);
             site.directory().remove(&key, now);
         }
     }
--- a/src/view/site.rs
+++ b/src/view/site.rs
@@ -89,9 +89,9 @@
         self.directory().away_since()
     }
 
-    /// The server at `address`.
-    pub fn server_at(&self, address: SocketAddr) -> Option<Arc<Server>> {
-        self.directory().at(address).cloned()
+    /// The server of `service` at `address`.
+    pub fn server_at(&self, address: SocketAddr, service: &str) -> Option<Arc<Server>> {
+        self.directory().at(address, service).cloned()
     }
 
     /// The version that was named last for `model`, and when that was seen;
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -69,7 +69,9 @@
     /// What an event takes.
     event: Millis,
     faults: EngineFaults,
-    /// Its present life.
+    /// When its present life began.
+    born: Millis,
+    /// The id of its present life.
     life: String,
     /// While it takes weights.
     loading_until: Millis,
@@ -80,6 +82,9 @@
     version: u64,
 }
 
+/// When the first life of every engine began, in Unix ms.
+const FIRST_BORN: u64 = 1_764_720_000_000;
+
 /// What a load of weights takes.
 const LOAD: Millis = Millis(150);
 
@@ -91,6 +96,7 @@
             state: Mutex::new(State {
                 event: Millis(5),
                 faults: EngineFaults::default(),
+                born: Millis(FIRST_BORN),
                 life: id.to_owned(),
                 loading_until: Millis(0),
                 model: model.to_owned(),
@@ -125,15 +131,22 @@
         self.inner.state().event = event;
     }
 
-    /// Starts the engine anew: it has another life, with `model`, and has
-    /// forgotten its orders.
+    /// Starts the engine anew: it has another life called `life`, which may be
+    /// the name that it had, with `model`, and has forgotten its orders. What it
+    /// ran stays silent for good, as after a loss of power.
     pub fn restart(&self, life: &str, model: &str) {
         let mut state = self.inner.state();
+        state.born = state.born + Millis(1);
         life.clone_into(&mut state.life);
         model.clone_into(&mut state.model);
         state.orders.clear();
     }
 
+    /// When its present life began.
+    pub fn born(&self) -> Millis {
+        self.inner.state().born
+    }
+
     /// All runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.inner.state().runs.clone()
@@ -184,6 +197,7 @@
         let state = self.state();
         let body = serde_json::json!({
             "stage": "both",
+            "born": state.born.0,
             "models": [{"name": state.model, "version": state.version, "adapters": []}],
             "busy": now < state.loading_until,
             "sequence": state.orders.len(),
@@ -256,10 +270,12 @@
         }
         let cut = state.faults.cut_after;
         let quietly = state.faults.cut_quietly;
+        let born = state.born;
         drop(state);
 
         let first = after.map_or(0, |after: u64| after + 1);
         let run = Stream {
+            born,
             cut: cut.map(|cut| first + cut),
             engine: self,
             events,
@@ -286,6 +302,8 @@
 
 /// The rest of one run.
 struct Stream {
+    /// The life that runs it.
+    born: Millis,
     /// The event within which the connection is cut.
     cut: Option<u64>,
     engine: Arc<Inner>,
@@ -307,6 +325,9 @@
             (state.event, state.version)
         };
         tokio::time::sleep(event.as_duration()).await;
+        if self.engine.state().born != self.born {
+            std::future::pending::<()>().await;
+        }
         if self.cut == Some(self.next + 1) {
             self.cut = Some(self.next);
             let torn = Bytes::from(format!("id: {}\ndata: torn", self.next));
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -133,7 +133,9 @@
 
     /// Announces an engine.
     pub fn announce_engine(&self, engine: &Engine, state: &str) {
-        self.announce(&engine.id, "engines", engine.address, state);
+        let mut entry = server_entry("engines", engine.address, state);
+        entry["born"] = engine.born().0.into();
+        self.store.put("servers", &engine.id, Some(&entry));
     }
 
     /// Announces a server.
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -118,6 +118,13 @@
         self.inner.tell();
     }
 
+    /// Writes a row whose value is `value` as it stands, base64 or not.
+    pub fn put_raw(&self, table: &str, key: &str, value: &str) {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        let _ = lock(&self.inner.rows).transact(&[], vec![(name, Some(value.to_owned()))]);
+        self.inner.tell();
+    }
+
     /// The rows of a part, in all tables.
     pub fn rows_of(&self, part: &str) -> usize {
         lock(&self.inner.rows).count(part)
--- a/standins/src/soak/fault.rs
+++ b/standins/src/soak/fault.rs
@@ -23,6 +23,8 @@
     Forget,
     /// SIGHUP.
     Hangup { process: usize },
+    /// The engine starts again under its id, at once; what it ran is silent.
+    EngineAgain { engine: usize },
     /// SIGKILL; it starts again after the pause.
     Kill { process: usize, pause: Millis },
     /// SIGSTOP, and SIGCONT after a while.
@@ -39,6 +41,9 @@
     Store { faults: StoreFaults, length: Millis },
     /// SIGTERM; it starts again once it has ended.
     Stop { process: usize },
+    /// Another writer's entries stand among the announcements for a while, with
+    /// the engine's address.
+    Stranger { engine: usize, length: Millis },
 }
 
 /// Draws a plan for `length`: faults in series that overlap.
@@ -60,7 +65,7 @@
     let process = rng.random_range(0..GATEWAYS + ENGINES);
     let engine = rng.random_range(0..ENGINES);
     let length = Millis(rng.random_range(200..2_500));
-    match rng.random_range(0..11) {
+    match rng.random_range(0..13) {
         0 => Fault::CutStreams { engine, length },
         1 => Fault::EngineDown { engine, length },
         2 => Fault::Forget,
@@ -86,6 +91,8 @@
             faults: store(rng),
             length,
         },
+        10 => Fault::EngineAgain { engine },
+        11 => Fault::Stranger { engine, length },
         _ => Fault::Stop { process },
     }
 }
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -104,6 +104,18 @@
     Ok(soak.verdict(next))
 }
 
+/// Entries of another writer: key, service and state.
+const STRANGERS: [(&str, &str, &str); 2] = [
+    ("stranger-of-others", "others", "ready"),
+    ("stranger-state", "engines", "resting"),
+];
+
+fn announce(store: &Store, engine: &Engine) {
+    let mut entry = server_entry("engines", engine.address, "ready");
+    entry["born"] = engine.born().0.into();
+    store.put("servers", &engine.id, Some(&entry));
+}
+
 impl Soak {
     async fn open(rng: ChaCha8Rng, folder: &Path) -> io::Result<Self> {
         let store = Store::open().await?;
@@ -125,8 +137,7 @@
             process.start()?;
         }
         for engine in &engines {
-            let entry = server_entry("engines", engine.address, "ready");
-            store.put("servers", &engine.id, Some(&entry));
+            announce(&store, engine);
         }
         for server in &plain {
             let entry = server_entry("plain", server.address, "ready");
@@ -162,6 +173,11 @@
                 self.engines[engine].switch().send_replace(false);
                 self.later.push((now + length, Later::Heal(fault)));
             }
+            Fault::EngineAgain { engine } => {
+                let engine = &self.engines[engine];
+                engine.restart(&engine.id, "m0");
+                announce(&self.store, engine);
+            }
             Fault::Forget => self.store.forget_history(),
             Fault::Hangup { process } => self.processes[process].signal(Signal::HUP),
             Fault::Kill { process, pause } => {
@@ -189,6 +205,15 @@
                 self.processes[process].signal(Signal::TERM);
                 self.later.push((now, Later::Start(process)));
             }
+            Fault::Stranger { engine, length } => {
+                let address = self.engines[engine].address;
+                for (key, service, state) in STRANGERS {
+                    let entry = server_entry(service, address, state);
+                    self.store.put("servers", key, Some(&entry));
+                }
+                self.store.put_raw("servers", "stranger", "%no base64%");
+                self.later.push((now + length, Later::Heal(fault)));
+            }
         }
     }
 
@@ -223,7 +248,14 @@
             Fault::Pause { process, .. } => self.processes[process].signal(Signal::CONT),
             Fault::Plain { server, .. } => self.plain[server].set_fault(PlainFault::None),
             Fault::Store { .. } => self.store.set_faults(StoreFaults::default()),
-            Fault::Forget
+            Fault::Stranger { .. } => {
+                let named = STRANGERS.iter().map(|(key, ..)| *key);
+                for key in named.chain(["stranger"]) {
+                    self.store.put("servers", key, None);
+                }
+            }
+            Fault::EngineAgain { .. }
+            | Fault::Forget
             | Fault::Hangup { .. }
             | Fault::Kill { .. }
             | Fault::Silence { .. }
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -297,6 +297,63 @@
     check_whole(&batch, &scene.read(&batch, 12, Millis(3_000)).await);
 }
 
+/// Engines lose power amid their runs and start again under the ids that they
+/// had. Nothing is refused and no connection breaks: the runs are silent, and
+/// waited 2.5 s for it. The reports show a later start; the runs go on at once
+/// after their last event, and orders count from none.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_starts_again_under_its_id_is_another_life() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(20));
+    }
+    let batch = Batch::new("same", 3, 2, 40);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    sleep(400).await;
+    for engine in &scene.engines {
+        engine.restart(&engine.id, "m0");
+    }
+    check_whole(&batch, &scene.read(&batch, 6, Millis(2_200)).await);
+    let resumed = scene.engines.iter().flat_map(Engine::runs);
+    let resumed = resumed.filter(|run| run.after.is_some_and(|after| after > 5));
+    assert!(resumed.count() >= 6, "runs that go on");
+
+    scene.name_version(2);
+    sleep(1_500).await;
+    for engine in &scene.engines {
+        assert_eq!((engine.orders().len(), engine.version()), (1, 2));
+    }
+}
+
+/// Another program writes among the announcements: entries in unknown states, of
+/// unknown services, with an engine's address, and bytes that are none. They name
+/// no server; all servers that announce themselves serve on.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_by_another_writer_disturb_nobody() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    let there = scene.engines[0].address;
+    scene.announce("stranger-0", "engines", there, "resting");
+    scene.announce("stranger-1", "other", there, "ready");
+    scene.announce("stranger-2", "plain", scene.plain[0].address, "gone");
+    let torn = serde_json::json!(["service", "engines"]);
+    scene.store.put("servers", "stranger-3", Some(&torn));
+    scene.store.put_raw("servers", "stranger-4", "%no base64%");
+    sleep(400).await;
+
+    let batch = Batch::new("strange", 6, 3, 6);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+    check_whole(&batch, &scene.read(&batch, 18, Millis(3_000)).await);
+    for engine in &scene.engines {
+        assert!(!engine.runs().is_empty(), "no runs at `{}`", engine.id);
+    }
+    for number in 0..20 {
+        let id = format!("call-{number}");
+        let headers = [("x-attempt-id", id.as_str()), ("x-deadline-ms", "2000")];
+        let answer = scene.send(0, Method::POST, "/safe/1", &headers, "x").await;
+        assert_eq!(answer.unwrap().status, 200);
+    }
+}
+
 /// An engine is gone for good and a server of another service gets its address.
 /// It refuses what was meant for the engine and names itself, but its report
 /// shows another service's model: nothing is ever sent to it.
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -17,7 +17,7 @@
         decode,
         page_of, //
     },
-    routing::{Directory, Server},
+    routing::{Directory, Life, Server},
     store::{Change, Listing, Row, TableView}, //
 };
 use std::collections::BTreeMap;
@@ -255,7 +255,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "north".to_owned(),
         draining,
-        id: id.to_owned(),
+        life: Life::new(id, Millis(0)),
         models: Vec::new(),
         service: "s".to_owned(),
         slots: 4,
@@ -268,7 +268,7 @@
 #[test]
 fn lapsed_servers_have_time_to_come_back() {
     let ids = |directory: &Directory| {
-        let mut ids: Vec<String> = directory.serving("s").map(|s| s.id.clone()).collect();
+        let mut ids: Vec<String> = directory.serving("s").map(|s| s.life.id.clone()).collect();
         ids.sort();
         ids
     };
@@ -301,8 +301,8 @@
     let mut directory = Directory::default();
     directory.put(server("old", true));
     directory.put(server("new", false));
-    let found = directory.at("127.0.0.1:1".parse().unwrap());
-    assert_eq!(found.map(|server| server.id.as_str()), Some("new"));
+    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
+    assert_eq!(found.map(|server| server.life.id.as_str()), Some("new"));
 }
 
 /// A runner starts anew and lists the announcements in the order of their ids:
@@ -312,8 +312,8 @@
     let mut directory = Directory::default();
     directory.put(server("new", false));
     directory.put(server("old", true));
-    let found = directory.at("127.0.0.1:1".parse().unwrap());
-    assert_eq!(found.map(|server| server.id.as_str()), Some("new"));
+    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
+    assert_eq!(found.map(|server| server.life.id.as_str()), Some("new"));
 }
 
 /// An engine crashes and starts again, and its life before stays announced for
@@ -326,7 +326,43 @@
         let id = format!("life-{life}");
         directory.put(server(&id, false));
         directory.put(server("life-0", false));
-        let found = directory.at("127.0.0.1:1".parse().unwrap());
-        assert_eq!(found.map(|server| server.id.as_str()), Some(id.as_str()));
+        let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
+        assert_eq!(
+            found.map(|server| server.life.id.as_str()),
+            Some(id.as_str())
+        );
     }
 }
+
+/// Another writer's entry names an engine's address under a service that the
+/// engine isn't of, and comes last. The engine's runner took it for the engine's
+/// present announcement and worked no more.
+#[test]
+fn a_strangers_announcement_hides_no_server() {
+    let mut directory = Directory::default();
+    directory.put(server("engine", false));
+    directory.put(Server {
+        service: "other".to_owned(),
+        ..server("stranger", false)
+    });
+    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
+    assert_eq!(found.map(|server| server.life.id.as_str()), Some("engine"));
+}
+
+/// A server starts again under its id and announces itself anew: of two lives at
+/// one address, it is then the one announced last.
+#[test]
+fn a_next_life_under_the_same_id_is_the_newest() {
+    let mut directory = Directory::default();
+    directory.put(server("a", false));
+    directory.put(server("b", false));
+    directory.put(Server {
+        life: Life::new("a", Millis(7)),
+        ..server("a", false)
+    });
+    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
+    assert_eq!(
+        found.map(|server| &server.life),
+        Some(&Life::new("a", Millis(7)))
+    );
+}
--- a/tests/integration/platform_wire.rs
+++ b/tests/integration/platform_wire.rs
@@ -4,6 +4,7 @@
     HeaderMap,
     Method, //
 };
+use proptest::prelude::*;
 use redwingpond::{
     base::Millis,
     platform::{
@@ -191,7 +192,7 @@
         let error = read_config(text.as_bytes()).unwrap_err().to_string();
         assert!(error.contains(test.told), "{error}");
     }
-    assert!(read_server("s", b"{}").is_none());
+    assert!(read_server("s", b"{}").is_err());
     let error = read_submission("b", "h", "/c/b", br#"{"items":[]}"#).unwrap_err();
     assert!(error.to_string().contains("no items"), "{error}");
 }
@@ -200,9 +201,142 @@
 fn a_server_is_decoded() {
     let entry =
         br#"{"service":"x","address":"10.0.0.1:80","zone":"n","version":"v1","batchSlots":12,
-        "state":"draining","coldRemainingMs":0,"models":[{"name":"m","version":3,"adapters":[]}]}"#;
+        "state":"draining","coldRemainingMs":0,"models":[{"name":"m","version":3,"adapters":[]}],
+        "sequence":4,"born":1764720000123}"#;
     let server = read_server("i-1", entry).unwrap();
     assert!(server.draining);
+    assert_eq!(server.life.id, "i-1");
+    assert_eq!(server.life.born, Millis(1_764_720_000_123));
     assert_eq!((server.slots, server.data_centre.as_str()), (12, "n"));
     assert_eq!(server.models[0].version, 3);
 }
+
+/// An announcement that holds, as text.
+const ENTRY: &str = r#"{"service":"x","address":"10.0.0.1:80","zone":"n","version":"v1",
+    "batchSlots":12,"state":"ready","coldRemainingMs":0,"stage":"both",
+    "models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1764720000123}"#;
+
+/// An operator's script or an older program writes among the servers'
+/// announcements. Calls went to whatever such an entry seemed to name: any state
+/// but one counted as ready. An entry that is not whole names no server.
+#[test]
+fn an_entry_by_another_writer_names_no_server() {
+    struct Test {
+        from: &'static str,
+        to: &'static str,
+    }
+
+    assert!(read_server("i-1", ENTRY.as_bytes()).is_ok());
+    for test in [
+        Test {
+            from: r#""ready""#,
+            to: r#""resting""#,
+        },
+        Test {
+            from: r#""ready""#,
+            to: "1",
+        },
+        Test {
+            from: r#""state":"ready","#,
+            to: "",
+        },
+        Test {
+            from: r#""service":"x","#,
+            to: "",
+        },
+        Test {
+            from: r#""service":"x""#,
+            to: r#""service":["x"]"#,
+        },
+        Test {
+            from: r#""address":"10.0.0.1:80""#,
+            to: r#""address":"10.0.0.1""#,
+        },
+        Test {
+            from: r#""zone":"n","#,
+            to: "",
+        },
+        Test {
+            from: r#""batchSlots":12"#,
+            to: r#""batchSlots":"12""#,
+        },
+        Test {
+            from: r#""batchSlots":12"#,
+            to: r#""batchSlots":-1"#,
+        },
+        Test {
+            from: r#""version":"v1","#,
+            to: "",
+        },
+        Test {
+            from: r#""sequence":4"#,
+            to: r#""sequence":"4""#,
+        },
+        Test {
+            from: r#""coldRemainingMs":0"#,
+            to: r#""coldRemainingMs":null"#,
+        },
+        Test {
+            from: r#""version":3"#,
+            to: r#""version":"3""#,
+        },
+        Test {
+            from: "1764720000123",
+            to: "1764720000123.5",
+        },
+        Test {
+            from: "1764720000123",
+            to: "null",
+        },
+        Test { from: "{", to: "[" },
+    ] {
+        let entry = ENTRY.replacen(test.from, test.to, 1);
+        assert_ne!(entry, ENTRY, "{}", test.from);
+        let server = read_server("i-1", entry.as_bytes());
+        assert!(server.is_err(), "{} for {}", test.to, test.from);
+    }
+    assert!(read_server("i-1", b"\xff\xfe\x00").is_err());
+}
+
+proptest! {
+    /// Bytes that are cut short or changed never stop the reader, and what it
+    /// takes for a server has an address and a state of the two that there are.
+    #[test]
+    fn no_entry_stops_the_reader(
+        at in 0..ENTRY.len(),
+        byte in any::<u8>(),
+        cut in any::<bool>(),
+        noise in proptest::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let mut entry = ENTRY.as_bytes().to_vec();
+        match cut {
+            true => entry.truncate(at),
+            false => entry[at] = byte,
+        }
+        prop_assert!(!cut || read_server("i-1", &entry).is_err());
+        prop_assert!(read_server("i-1", &noise).is_err());
+        if let Ok(server) = read_server("i-1", &entry) {
+            prop_assert_eq!(server.life.id, "i-1");
+            prop_assert!(server.address.port() > 0);
+        }
+    }
+
+    /// A field of any other type makes the entry name no server.
+    #[test]
+    fn a_field_of_another_type_is_found(
+        field in proptest::sample::select(vec![
+            "service", "address", "zone", "version", "batchSlots", "state", "coldRemainingMs",
+            "models", "sequence", "born",
+        ]),
+        value in proptest::sample::select(vec![
+            serde_json::json!(null), serde_json::json!(true), serde_json::json!({"a": 1}),
+            serde_json::json!([1]), serde_json::json!(-1.5),
+        ]),
+    ) {
+        let mut entry: serde_json::Value = serde_json::from_str(ENTRY).unwrap();
+        let is_number = field == "coldRemainingMs" && value.is_number();
+        entry[field] = value;
+        let server = read_server("i-1", entry.to_string().as_bytes());
+        prop_assert!(is_number || server.is_err(), "{entry}");
+    }
+}
