--- a/src/runner/event.rs
+++ b/src/runner/event.rs
@@ -19,6 +19,8 @@
 pub(super) enum Event {
     Appended {
         batch: String,
+        /// The results that the append lists: the last ones of `log`.
+        count: usize,
         log: Log,
         outcome: Result<Outcome, StoreError>,
     },
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -73,12 +73,14 @@
                 samples.extend(batch.results.first().cloned());
             }
             batch.appending = true;
+            let count = samples.len();
             let (log, transaction) = append(id, &batch.log, batch.log_revision, &samples);
             let (store, events, batch) = (self.store.clone(), self.events.clone(), id.clone());
             tokio::spawn(async move {
                 let outcome = transact_or_read(&store, &batch, &transaction).await;
                 let event = Event::Appended {
                     batch,
+                    count,
                     log,
                     outcome,
                 };
@@ -89,16 +91,25 @@
 
     /// Takes the log as the store has it after an append. What was not listed
     /// stays in memory and goes with the next one.
-    pub(super) fn appended(&mut self, id: &str, log: Log, outcome: Result<Outcome, StoreError>) {
+    pub(super) fn appended(
+        &mut self,
+        id: &str,
+        count: usize,
+        log: Log,
+        outcome: Result<Outcome, StoreError>,
+    ) {
         let Some(batch) = self.batches.get_mut(id) else {
             return;
         };
         batch.appending = false;
         match outcome {
             Ok(Outcome::Done { revision }) => {
+                // The feed may have brought the same log before this answer.
+                let new = &log.listed[log.listed.len().saturating_sub(count)..];
                 let (count, total) = (log.listed.len(), batch.head.items.len());
-                let new = log.listed.iter().skip(batch.log.listed.len());
-                let ids = new.map(|index| batch.head.items[usize::from(*index)].id.as_str());
+                let ids = new
+                    .iter()
+                    .map(|index| batch.head.items[usize::from(*index)].id.as_str());
                 let items = ids.collect::<Vec<&str>>().join(" ");
                 tracing::info!(batch = id, items, count, total, revision, "results listed");
                 batch.set_log(log, revision);
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -163,9 +163,10 @@
         match event {
             Event::Appended {
                 batch,
+                count,
                 log,
                 outcome,
-            } => self.appended(&batch, log, outcome),
+            } => self.appended(&batch, count, log, outcome),
             Event::HeartbeatWritten(outcome) => {
                 self.heartbeat.sending = false;
                 if let Err(error) = outcome {
