Long texts run at the faster engines

They were given the longest texts as often as the others, and a text of 194 events takes 9.5 s there; nobody joined it before 6 s. A pace was known only from runs that had ended: an engine that turned slow was noticed when its long texts were over.

Change: an engine's pace is measured from the gaps of all runs under way, and said in its heartbeat with whether it counts as of the slower kind. Slower engines leave new bundles to the others for 200 ms and take the shortest of the rest; what they hold after 1.5 s is joined by a faster one.

Ruled out: load (an event takes 49 ms with one run and 52 ms with ten).

--- a/src/batch/claim.rs
+++ b/src/batch/claim.rs
@@ -36,6 +36,8 @@
     pub sequence: u64,
     /// The service of its engine.
     pub service: String,
+    /// Whether its engine counts as slower than usual.
+    pub slower: bool,
     /// Names this life of the runner.
     pub token: u64,
     /// Whether its engine answers and takes work.
--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -4,6 +4,7 @@
 //! the slowest; every runner sees it within a few tens of ms and takes bundles
 //! as its engine has room. Engines crash, slow down or fall silent in between.
 
+use super::pace;
 use crate::base::Millis;
 
 /// A bundle that a runner could take.
@@ -31,16 +32,29 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Holder {
     /// Another runner since so long; its engine takes `pace` times as long for
-    /// an event as this runner's, and a second runner may join or not.
+    /// an event as this runner's, and a second runner may join or not. `slower`
+    /// tells whether its engine counts as slower than usual.
     Held {
         joinable: bool,
         pace: f64,
         since: Millis,
+        slower: bool,
     },
     /// Nobody, or a runner that is gone.
     Nobody,
 }
 
+/// The runner that takes bundles.
+#[derive(Clone, Copy, Debug)]
+pub struct Taker {
+    /// Its place among the runners of its model whose engines are as fast.
+    pub place: Place,
+    /// How many more items its engine can work on at once.
+    pub room: u32,
+    /// Whether its engine counts as slower than usual.
+    pub slower: bool,
+}
+
 /// This runner's place among those that serve the same model first.
 #[derive(Clone, Copy, Debug)]
 pub struct Place {
@@ -66,11 +80,21 @@
 const JOIN_AFTER: Millis = Millis(6_000);
 
 /// A holder whose engine is this much slower is joined as soon as this runner
-/// has room; slow engines take three to four times as long, and a full one
-/// half as long again as an idle one.
+/// has room; slow engines take three to four times as long.
 const SLOW_PACE: f64 = 1.8;
 const JOIN_SLOW_AFTER: Millis = Millis(700);
 
+/// A holder whose engine is of the slower kind is joined by a faster one after
+/// so long: most texts are whole by then, and the long ones are the ones that
+/// their steps wait for. A text of 194 events takes 9.5 s there, and 7.5 s at a
+/// faster engine.
+const JOIN_SLOWER_AFTER: Millis = Millis(1_500);
+
+/// An engine of the slower kind leaves new bundles to the faster ones for so
+/// long, and takes the shortest of what they had no room for: two steps of three
+/// waited for a long text on such an engine.
+const SLOWER_WAIT: Millis = Millis(200);
+
 /// An engine that is slow itself takes no more than this share of its slots,
 /// and only what others have left for a while.
 const SLOW_SHARE: f64 = 0.25;
@@ -78,43 +102,42 @@
 /// The items that an engine should have at once. One that takes much longer
 /// than `usual` for an event holds up every bundle it takes.
 pub fn capacity(slots: u32, pace: f64, usual: f64) -> u32 {
-    match is_slow(pace, usual) {
+    match pace::is_slow(pace, usual) {
         true => ((f64::from(slots) * SLOW_SHARE) as u32).max(1),
         false => slots,
     }
 }
 
-/// Whether an engine takes much longer than usual for an event.
-pub fn is_slow(pace: f64, usual: f64) -> bool {
-    pace > 0.0 && usual > 0.0 && pace / usual >= SLOW_PACE
-}
-
 /// Whether a runner runs a bundle that nobody has claimed while no claim can be
 /// written: each bundle has one runner by the order that all work out alike.
 pub fn is_mine_by_rule(offer: &Offer, place: Place) -> bool {
     place.has(offer.order) && offer.home && offer.loaded && offer.holder == Holder::Nobody
 }
 
-/// The best offer for a runner, if any is worth taking. `room` is how many more
-/// items its engine can work on at once.
-pub fn choose(offers: &[Offer], place: Place, room: u32) -> Option<&Offer> {
-    let takes = |offer: &&Offer| offer.loaded && room > 0 && class(offer, room).is_some();
-    offers.iter().filter(takes).min_by_key(|offer| {
+/// The best offer for a runner, if any is worth taking.
+pub fn choose(offers: &[Offer], taker: Taker) -> Option<&Offer> {
+    let fits = |offer: &&Offer| offer.loaded && taker.room > 0 && class(offer, taker).is_some();
+    offers.iter().filter(fits).min_by_key(|offer| {
+        let order = match taker.slower {
+            true => u16::MAX - offer.order,
+            false => offer.order,
+        };
         // Runners that see a new batch at the same moment begin with different
         // bundles: without it all would claim the first one, and all but one
         // would lose a round trip to the store each time.
         (
-            class(offer, room),
+            class(offer, taker),
             offer.due,
-            !place.has(offer.order),
-            offer.order,
+            !taker.place.has(offer.order),
+            order,
         )
     })
 }
 
 /// The order of kinds of offers; `None` for one that is not worth taking.
-fn class(offer: &Offer, room: u32) -> Option<u8> {
+fn class(offer: &Offer, taker: Taker) -> Option<u8> {
     match offer.holder {
+        Holder::Nobody if taker.slower && offer.age < SLOWER_WAIT => None,
         Holder::Nobody if offer.home => Some(0),
         Holder::Nobody if offer.age >= FOREIGN_AGE => Some(1),
         Holder::Nobody => None,
@@ -122,11 +145,13 @@
             joinable,
             pace,
             since,
+            slower,
         } => {
             let slow = pace >= SLOW_PACE && since >= JOIN_SLOW_AFTER;
+            let slower = slower && !taker.slower && since >= JOIN_SLOWER_AFTER;
             let late = since >= JOIN_AFTER;
-            let fits = offer.left <= room;
-            (joinable && fits && (slow || late)).then_some(2)
+            let fits = offer.left <= taker.room;
+            (joinable && fits && (slow || slower || late)).then_some(2)
         }
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,6 +18,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod model_share;
+pub mod pace;
 pub mod retry;
 pub mod retry_budget;
 pub mod router;
--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -9,7 +9,10 @@
 use crate::{
     base::Millis,
     batch::{Claim, WORK, WorkKey, decode, encode, part_of},
-    policy::claim_choice::{Holder, Offer, capacity, choose, is_mine_by_rule, is_slow},
+    policy::{
+        claim_choice::{Holder, Offer, Taker, capacity, choose, is_mine_by_rule},
+        pace::is_slow, //
+    },
     store::{Key, Outcome, StoreError, Transaction}, //
 };
 
@@ -29,13 +32,13 @@
         }
         let load: usize = self.batches.values().map(OpenBatch::load).sum();
         let usual = self.heartbeats.usual_pace(&self.service);
-        let mut room = capacity(self.slots, self.known_pace(), usual).saturating_sub(load as u32);
+        let mut room = capacity(self.slots, self.pace, usual).saturating_sub(load as u32);
         if room == 0 {
             return;
         }
         let place = standing.place;
         let home = standing.home.as_deref();
-        let home = home.filter(|_| !is_slow(self.known_pace(), usual));
+        let home = home.filter(|_| !is_slow(self.pace, usual));
         let mut offers = self.offers(&ids, home, now);
         if self.away_since.is_some() {
             offers.retain(|offer| is_mine_by_rule(offer, place));
@@ -51,9 +54,14 @@
         if now < self.claims_from {
             return;
         }
-        while let Some(offer) = choose(&offers, place, room).copied() {
+        let mut taker = Taker {
+            place: standing.share,
+            room,
+            slower: self.slower,
+        };
+        while let Some(offer) = choose(&offers, taker).copied() {
             offers.retain(|other| (other.batch, other.bundle) != (offer.batch, offer.bundle));
-            room = room.saturating_sub(offer.left);
+            taker.room = taker.room.saturating_sub(offer.left);
             self.claim(&ids[offer.batch], &offer);
         }
     }
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -32,14 +32,15 @@
         let mut next = Heartbeat {
             leaving: self.leaving,
             loading: self.order.is_some() || self.report.as_ref().is_some_and(|(r, _)| r.busy),
-            pace: self.known_pace(),
+            pace: self.pace,
             sequence: last.sequence,
             service: self.service.clone(),
+            slower: self.slower,
             token: self.token,
             working: self.is_working(),
         };
-        let changed = (next.leaving, next.loading, next.working)
-            != (last.leaving, last.loading, last.working);
+        let told = |beat: &Heartbeat| (beat.leaving, beat.loading, beat.slower, beat.working);
+        let changed = told(&next) != told(last);
         let due = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY || changed;
         if self.heartbeat.sending || !due {
             return;
--- a/src/runner/heartbeats.rs
+++ b/src/runner/heartbeats.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     base::Millis,
-    batch::Heartbeat, //
+    batch::Heartbeat,
+    policy::pace::usual, //
 };
 use std::collections::BTreeMap;
 
@@ -65,18 +66,18 @@
             .map_or(0.0, |seen| seen.heartbeat.pace)
     }
 
-    /// The middle of what the engines of `service` take for an event; 0 when
+    /// Whether the engine of `instance` counts as slower than usual.
+    pub(super) fn is_slower(&self, instance: &str) -> bool {
+        let seen = self.seen.get(instance);
+        seen.is_some_and(|seen| seen.heartbeat.slower)
+    }
+
+    /// What the engines of `service` usually take for an event, in ms; 0 when
     /// none is known.
     pub(super) fn usual_pace(&self, service: &str) -> f64 {
-        let known = |seen: &&Seen| seen.heartbeat.service == service && seen.heartbeat.pace > 0.0;
-        let mut paces: Vec<f64> = self
-            .seen
-            .values()
-            .filter(known)
-            .map(|seen| seen.heartbeat.pace)
-            .collect();
-        paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied().unwrap_or(0.0)
+        let beats = self.seen.values().map(|seen| &seen.heartbeat);
+        let ours = beats.filter(|beat| beat.service == service);
+        usual(ours.map(|beat| beat.pace).collect())
     }
 
     /// The instances that work for `service`, in one order for all runners.
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -22,6 +22,17 @@
     pub(super) place: Place,
     /// The runners that work.
     pub(super) runners: usize,
+    /// Its place among those of its model whose engines are as fast as its own.
+    pub(super) share: Place,
+}
+
+/// The place of `rank` among `ranks`.
+fn place_in(ranks: &[usize], rank: usize) -> Place {
+    let before = ranks.iter().filter(|other| **other < rank);
+    Place {
+        count: ranks.len(),
+        rank: before.count(),
+    }
 }
 
 impl Work {
@@ -43,16 +54,18 @@
                 home: None,
                 place: Place { count, rank },
                 runners: working,
+                share: Place { count, rank },
             };
         };
-        let same = |model: &&usize| **model == mine;
+        let same: Vec<usize> = (0..dealt.len()).filter(|of| dealt[*of] == mine).collect();
+        let as_fast =
+            |of: &usize| *of == rank || self.heartbeats.is_slower(&runners[*of]) == self.slower;
+        let peers: Vec<usize> = same.iter().copied().filter(as_fast).collect();
         Standing {
             home: Some(demands[mine].model.clone()),
-            place: Place {
-                count: dealt.iter().filter(same).count(),
-                rank: dealt[..rank].iter().filter(same).count(),
-            },
+            place: place_in(&same, rank),
             runners: working,
+            share: place_in(&peers, rank),
         }
     }
 
@@ -145,7 +158,7 @@
             return None;
         }
         let theirs = self.heartbeats.pace(&claim.holder);
-        let mine = self.known_pace();
+        let mine = self.pace;
         let pace = match mine > 0.0 && theirs > 0.0 {
             true => theirs / mine,
             false => 1.0,
@@ -154,6 +167,7 @@
             joinable: claim.second.is_none(),
             pace,
             since: now.since(held.seen),
+            slower: self.heartbeats.is_slower(&claim.holder),
         })
     }
 }
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -19,9 +19,6 @@
 /// The wait before a write that failed is looked at again.
 const WRITE_AGAIN: Millis = Millis(80);
 
-/// The weight of each new run in the engine's pace.
-const PACE_WEIGHT: f64 = 0.15;
-
 impl Work {
     /// A run has ended: its result waits to be listed, or its bundle is let go.
     pub(super) fn item_ended(&mut self, batch_id: &str, index: u16, end: ItemEnd) {
@@ -30,12 +27,7 @@
         };
         batch.running.remove(&index);
         match end {
-            ItemEnd::Done { pace, sample } => {
-                if let Some(pace) = pace {
-                    self.paced += 1;
-                    let old = if self.pace > 0.0 { self.pace } else { pace };
-                    self.pace = old + PACE_WEIGHT * (pace - old);
-                }
+            ItemEnd::Done { sample } => {
                 if !batch.is_over() && !batch.log.has(index) {
                     batch.results.push((index, sample));
                 }
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -9,7 +9,7 @@
     batch::{Item, PARTIALS, Partial, Sample, State, encode, part_of, partial_key},
     net::{CallError, Opened, Peer},
     platform::{EngineRequest, EventReader, Store, instance_of, not_executed, version_of_head},
-    policy::engine_life::Met,
+    policy::{engine_life::Met, pace::Pace},
     routing::Life,
     store::{Key, Transaction}, //
 };
@@ -19,15 +19,16 @@
 };
 use std::{
     collections::BTreeSet,
-    sync::Arc, //
+    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
 };
 use tokio::sync::watch;
 
 /// How an item's run ended.
 #[derive(Debug)]
 pub(super) enum ItemEnd {
-    /// The result, and what the engine took for an event in ms.
-    Done { pace: Option<f64>, sample: Sample },
+    Done {
+        sample: Sample,
+    },
     /// The engine takes nothing any more, or the item's time is over.
     Dropped,
 }
@@ -38,6 +39,8 @@
     pub(super) clock: Clock,
     /// A life of the engine that refused what was meant for another.
     pub(super) met: watch::Sender<Option<Met>>,
+    /// What all runs tell of its pace.
+    pub(super) pace: Arc<Mutex<Pace>>,
     pub(super) peer: Peer,
     /// The engine's present life while it takes work.
     pub(super) server: watch::Receiver<Option<Life>>,
@@ -46,6 +49,11 @@
 }
 
 impl Engine {
+    /// The engine's pace; held only for a moment.
+    pub(super) fn pace(&self) -> MutexGuard<'_, Pace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until the engine has another life than `life`. A connection to an
     /// engine that lost power hangs: its runs began again only 2.5 s later, when
     /// their streams had paused too long.
@@ -150,10 +158,9 @@
 #[derive(Default)]
 struct Text {
     events: Vec<String>,
-    /// When the last run's first and newest events came, and how many since.
+    /// When the last run's first and newest events came.
     first: Option<Millis>,
     newest: Millis,
-    since: u32,
     last: Option<u64>,
     /// When it was last kept, and how many events it had.
     kept: Millis,
@@ -207,12 +214,6 @@
             }
         });
     }
-
-    /// What the engine took for an event, without the wait before the first.
-    fn pace(&self) -> Option<f64> {
-        let first = self.first.filter(|_| self.since > 0)?;
-        Some(self.newest.since(first).0 as f64 / f64::from(self.since))
-    }
 }
 
 /// Runs the item to its end.
@@ -267,7 +268,7 @@
         if failures >= task.most_failures {
             tracing::warn!(item = task.item.id, failures, "item given up");
             let sample = terminated(&task.item.id);
-            return ItemEnd::Done { pace: None, sample };
+            return ItemEnd::Done { sample };
         }
         if task.single_version && text.versions.len() > 1 {
             text = Text::default();
@@ -276,14 +277,13 @@
         wait = Millis((wait.0 * 2).min(AGAIN_MOST.0));
     }
 
-    let pace = text.pace();
     let score = match &task.item.scorer {
         None => None,
         Some(scorer) => match engine.scorers.score(scorer, task.until).await {
             Score::Given(score) => Some(score),
             Score::GivenUp => {
                 let sample = terminated(&task.item.id);
-                return ItemEnd::Done { pace, sample };
+                return ItemEnd::Done { sample };
             }
             Score::TimedOut => return ItemEnd::Dropped,
         },
@@ -295,7 +295,7 @@
         text: text.events.join("\n"),
         versions: text.versions.into_iter().collect(),
     };
-    ItemEnd::Done { pace, sample }
+    ItemEnd::Done { sample }
 }
 
 /// The result of an item that is given up.
@@ -367,7 +367,7 @@
         return Run::Refused;
     }
 
-    (text.first, text.since) = (None, 0);
+    text.first = None;
     let mut events = EventReader::default();
     loop {
         match body.next(PAUSE_MOST).await {
@@ -386,11 +386,12 @@
                 tracing::warn!(item = task.item.id, ?event.id, ?next, "an event out of order");
                 return Run::Refused;
             }
-            text.newest = engine.clock.now();
+            let now = engine.clock.now();
             match text.first {
-                Some(_) => text.since += 1,
-                None => text.first = Some(text.newest),
+                Some(_) => engine.pace().note(now.since(text.newest).0 as f64),
+                None => text.first = Some(now),
             }
+            text.newest = now;
             text.last = event.id;
             text.versions.insert(version);
             text.events.push(event.data);
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -54,6 +54,7 @@
             engine: Engine {
                 clock,
                 met: watch::Sender::new(None),
+                pace: Arc::default(),
                 peer: Peer::open(settings.engine, clock),
                 scorers: Arc::new(scorers),
                 server: life,
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -12,7 +12,10 @@
     batch::WORK,
     duty::{Context, Phase},
     platform::{EngineReport, Store},
-    policy::engine_life::{is_settled, present},
+    policy::{
+        engine_life::{is_settled, present},
+        pace::{Pace, is_slower}, //
+    },
     routing::Life,
     store::{Followed, Following, Row, follow},
     view::Site, //
@@ -48,10 +51,8 @@
     pub(super) orphans: BTreeMap<String, Vec<Row>>,
     /// Models whose trainers were seen to keep two steps under way.
     pub(super) overlapping: HashSet<String>,
-    /// What the engine takes for an event, in ms; 0 before the first.
+    /// What the engine takes for an event, in ms; 0 before enough is known.
     pub(super) pace: f64,
-    /// Runs that the pace is made of.
-    pub(super) paced: u32,
     pub(super) report: Option<(EngineReport, Millis)>,
     pub(super) retention: Millis,
     /// The engine's present life while it takes work.
@@ -59,6 +60,8 @@
     pub(super) service: String,
     pub(super) site: Arc<Site>,
     pub(super) slots: u32,
+    /// Whether the engine counts as slower than usual.
+    pub(super) slower: bool,
     pub(super) store: Store,
     pub(super) swept: Millis,
     /// Names this life of the runner; the number under which it gives orders.
@@ -76,9 +79,6 @@
 /// results come in hundreds, and each call for changes costs every runner.
 const PACE: Millis = Millis(40);
 
-/// The runs after which the engine's pace is told to others.
-const PACED_LEAST: u32 = 8;
-
 /// What a work loop begins with.
 pub(super) struct Seed {
     pub(super) clock: Clock,
@@ -126,13 +126,13 @@
             orphans: BTreeMap::new(),
             overlapping: HashSet::new(),
             pace: 0.0,
-            paced: 0,
             report: None,
             retention: seed.retention,
             server: seed.server,
             service: seed.service,
             site: seed.site,
             slots: 1,
+            slower: false,
             store: seed.store,
             swept: seed.clock.now(),
             token,
@@ -217,6 +217,7 @@
             self.heartbeats.excuse(now);
         }
         self.look_at_engine(now);
+        self.look_at_pace(now);
         self.append_results();
         let standing = self.standing(now);
         self.plan_versions(&standing, now);
@@ -279,7 +280,8 @@
     fn forget_engine(&mut self) {
         self.order = None;
         self.pace = 0.0;
-        self.paced = 0;
+        self.slower = false;
+        *self.engine.pace() = Pace::default();
     }
 
     /// Whether a report after `at` shows the models of this runner's service.
@@ -297,13 +299,15 @@
         *seen > at && !shown.is_empty() && shown.iter().all(|held| ours(&held.model))
     }
 
-    /// What the engine takes for an event, once enough runs have told: the
-    /// first ones meet an engine that is filling up, and one odd run made
-    /// others join its holder's bundles.
-    pub(super) fn known_pace(&self) -> f64 {
-        match self.paced >= PACED_LEAST {
-            true => self.pace,
-            false => 0.0,
+    /// Takes what the runs under way tell of the engine's pace.
+    fn look_at_pace(&mut self, now: Millis) {
+        self.pace = self.engine.pace().settle(now);
+        let usual = self.heartbeats.usual_pace(&self.service);
+        let slower = is_slower(self.pace, usual, self.slower);
+        if slower != self.slower {
+            let pace = self.pace;
+            tracing::info!(slower, pace, usual, "the engine's kind by its pace");
+            self.slower = slower;
         }
     }
 
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -6,9 +6,10 @@
     base::Millis,
     policy::{
         batch_age::{Age, Verdict, judge},
-        claim_choice::{Holder, Offer, Place, capacity, choose, is_mine_by_rule},
+        claim_choice::{Holder, Offer, Place, Taker, capacity, choose, is_mine_by_rule},
         engine_life::{Met, is_settled, present},
         model_share::{Asked, Demand, deal, demands},
+        pace::{Pace, is_slow, is_slower, usual},
         server_choice::{self, Candidate, hedge_after},
         version_plan::{Situation, Step, step}, //
     },
@@ -35,6 +36,15 @@
         joinable: true,
         pace,
         since: Millis(since),
+        slower: false,
+    }
+}
+
+fn usual_taker(place: Place, room: u32) -> Taker {
+    Taker {
+        place,
+        room,
+        slower: false,
     }
 }
 
@@ -49,7 +59,7 @@
 
 impl Choice {
     fn run(&self) {
-        let taken = choose(&self.offers, self.place, self.room);
+        let taken = choose(&self.offers, usual_taker(self.place, self.room));
         assert_eq!(taken.map(|offer| offer.bundle), self.takes, "{}", self.name);
     }
 }
@@ -190,7 +200,7 @@
         let place = Place { count: 5, rank };
         let mut offers: Vec<Offer> = (0..24).map(offer).collect();
         let mut room = 12;
-        while let Some(chosen) = choose(&offers, place, room).copied() {
+        while let Some(chosen) = choose(&offers, usual_taker(place, room)).copied() {
             offers.retain(|other| other.bundle != chosen.bundle);
             room -= chosen.left.min(room);
             taken.push(chosen.bundle);
@@ -911,3 +921,127 @@
         assert_eq!(judge(batch), test.verdict, "{} {}", test.age, test.over);
     }
 }
+
+/// A step's bundles, longest first, before two usual engines and one of the
+/// slower kind with 16 slots each. Its longest texts ran at the slower engine,
+/// 9.5 s instead of 7.5 s: now the usual ones take what they have room for, and
+/// the slower one takes the shortest of the rest, a moment later.
+#[test]
+fn long_texts_run_at_the_faster_engines() {
+    let slower = Taker {
+        slower: true,
+        ..usual_taker(ALONE, 16)
+    };
+    let mut offers: Vec<Offer> = (0..15).map(offer).collect();
+    assert!(choose(&offers, slower).is_none(), "a new bundle");
+    for rank in 0..2 {
+        let mut room = 16;
+        let place = Place { count: 2, rank };
+        while let Some(chosen) = choose(&offers, usual_taker(place, room)).copied() {
+            assert!(chosen.order < 8, "{}", chosen.order);
+            offers.retain(|other| other.bundle != chosen.bundle);
+            room -= chosen.left;
+        }
+    }
+    for offer in &mut offers {
+        offer.age = Millis(250);
+    }
+    assert_eq!(choose(&offers, slower).map(|offer| offer.order), Some(14));
+}
+
+/// Which runner joins a bundle whose holder's engine is of the slower kind.
+#[test]
+fn a_slower_engines_long_texts_are_joined() {
+    struct Test {
+        name: &'static str,
+        since: u64,
+        slower: bool,
+        joins: bool,
+    }
+
+    for test in [
+        Test {
+            name: "a faster runner, once the short texts are whole",
+            since: 1_600,
+            slower: false,
+            joins: true,
+        },
+        Test {
+            name: "a faster runner, too soon",
+            since: 1_000,
+            slower: false,
+            joins: false,
+        },
+        Test {
+            name: "a runner as slow",
+            since: 1_600,
+            slower: true,
+            joins: false,
+        },
+    ] {
+        let holder = Holder::Held {
+            joinable: true,
+            pace: 1.3,
+            since: Millis(test.since),
+            slower: true,
+        };
+        let offers = [Offer { holder, ..offer(0) }];
+        let taker = Taker {
+            slower: test.slower,
+            ..usual_taker(ALONE, 16)
+        };
+        assert_eq!(
+            choose(&offers, taker).is_some(),
+            test.joins,
+            "{}",
+            test.name
+        );
+    }
+}
+
+/// An engine's pace by the gaps of its runs: known within a second, undisturbed
+/// by one long pause, and followed within three when the engine turns slow.
+#[test]
+fn an_engines_pace_is_known_from_runs_under_way() {
+    let mut pace = Pace::default();
+    let mut play = |from: u64, gap: f64, count: u32| {
+        (0..count).for_each(|_| pace.note(gap));
+        pace.settle(Millis(from))
+    };
+    assert!((play(500, 40.0, 50) - 40.0).abs() < 0.1);
+    assert!((play(1_000, 40.0, 4) - 40.0).abs() < 0.1, "too few gaps");
+    let mut known = 0.0;
+    for window in 3..9 {
+        known = play(window * 500, 160.0, 50);
+    }
+    assert!(is_slow(known, 40.0), "{known}");
+
+    let mut pace = Pace::default();
+    (0..50).for_each(|_| pace.note(40.0));
+    pace.settle(Millis(500));
+    (0..50).for_each(|_| pace.note(40.0));
+    (0..3).for_each(|_| pace.note(900.0));
+    let known = pace.settle(Millis(1_000));
+    assert!(
+        !is_slower(known, 40.0, false),
+        "{known} after a load of weights"
+    );
+}
+
+/// What counts as slower, with a margin between the ways there and back.
+#[test]
+fn engines_of_a_slower_kind_are_known() {
+    for (pace, known, before, slower) in [
+        (0.0, 40.0, false, false),
+        (40.0, 0.0, false, false),
+        (44.0, 40.0, false, false),
+        (47.0, 40.0, false, true),
+        (44.0, 40.0, true, true),
+        (42.0, 40.0, true, false),
+    ] {
+        assert_eq!(is_slower(pace, known, before), slower, "{pace} of {known}");
+    }
+    let mixed = vec![50.0, 0.0, 40.0, 51.0, 41.0, 52.0, 40.0, 50.0];
+    assert!((usual(mixed) - 40.0).abs() < 1.1);
+    assert!(usual(Vec::new()).abs() < 0.1);
+}
