Deal the engines that are steadily fast to the models with the longest texts

Cause: the model with short texts had two of six fast engines, and its steps took 5 s of the 8 s that its trainer leaves; the models with texts of 194 events had slower engines, and fell behind.

Ruled out: dealing by the kind of the moment. A kind now has to last for 4 s. A slower engine doesn't wait where its model has no faster ones: bundles began 1 s late.

--- a/src/batch/claim.rs
+++ b/src/batch/claim.rs
@@ -38,6 +38,8 @@
     pub service: String,
     /// Whether its engine counts as slower than usual.
     pub slower: bool,
+    /// Whether its engine has counted as slower for a while.
+    pub steady: bool,
     /// Names this life of the runner.
     pub token: u64,
     /// Whether its engine answers and takes work.
--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -53,6 +53,8 @@
     pub room: u32,
     /// Whether its engine counts as slower than usual.
     pub slower: bool,
+    /// Whether runners of its model with faster engines go before it.
+    pub yields: bool,
 }
 
 /// This runner's place among those that serve the same model first.
@@ -118,7 +120,7 @@
 pub fn choose(offers: &[Offer], taker: Taker) -> Option<&Offer> {
     let fits = |offer: &&Offer| offer.loaded && taker.room > 0 && class(offer, taker).is_some();
     offers.iter().filter(fits).min_by_key(|offer| {
-        let order = match taker.slower {
+        let order = match taker.yields {
             true => u16::MAX - offer.order,
             false => offer.order,
         };
@@ -137,7 +139,7 @@
 /// The order of kinds of offers; `None` for one that is not worth taking.
 fn class(offer: &Offer, taker: Taker) -> Option<u8> {
     match offer.holder {
-        Holder::Nobody if taker.slower && offer.age < SLOWER_WAIT => None,
+        Holder::Nobody if taker.yields && offer.age < SLOWER_WAIT => None,
         Holder::Nobody if offer.home => Some(0),
         Holder::Nobody if offer.age >= FOREIGN_AGE => Some(1),
         Holder::Nobody => None,
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -84,6 +84,37 @@
     pace > 0.0 && usual > 0.0 && pace / usual >= from
 }
 
+/// How long an engine must have counted as slower, or as usual, before runners are
+/// dealt out anew for it: each that changes its model has to load weights.
+const STEADY: Millis = Millis(4_000);
+
+/// Which kind an engine is of.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Kind {
+    /// Whether it counts as slower than usual just now.
+    pub slower: bool,
+    /// Whether it has done so, or not, for a while.
+    pub steady: bool,
+    /// Since when it counts as it does.
+    since: Millis,
+}
+
+impl Kind {
+    /// Takes the engine's pace; true when it counts otherwise than before.
+    pub fn note(&mut self, pace: f64, usual: f64, now: Millis) -> bool {
+        let slower = is_slower(pace, usual, self.slower);
+        let changed = slower != self.slower;
+        if changed {
+            self.slower = slower;
+            self.since = now;
+        }
+        if now.since(self.since) >= STEADY {
+            self.steady = slower;
+        }
+        changed
+    }
+}
+
 /// Whether an engine takes much longer than usual for an event.
 pub fn is_slow(pace: f64, usual: f64) -> bool {
     pace > 0.0 && usual > 0.0 && pace / usual >= SLOW_FROM
--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -57,7 +57,8 @@
         let mut taker = Taker {
             place: standing.share,
             room,
-            slower: self.slower,
+            slower: self.kind.slower,
+            yields: standing.yields,
         };
         while let Some(offer) = choose(&offers, taker).copied() {
             offers.retain(|other| (other.batch, other.bundle) != (offer.batch, offer.bundle));
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -35,11 +35,20 @@
             pace: self.pace,
             sequence: last.sequence,
             service: self.service.clone(),
-            slower: self.slower,
+            slower: self.kind.slower,
+            steady: self.kind.steady,
             token: self.token,
             working: self.is_working(),
         };
-        let told = |beat: &Heartbeat| (beat.leaving, beat.loading, beat.slower, beat.working);
+        let told = |beat: &Heartbeat| {
+            (
+                beat.leaving,
+                beat.loading,
+                beat.slower,
+                beat.steady,
+                beat.working,
+            )
+        };
         let changed = told(&next) != told(last);
         let due = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY || changed;
         if self.heartbeat.sending || !due {
--- a/src/runner/heartbeats.rs
+++ b/src/runner/heartbeats.rs
@@ -72,6 +72,12 @@
         seen.is_some_and(|seen| seen.heartbeat.slower)
     }
 
+    /// Whether the engine of `instance` has counted as slower for a while.
+    pub(super) fn is_steadily_slower(&self, instance: &str) -> bool {
+        let seen = self.seen.get(instance);
+        seen.is_some_and(|seen| seen.heartbeat.steady)
+    }
+
     /// What the engines of `service` usually take for an event, in ms; 0 when
     /// none is known.
     pub(super) fn usual_pace(&self, service: &str) -> f64 {
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -8,7 +8,7 @@
     base::Millis,
     policy::{
         claim_choice::{Holder, Offer, Place},
-        model_share::{Asked, Demand, deal, demands}, //
+        model_share::{Asked, Demand, SLOWER_WEIGHT, deal, demands}, //
     },
     routing::Route, //
 };
@@ -24,6 +24,8 @@
     pub(super) runners: usize,
     /// Its place among those of its model whose engines are as fast as its own.
     pub(super) share: Place,
+    /// Whether faster engines of its model go before its own.
+    pub(super) yields: bool,
 }
 
 /// The place of `rank` among `ranks`.
@@ -45,9 +47,16 @@
             runners.push(self.instance.clone());
         }
         let demands = self.demands();
+        // The fastest engines come first, as the models with the longest texts do.
+        runners.sort_by_cached_key(|name| self.is_steadily_slower(name));
         let rank = runners.iter().position(|name| *name == self.instance);
         let rank = rank.unwrap_or_default();
-        let dealt = deal(&demands, runners.len());
+        let weight = |name: &String| match self.is_steadily_slower(name) {
+            true => SLOWER_WEIGHT,
+            false => 1.0,
+        };
+        let weights: Vec<f64> = runners.iter().map(weight).collect();
+        let dealt = deal(&demands, &weights);
         let Some(mine) = dealt.get(rank).copied() else {
             let count = runners.len();
             return Standing {
@@ -55,20 +64,37 @@
                 place: Place { count, rank },
                 runners: working,
                 share: Place { count, rank },
+                yields: false,
             };
         };
         let same: Vec<usize> = (0..dealt.len()).filter(|of| dealt[*of] == mine).collect();
-        let as_fast =
-            |of: &usize| *of == rank || self.heartbeats.is_slower(&runners[*of]) == self.slower;
+        let as_fast = |of: &usize| self.is_slower(&runners[*of]) == self.kind.slower;
         let peers: Vec<usize> = same.iter().copied().filter(as_fast).collect();
         Standing {
             home: Some(demands[mine].model.clone()),
             place: place_in(&same, rank),
             runners: working,
+            yields: self.kind.slower && peers.len() < same.len(),
             share: place_in(&peers, rank),
         }
     }
 
+    /// Whether the engine of the runner `name` counts as slower than usual.
+    fn is_slower(&self, name: &str) -> bool {
+        match name == self.instance {
+            true => self.kind.slower,
+            false => self.heartbeats.is_slower(name),
+        }
+    }
+
+    /// The same, for a while already.
+    fn is_steadily_slower(&self, name: &str) -> bool {
+        match name == self.instance {
+            true => self.kind.steady,
+            false => self.heartbeats.is_steadily_slower(name),
+        }
+    }
+
     /// What each model's newest batches asked for.
     pub(super) fn demands(&self) -> Vec<Demand> {
         let config = self.site.config();
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -14,7 +14,7 @@
     platform::{EngineReport, Store},
     policy::{
         engine_life::{is_settled, present},
-        pace::{Pace, is_slower}, //
+        pace::{Kind, Pace}, //
     },
     routing::Life,
     store::{Followed, Following, Row, follow},
@@ -43,6 +43,8 @@
     pub(super) engine_address: SocketAddr,
     pub(super) events: mpsc::Sender<Event>,
     pub(super) instance: String,
+    /// How fast the engine is among others.
+    pub(super) kind: Kind,
     pub(super) leaving: bool,
     /// The engine's newest life that took work.
     life: Option<Life>,
@@ -60,8 +62,6 @@
     pub(super) service: String,
     pub(super) site: Arc<Site>,
     pub(super) slots: u32,
-    /// Whether the engine counts as slower than usual.
-    pub(super) slower: bool,
     pub(super) store: Store,
     pub(super) swept: Millis,
     /// Names this life of the runner; the number under which it gives orders.
@@ -120,6 +120,7 @@
             engine_address: seed.engine_address,
             events,
             instance: seed.instance,
+            kind: Kind::default(),
             leaving: false,
             life: None,
             order: None,
@@ -132,7 +133,6 @@
             service: seed.service,
             site: seed.site,
             slots: 1,
-            slower: false,
             store: seed.store,
             swept: seed.clock.now(),
             token,
@@ -280,7 +280,7 @@
     fn forget_engine(&mut self) {
         self.order = None;
         self.pace = 0.0;
-        self.slower = false;
+        self.kind = Kind::default();
         *self.engine.pace() = Pace::default();
     }
 
@@ -303,11 +303,9 @@
     fn look_at_pace(&mut self, now: Millis) {
         self.pace = self.engine.pace().settle(now);
         let usual = self.heartbeats.usual_pace(&self.service);
-        let slower = is_slower(self.pace, usual, self.slower);
-        if slower != self.slower {
-            let pace = self.pace;
+        if self.kind.note(self.pace, usual, now) {
+            let (pace, slower) = (self.pace, self.kind.slower);
             tracing::info!(slower, pace, usual, "the engine's kind by its pace");
-            self.slower = slower;
         }
     }
 
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -45,6 +45,7 @@
         place,
         room,
         slower: false,
+        yields: false,
     }
 }
 
@@ -579,6 +580,7 @@
 
 fn demand(model: &str, work: f64) -> Demand {
     Demand {
+        length: 0,
         model: model.to_owned(),
         work,
     }
@@ -620,7 +622,7 @@
         },
     ] {
         let demands: Vec<Demand> = test.works.iter().map(|work| demand("m", *work)).collect();
-        let dealt = deal(&demands, test.count);
+        let dealt = deal(&demands, &vec![1.0; test.count]);
         let shares: Vec<usize> = (0..test.works.len())
             .map(|model| dealt.iter().filter(|dealt| **dealt == model).count())
             .collect();
@@ -685,10 +687,13 @@
             });
             models.push(((*name).to_owned(), asked.collect()));
         }
-        let dealt = deal(&demands(models), 44);
-        let shares: Vec<usize> = (0..test.shares.len())
-            .map(|model| dealt.iter().filter(|dealt| **dealt == model).count())
-            .collect();
+        let wanted = demands(models);
+        let dealt = deal(&wanted, &[1.0; 44]);
+        let of = |name: &&str| {
+            let model = wanted.iter().position(|demand| demand.model == *name);
+            dealt.iter().filter(|dealt| Some(**dealt) == model).count()
+        };
+        let shares: Vec<usize> = names[..test.shares.len()].iter().map(of).collect();
         assert_eq!(shares, test.shares, "{}", test.name);
     }
 }
@@ -702,8 +707,8 @@
         count in 1_usize..60,
     ) {
         let demands: Vec<Demand> = works.iter().map(|work| demand("m", *work)).collect();
-        let before = deal(&demands, count);
-        let after = deal(&demands, count + 1);
+        let before = deal(&demands, &vec![1.0; count]);
+        let after = deal(&demands, &vec![1.0; count + 1]);
         prop_assert_eq!(before.len(), count);
         prop_assert_eq!(after.len(), count + 1);
         let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
@@ -711,6 +716,30 @@
     }
 }
 
+/// Three trainers share six usual engines and three of the slower kind. One has
+/// short texts, and its steps had time to spare at usual engines, while the other
+/// two waited for texts of 9.5 s at slower ones: these get the usual engines.
+#[test]
+fn the_longest_texts_get_the_fastest_engines() {
+    let asked = |items, tokens| {
+        vec![Asked {
+            items,
+            step: 1,
+            tokens,
+        }]
+    };
+    let models = vec![
+        ("a".to_owned(), asked(60, 60 * 900)),
+        ("b".to_owned(), asked(68, 68 * 1_480)),
+        ("c".to_owned(), asked(72, 72 * 1_450)),
+    ];
+    let wanted = demands(models);
+    let names: Vec<&str> = wanted.iter().map(|demand| demand.model.as_str()).collect();
+    assert_eq!(names, ["b", "c", "a"]);
+    let weights = [1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 0.75, 0.75, 0.75];
+    assert_eq!(deal(&wanted, &weights), [0, 0, 0, 1, 1, 1, 2, 2, 2]);
+}
+
 fn candidate() -> Candidate {
     Candidate {
         connected: true,
@@ -930,6 +959,7 @@
 fn long_texts_run_at_the_faster_engines() {
     let slower = Taker {
         slower: true,
+        yields: true,
         ..usual_taker(ALONE, 16)
     };
     let mut offers: Vec<Offer> = (0..15).map(offer).collect();
@@ -988,6 +1018,7 @@
         let offers = [Offer { holder, ..offer(0) }];
         let taker = Taker {
             slower: test.slower,
+            yields: test.slower,
             ..usual_taker(ALONE, 16)
         };
         assert_eq!(
