`redwing steps`: where late steps' time went, from logs

Operators could follow one item from its id, but not see what a trainer waited for: each step now has a line with the way of its last result.

--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -10,13 +10,16 @@
 mod program;
 mod shared_settings;
 mod site_command;
+mod step_times;
+mod steps;
 
 pub use self::{
     agent_command::agent_main,
     entry_command::entry_main,
     operator_command::operator_main,
     operator_error::OperatorError,
-    site_command::{gateway_main, runner_main}, //
+    site_command::{gateway_main, runner_main},
+    step_times::{StepTime, StepTimes}, //
 };
 
 use argh::TopLevelCommand;
--- a/src/operator/operator_command.rs
+++ b/src/operator/operator_command.rs
@@ -8,7 +8,8 @@
     explain::ExplainCommand,
     fleet::StatusCommand,
     parse,
-    shared_settings::{GetCommand, ListCommand}, //
+    shared_settings::{GetCommand, ListCommand},
+    steps::StepsCommand, //
 };
 use crate::settings::key_hash;
 use argh::FromArgs;
@@ -28,6 +29,7 @@
     KeyHash(KeyHashCommand),
     Settings(SettingsCommand),
     Status(StatusCommand),
+    Steps(StepsCommand),
 }
 
 /// Print the hash under which a caller's key is kept in a team's settings.
@@ -90,5 +92,6 @@
             SettingsSubcommand::List(command) => command.run().await,
         },
         Command::Status(command) => command.run().await,
+        Command::Steps(command) => command.run(),
     }
 }
--- a/src/operator/operator_error.rs
+++ b/src/operator/operator_error.rs
@@ -33,6 +33,8 @@
         "name the entries' admin addresses with `--entry`, or the platform with `--platform`"
     ))]
     NoEntries,
+    #[snafu(display("the logs hold no step from its acceptance to its end"))]
+    NoSteps,
     #[snafu(display("no settings at `{path}`"))]
     NoSettings { path: String },
     #[snafu(display("`{path}` is no path of settings: expected `pools/NAME` or `teams/NAME`"))]
--- /dev/null
+++ b/src/operator/steps.rs
@@ -0,0 +1,82 @@
+//! `redwing steps`: why steps were late, from logs.
+
+use super::{
+    OperatorError,
+    operator_error::ReadSnafu,
+    step_times::{StepTime, StepTimes}, //
+};
+use argh::FromArgs;
+use snafu::ResultExt;
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, Read, stdin},
+    path::PathBuf, //
+};
+
+/// Show where each step's time went, from the logs of gateways and runners: one
+/// line a step, with the way of the result that its trainer had last. Times are
+/// in s; logs of several processes may come in any order.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "steps")]
+pub(super) struct StepsCommand {
+    /// files with logs; without any, standard input
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+
+    /// only steps that took longer than so many seconds
+    #[argh(option, default = "0.0")]
+    over: f64,
+}
+
+impl StepsCommand {
+    pub(super) fn run(self) -> Result<(), OperatorError> {
+        let mut times = StepTimes::default();
+        if self.files.is_empty() {
+            take_all(&mut times, stdin().lock(), "standard input")?;
+        }
+        for path in &self.files {
+            let name = path.display().to_string();
+            let file = File::open(path).context(ReadSnafu { file: &name })?;
+            take_all(&mut times, file, &name)?;
+        }
+        let rows = times.rows();
+        if rows.is_empty() {
+            return Err(OperatorError::NoSteps);
+        }
+        println!("{HEAD}");
+        for row in rows.iter().filter(|row| row.taken > self.over) {
+            println!("{}", text(row));
+        }
+        Ok(())
+    }
+}
+
+fn take_all(times: &mut StepTimes, input: impl Read, name: &str) -> Result<(), OperatorError> {
+    for line in BufReader::new(input).split(b'\n') {
+        let line = line.context(ReadSnafu { file: name })?;
+        times.take(&String::from_utf8_lossy(&line));
+    }
+    Ok(())
+}
+
+const HEAD: &str = "accepted step model            taken   wait before  first events generate  list  read  ms/event item             server";
+
+fn text(row: &StepTime) -> String {
+    format!(
+        "{:8.2} {:4} {:16} {:5.2} {:6.2} {:6.2} {:6.2} {:6} {:8.2} {:5.2} {:5.2} {:9.1} {:16} {}",
+        row.accepted,
+        row.step,
+        row.model,
+        row.taken,
+        row.waiting,
+        row.before,
+        row.warming,
+        row.events,
+        row.generating,
+        row.listing,
+        row.reading,
+        row.pace,
+        row.item,
+        row.server,
+    )
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -7,4 +7,5 @@
     mod messages;
     mod platform_wire;
     mod settings_faults;
+    mod step_times;
 }
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -300,71 +300,81 @@
     waiting: false,
 };
 
-/// When an engine takes weights that no work needs yet.
+/// A load that nothing waits for gives way to the loads of models that have fewer
+/// engines ready, and to those whose turn it is.
 #[test]
-fn weights_are_taken_when_they_cost_least() {
+fn loads_give_way() {
     for test in [
         Loading {
-            name: "the newest is held",
-            now: Situation { held: 5, ..CALM },
+            name: "half are ready, and another model's engine loads",
+            now: Situation {
+                loading: 1,
+                ready: 3,
+                ..CALM
+            },
             step: Step::Wait,
         },
         Loading {
-            name: "nothing waits",
-            now: CALM,
+            name: "half are ready, and nobody loads",
+            now: Situation { ready: 3, ..CALM },
             step: Step::Load(5),
         },
         Loading {
-            name: "work waits that the held version serves",
+            name: "too few are ready, and another loads",
             now: Situation {
-                waiting: true,
+                loading: 1,
+                ready: 2,
                 ..CALM
             },
-            step: Step::Wait,
+            step: Step::Load(5),
         },
         Loading {
-            name: "the step may be on its way",
+            name: "another's turn",
             now: Situation {
-                named_for: Millis(100),
+                slot: false,
                 ..CALM
             },
             step: Step::Wait,
         },
+    ] {
+        test.run();
+    }
+}
+
+/// When an engine takes weights that no work needs yet.
+#[test]
+fn weights_are_taken_when_they_cost_least() {
+    for test in [
         Loading {
-            name: "another model's engine",
-            now: Situation {
-                home: false,
-                ..CALM
-            },
+            name: "the newest is held",
+            now: Situation { held: 5, ..CALM },
             step: Step::Wait,
         },
         Loading {
-            name: "half are ready, and another model's engine loads",
+            name: "nothing waits",
+            now: CALM,
+            step: Step::Load(5),
+        },
+        Loading {
+            name: "work waits that the held version serves",
             now: Situation {
-                loading: 1,
-                ready: 3,
+                waiting: true,
                 ..CALM
             },
             step: Step::Wait,
         },
         Loading {
-            name: "half are ready, and nobody loads",
-            now: Situation { ready: 3, ..CALM },
-            step: Step::Load(5),
-        },
-        Loading {
-            name: "too few are ready, and another loads",
+            name: "the step may be on its way",
             now: Situation {
-                loading: 1,
-                ready: 2,
+                named_for: Millis(100),
                 ..CALM
             },
-            step: Step::Load(5),
+            step: Step::Wait,
         },
         Loading {
-            name: "another's turn",
+            name: "another model's engine",
             now: Situation {
-                slot: false,
+                home: false,
                 ..CALM
             },
             step: Step::Wait,
