--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -3,6 +3,7 @@
 
 mod changes;
 mod claims;
+mod engine_state;
 mod engine_watch;
 mod event;
 mod heartbeat;
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -12,10 +12,7 @@
     batch::WORK,
     duty::{Context, Phase},
     platform::{EngineReport, Store},
-    policy::{
-        engine_life::{is_settled, present},
-        pace::{Kind, Pace}, //
-    },
+    policy::pace::Kind,
     routing::Life,
     store::{Followed, Following, Row, follow},
     view::Site, //
@@ -50,8 +47,8 @@
     /// How fast the engine is among others.
     pub(super) kind: Kind,
     pub(super) leaving: bool,
-    /// The engine's newest life that took work.
-    life: Option<Life>,
+    /// The engine's newest life that took work; `None` before the first.
+    pub(super) life: Option<Life>,
     /// The model whose weights the engine was ordered to take last.
     pub(super) changed: Option<String>,
     pub(super) order: Option<super::orders::Pending>,
@@ -78,9 +75,6 @@
 /// How often the loop looks around when nothing happens.
 const TICK: Millis = Millis(50);
 
-/// A report this old says nothing of the engine any more.
-const REPORT_FRESH: Millis = Millis(900);
-
 /// The wait after a batch of changes in which more gather: a step's claims and
 /// results come in hundreds, and each call for changes costs every runner.
 const PACE: Millis = Millis(40);
@@ -241,89 +235,6 @@
         self.plan_heartbeat(now);
     }
 
-    /// Whether the engine takes work by all that is known of it.
-    pub(super) fn is_working(&self) -> bool {
-        self.server.borrow().is_some()
-    }
-
-    fn look_at_engine(&mut self, now: Millis) {
-        let announced = self.site.server_at(self.engine_address, &self.service);
-        if let Some(server) = &announced {
-            self.slots = server.slots.max(1);
-        }
-        let announced_id = announced.as_ref().map(|server| server.life.id.as_str());
-        let met = self.engine.met.borrow().clone();
-        let confirmed = met.as_ref().is_some_and(|met| self.is_ours_since(met.at));
-        let present = present(announced_id, met.as_ref(), confirmed);
-
-        let fresh = self
-            .report
-            .as_ref()
-            .is_some_and(|(_, at)| now.since(*at) < REPORT_FRESH);
-        let draining = |id: &str| {
-            let directory = self.site.directory();
-            directory.get(id).is_some_and(|server| server.draining)
-        };
-        let born = self
-            .report
-            .as_ref()
-            .map_or(Millis(0), |(report, _)| report.born);
-        let id = present.filter(|id| fresh && !draining(id));
-        let life = id.map(|id| Life::new(id, born));
-        if met.is_some_and(|met| is_settled(announced_id, &met)) {
-            self.engine.met.send_replace(None);
-        }
-        if life.is_some() && self.life != life {
-            self.forget_engine();
-            self.life.clone_from(&life);
-        }
-        self.server.send_if_modified(|current| {
-            let changed = *current != life;
-            if changed {
-                let name = |life: &Option<Life>| life.as_ref().map(|life| life.id.clone());
-                let (engine, before) = (name(&life), name(current));
-                let born = born.0;
-                tracing::info!(?engine, born, ?before, fresh, "engine takes work or not");
-                current.clone_from(&life);
-            }
-            changed
-        });
-    }
-
-    /// Forgets what was learnt of the engine's life before: its next life knows
-    /// nothing of an order that was under way, and may be faster or slower.
-    fn forget_engine(&mut self) {
-        self.order = None;
-        self.pace = 0.0;
-        self.kind = Kind::default();
-        *self.engine.pace() = Pace::default();
-    }
-
-    /// Whether a report after `at` shows the models of this runner's service.
-    fn is_ours_since(&self, at: Millis) -> bool {
-        let Some((report, seen)) = &self.report else {
-            return false;
-        };
-        let config = self.site.config();
-        let service = config.and_then(|config| config.service(&self.service).cloned());
-        let Some(service) = service else {
-            return false;
-        };
-        let ours = |model: &str| service.models.iter().any(|ours| ours.name == model);
-        let shown = &report.weights;
-        *seen > at && !shown.is_empty() && shown.iter().all(|held| ours(&held.model))
-    }
-
-    /// Takes what the runs under way tell of the engine's pace.
-    fn look_at_pace(&mut self, now: Millis) {
-        self.pace = self.engine.pace().settle(now);
-        let usual = self.heartbeats.usual_pace(&self.service);
-        if self.kind.note(self.pace, usual, now) {
-            let (pace, slower) = (self.pace, self.kind.slower);
-            tracing::info!(slower, pace, usual, "the engine's kind by its pace");
-        }
-    }
-
     fn is_idle(&self) -> bool {
         let busy = |batch: &OpenBatch| !batch.running.is_empty() || !batch.results.is_empty();
         !self.batches.values().any(busy)
