--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -78,6 +78,11 @@
 /// it by then, and others would keep their own model's work waiting.
 const FOREIGN_AGE: Millis = Millis(400);
 
+/// A holder with an engine of the usual pace is joined after this long only:
+/// its longest runs take five seconds, and a second run from the start would
+/// end no sooner.
+const JOIN_AFTER: Millis = Millis(6_000);
+
 /// A holder whose engine is this much slower is joined as soon as this runner
 /// has room; slow engines take three to four times as long.
 const SLOW_PACE: f64 = 1.8;
@@ -152,8 +157,9 @@
         } => {
             let slow = pace >= SLOW_PACE && since >= JOIN_SLOW_AFTER;
             let slower = slower && !taker.slower && since >= JOIN_SLOWER_AFTER;
+            let late = since >= JOIN_AFTER;
             let fits = offer.left <= taker.room;
-            (joinable && fits && (slow || slower)).then_some(2)
+            (joinable && fits && (slow || slower || late)).then_some(2)
         }
     }
 }
