--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -78,9 +78,10 @@
 /// it by then, and others would keep their own model's work waiting.
 const FOREIGN_AGE: Millis = Millis(400);
 
-/// A holder with an engine of the usual pace is joined after this long only:
-/// its longest runs take five seconds, and a second run from the start would
-/// end no sooner.
+/// A holder with an engine of the usual pace is joined after this long only. It
+/// brings no text sooner, and is worth nothing while engines do as they say; it is
+/// what runs the bundles of a runner whose engine's address a server of another
+/// service has, which refuses every item.
 const JOIN_AFTER: Millis = Millis(6_000);
 
 /// A holder whose engine is this much slower is joined as soon as this runner
