Give the comments of the new limits the figures that were measured

The share of steps that waited for slower engines, and the time in which an engine served three models, were estimates by eye; the logs say less.

--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -96,8 +96,9 @@
 const JOIN_SLOWER_AFTER: Millis = Millis(1_500);
 
 /// An engine of the slower kind leaves new bundles to the faster ones for so
-/// long, and takes the shortest of what they had no room for: two steps of three
-/// waited for a long text on such an engine.
+/// long, and takes the shortest of what they had no room for. With its long texts
+/// joined as well, the share of what callers and trainers ask for that is served, by
+/// its worth, rose from 0.784 to 0.8145 in the mean of 15 plays with trouble.
 const SLOWER_WAIT: Millis = Millis(200);
 
 /// An engine that is slow itself takes no more than this share of its slots,
--- a/src/policy/model_share.rs
+++ b/src/policy/model_share.rs
@@ -100,8 +100,8 @@
 
 /// How much more than its own weight a runner's move must bring. A runner that
 /// moves has to load weights, for a second or more; dealt out anew at every step,
-/// an engine served three models in ten seconds, and steps waited 1.5 s for engines
-/// that held their weights while half of the places were free.
+/// an engine loaded three models' weights in fifteen seconds, and 40 to 70 items of a
+/// step waited for engines that held theirs while half of the places were free.
 const MOVE_MARGIN: f64 = 0.6;
 
 /// The model of each of `members`, which keep the ones they have while every model
--- a/src/policy/version_plan.rs
+++ b/src/policy/version_plan.rs
@@ -63,8 +63,8 @@
 const LOAD_TIME: Millis = Millis(900);
 
 /// The engines that may load at once when half of a model's engines are ready for
-/// its next step: loads that nothing waits for are two thirds of all, and kept
-/// those waiting that a step needed.
+/// its next step: most loads are such that nothing waits for, and they kept those
+/// waiting that a step needed.
 const SPARE_AT_ONCE: usize = 1;
 
 /// An engine waits this long after a version was named: the step that was asked
@@ -88,8 +88,8 @@
 
 /// The length of one turn to begin a load that nothing waits for: a heartbeat
 /// written in it is seen by all before the next turn. Six engines of nine, idle at
-/// the same moment, began loads within 10 ms, saw none of the others', and took
-/// 1.9 s instead of 0.9 s while a step waited.
+/// the same moment, began loads within 10 ms and saw none of the others'; a step that
+/// was asked then began 1.9 s late, twice what one load takes.
 const TURN: Millis = Millis(150);
 
 /// Whether it is the turn of the runner at `place` among all, by the store's clock.
