Read the change again: one threshold, one heartbeat lookup, work done once a turn

Found in the change, and mended without a change of what is decided: - the factor from which an engine is slow stood twice (claims, pace): `pace::SLOW_FROM`; - four accessors of a heartbeat's fields, and five tests of whether a runner lives, were one each: `Heartbeats::of`, `Seen::is_alive`, `Seen::takes_work`; - the soak announced an engine by a copy of the scene's code: `announce_engine`; - the model of an order was kept beside the model ordered last, which it always is; whether the engine loads was worked out twice: `is_loading`; - on each turn of the work loop the tokens of every item of every batch were added up, the usual pace was sorted out twice and two heartbeats were cloned: now once at the batch's arrival, once, and one; - two passes over homes kept a list of options; comments that named the wrong fields or ran over the line; four tests asked the directory in the same words.

An order whose answer comes after another order was given no longer marks the older model as changing: the one ordered last counts. No such answer was seen.

Not measured: the time that a turn takes before and after.

--- a/src/platform/server_entry.rs
+++ b/src/platform/server_entry.rs
@@ -12,8 +12,8 @@
 };
 use std::net::SocketAddr;
 
-/// An announcement as it lies in the store. All fields but the last two are
-/// always there: an entry that lacks one comes from another writer.
+/// An announcement as it lies in the store. All fields but those with a default
+/// are always there: an entry that lacks one comes from another writer.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Wire {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -140,7 +140,7 @@
         let wire: WireListing = self.read(&answer)?;
         match answer.status {
             StatusCode::PRECONDITION_FAILED => Ok(Outcome::Conflict {
-                rows: wire.records.into_iter().map(row).collect(),
+                rows: rows(wire.records),
             }),
             _ => Ok(Outcome::Done { revision: wire.ver }),
         }
@@ -298,7 +298,7 @@
     fn listing(&self, answer: &Answer) -> Result<Listing, StoreError> {
         let wire: WireListing = self.read(answer)?;
         Ok(Listing {
-            rows: wire.records.into_iter().map(row).collect(),
+            rows: rows(wire.records),
             more: wire.has_more,
             revision: wire.ver,
         })
@@ -326,6 +326,10 @@
     }
 }
 
+fn rows(records: Vec<WireRow>) -> Vec<Row> {
+    records.into_iter().map(row).collect()
+}
+
 fn row(wire: WireRow) -> Row {
     Row {
         value: (!wire.deleted).then(|| value_of(&wire)),
--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -4,7 +4,10 @@
 //! the slowest; every runner sees it within a few tens of ms and takes bundles
 //! as its engine has room. Engines crash, slow down or fall silent in between.
 
-use super::pace;
+use super::pace::{
+    SLOW_FROM,
+    is_slow, //
+};
 use crate::base::Millis;
 
 /// A bundle that a runner could take.
@@ -84,9 +87,7 @@
 /// service has, which refuses every item.
 const JOIN_AFTER: Millis = Millis(6_000);
 
-/// A holder whose engine is this much slower is joined as soon as this runner
-/// has room; slow engines take three to four times as long.
-const SLOW_PACE: f64 = 1.8;
+/// A holder whose engine is slow against this runner's is joined this soon.
 const JOIN_SLOW_AFTER: Millis = Millis(700);
 
 /// A holder whose engine is of the slower kind is joined by a faster one after
@@ -108,7 +109,7 @@
 /// The items that an engine should have at once. One that takes much longer
 /// than `usual` for an event holds up every bundle it takes.
 pub fn capacity(slots: u32, pace: f64, usual: f64) -> u32 {
-    match pace::is_slow(pace, usual) {
+    match is_slow(pace, usual) {
         true => ((f64::from(slots) * SLOW_SHARE) as u32).max(1),
         false => slots,
     }
@@ -157,7 +158,7 @@
             since,
             slower,
         } => {
-            let slow = pace >= SLOW_PACE && since >= JOIN_SLOW_AFTER;
+            let slow = pace >= SLOW_FROM && since >= JOIN_SLOW_AFTER;
             let slower = slower && !taker.slower && since >= JOIN_SLOWER_AFTER;
             let late = since >= JOIN_AFTER;
             let fits = offer.left <= taker.room;
--- a/src/policy/model_share.rs
+++ b/src/policy/model_share.rs
@@ -32,7 +32,7 @@
 
 /// What an engine of the slower kind can do, against a usual one; it takes some
 /// 1.3 times as long for an event.
-pub const SLOWER_WEIGHT: f64 = 0.75;
+const SLOWER_WEIGHT: f64 = 0.75;
 
 /// How much longer the texts of one kind are than those of the kind below.
 const LENGTH_STEP: f64 = 1.5;
@@ -45,8 +45,8 @@
     mean.max(1.0).log(LENGTH_STEP).round() as i32
 }
 
-/// Each model's demand by its newest batches, the longest texts first: tokens, or items while a trainer
-/// gives no estimates. Dealt by items, a model with texts of 6 events kept as
+/// Each model's demand by its newest batches, the longest texts first: tokens, or
+/// items while a trainer gives no estimates. Dealt by items, a model with texts of 6 events kept as
 /// many engines as one with texts of 17, whose steps took twice as long.
 pub fn demands(models: Vec<(String, Vec<Asked>)>) -> Vec<Demand> {
     let newest: Vec<(String, Vec<Asked>)> = models
@@ -116,22 +116,21 @@
         return Vec::new();
     }
     let mut shares = Shares::new(demands, members);
-    let homes = members.iter().map(|member| member.home);
-    let homes = homes.map(|home| home.filter(|home| *home < demands.len()));
-    let mut homes: Vec<Option<usize>> = homes.collect();
-    for (member, home) in members.iter().zip(&mut homes) {
-        if let Some(home) = *home {
+    let kept = |member: &Member| member.home.filter(|home| *home < demands.len());
+    for member in members {
+        if let Some(home) = kept(member) {
             shares.add(home, member.weight());
         }
     }
-    for (member, home) in members.iter().zip(&mut homes) {
-        if home.is_none() {
+    // Those without a model follow once all others are counted.
+    let take = |member: &Member| {
+        kept(member).unwrap_or_else(|| {
             let poorest = shares.poorest();
             shares.add(poorest, member.weight());
-            *home = Some(poorest);
-        }
-    }
-    let mut homes: Vec<usize> = homes.into_iter().flatten().collect();
+            poorest
+        })
+    };
+    let mut homes: Vec<usize> = members.iter().map(take).collect();
     for _ in 0..members.len() {
         if !shares.move_one(demands, members, &mut homes) {
             break;
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -75,7 +75,7 @@
 
 /// An engine that takes so many times the usual pace holds up all that it takes:
 /// the slow ones seen take three to four times as long.
-const SLOW_FROM: f64 = 1.8;
+pub const SLOW_FROM: f64 = 1.8;
 
 /// Whether an engine at `pace` is slower than the `usual` ones; `before` is what
 /// it counted as so far. Unknown paces are not slower.
--- a/src/policy/version_plan.rs
+++ b/src/policy/version_plan.rs
@@ -132,12 +132,12 @@
         return when(free && now.named_for >= turn, now.named);
     }
     let idle = now.home && !now.waiting && now.slot;
-    let most = match now.ready * 2 >= now.place.count {
+    let spare = match now.ready * 2 >= now.place.count {
         true => SPARE_AT_ONCE.min(most),
         false => most,
     };
     when(
-        idle && now.loading < most && now.named_for >= QUIET,
+        idle && now.loading < spare && now.named_for >= QUIET,
         now.named,
     )
 }
--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -21,8 +21,9 @@
 pub(super) const CLAIM_AGAIN: Millis = Millis(200);
 
 impl Work {
-    /// Takes bundles while the engine has room.
-    pub(super) fn plan_claims(&mut self, standing: &Standing, now: Millis) {
+    /// Takes bundles while the engine has room; `usual` is the usual pace of the
+    /// service's engines, in ms an event.
+    pub(super) fn plan_claims(&mut self, standing: &Standing, usual: f64, now: Millis) {
         if !self.is_working() || self.leaving {
             return;
         }
@@ -31,7 +32,6 @@
             self.start_fetching(id);
         }
         let load: usize = self.batches.values().map(OpenBatch::load).sum();
-        let usual = self.heartbeats.usual_pace(&self.service);
         let mut room = capacity(self.slots, self.pace, usual).saturating_sub(load as u32);
         if room == 0 {
             return;
--- a/src/runner/engine_state.rs
+++ b/src/runner/engine_state.rs
@@ -88,13 +88,15 @@
         *seen > at && !shown.is_empty() && shown.iter().all(|held| ours(&held.model))
     }
 
-    /// Takes what the runs under way tell of the engine's pace.
-    pub(super) fn look_at_pace(&mut self, now: Millis) {
+    /// Takes what the runs under way tell of the engine's pace; returns the usual
+    /// one, in ms an event.
+    pub(super) fn look_at_pace(&mut self, now: Millis) -> f64 {
         self.pace = self.engine.pace().settle(now);
         let usual = self.heartbeats.usual_pace(&self.service);
         if self.kind.note(self.pace, usual, now) {
             let (pace, slower) = (self.pace, self.kind.slower);
             tracing::info!(slower, pace, usual, "the engine's kind by its pace");
         }
+        usual
     }
 }
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -37,7 +37,7 @@
                 .unwrap_or(0),
             home: self.home.clone(),
             leaving: self.leaving,
-            loading: self.order.is_some() || self.report.as_ref().is_some_and(|(r, _)| r.busy),
+            loading: self.is_loading(),
             pace: self.pace,
             sequence: last.sequence,
             service: self.service.clone(),
@@ -47,11 +47,11 @@
             working: self.is_working(),
         };
         // The pace alone is worth no heartbeat: it changes all the time.
-        let told = |beat: &Heartbeat| Heartbeat {
-            pace: 0.0,
-            ..beat.clone()
+        let told = Heartbeat {
+            pace: last.pace,
+            ..next.clone()
         };
-        let changed = told(&next) != told(last);
+        let changed = told != *last;
         let due = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY || changed;
         if self.heartbeat.sending || !due {
             return;
--- a/src/runner/heartbeats.rs
+++ b/src/runner/heartbeats.rs
@@ -24,6 +24,17 @@
 /// come every second; one may be lost or late.
 const SILENCE_MOST: Millis = Millis(2_300);
 
+impl Seen {
+    fn is_alive(&self, now: Millis) -> bool {
+        now.since(self.at) < SILENCE_MOST
+    }
+
+    /// Whether the runner lives and takes new bundles.
+    fn takes_work(&self, now: Millis) -> bool {
+        self.is_alive(now) && self.heartbeat.working && !self.heartbeat.leaving
+    }
+}
+
 impl Heartbeats {
     /// Takes a heartbeat of `instance`; an older one than known changes nothing.
     pub(super) fn take(&mut self, instance: &str, heartbeat: Heartbeat, now: Millis) {
@@ -52,36 +63,14 @@
     /// Whether the runner `instance`, in its life `token`, still works.
     pub(super) fn works(&self, instance: &str, token: u64, now: Millis) -> bool {
         self.seen.get(instance).is_some_and(|seen| {
-            let alive = now.since(seen.at) < SILENCE_MOST;
-            alive
-                && seen.heartbeat.token == token
-                && (seen.heartbeat.working || seen.heartbeat.leaving)
+            let beat = &seen.heartbeat;
+            seen.is_alive(now) && beat.token == token && (beat.working || beat.leaving)
         })
     }
 
-    /// What the engine of `instance` takes for an event.
-    pub(super) fn pace(&self, instance: &str) -> f64 {
-        self.seen
-            .get(instance)
-            .map_or(0.0, |seen| seen.heartbeat.pace)
-    }
-
-    /// Whether the engine of `instance` counts as slower than usual.
-    pub(super) fn is_slower(&self, instance: &str) -> bool {
-        let seen = self.seen.get(instance);
-        seen.is_some_and(|seen| seen.heartbeat.slower)
-    }
-
-    /// The model that the runner `instance` serves first.
-    pub(super) fn home(&self, instance: &str) -> Option<&String> {
-        let seen = self.seen.get(instance)?;
-        seen.heartbeat.home.as_ref()
-    }
-
-    /// Whether the engine of `instance` has counted as slower for a while.
-    pub(super) fn is_steadily_slower(&self, instance: &str) -> bool {
-        let seen = self.seen.get(instance);
-        seen.is_some_and(|seen| seen.heartbeat.steady)
+    /// The last heartbeat of `instance`.
+    pub(super) fn of(&self, instance: &str) -> Option<&Heartbeat> {
+        self.seen.get(instance).map(|seen| &seen.heartbeat)
     }
 
     /// What the engines of `service` usually take for an event, in ms; 0 when
@@ -94,13 +83,7 @@
 
     /// The instances that work for `service`, in one order for all runners.
     pub(super) fn working(&self, service: &str, now: Millis) -> Vec<String> {
-        let works = |seen: &Seen| {
-            let alive = now.since(seen.at) < SILENCE_MOST;
-            alive
-                && seen.heartbeat.working
-                && !seen.heartbeat.leaving
-                && seen.heartbeat.service == service
-        };
+        let works = |seen: &Seen| seen.takes_work(now) && seen.heartbeat.service == service;
         let mut names: Vec<String> = self
             .seen
             .iter()
@@ -116,9 +99,8 @@
     pub(super) fn ready(&self, model: &str, version: u64, me: &str, now: Millis) -> usize {
         let is_ready = |(name, seen): &(&String, &Seen)| {
             let beat = &seen.heartbeat;
-            let alive = now.since(seen.at) < SILENCE_MOST && beat.working && !beat.leaving;
             let ours = beat.home.as_deref() == Some(model) && name.as_str() != me;
-            alive && ours && beat.held >= version
+            seen.takes_work(now) && ours && beat.held >= version
         };
         self.seen.iter().filter(is_ready).count()
     }
@@ -126,8 +108,7 @@
     /// Engines that change weights, beside that of `me`.
     pub(super) fn loading(&self, me: &str, now: Millis) -> usize {
         let loads = |(name, seen): &(&String, &Seen)| {
-            let alive = now.since(seen.at) < SILENCE_MOST;
-            alive && seen.heartbeat.loading && name.as_str() != me
+            seen.is_alive(now) && seen.heartbeat.loading && name.as_str() != me
         };
         self.seen.iter().filter(loads).count()
     }
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -109,7 +109,7 @@
     fn home_of(&self, name: &str) -> Option<&String> {
         match name == self.instance {
             true => self.home.as_ref(),
-            false => self.heartbeats.home(name),
+            false => self.heartbeats.of(name)?.home.as_ref(),
         }
     }
 
@@ -117,7 +117,7 @@
     fn is_slower(&self, name: &str) -> bool {
         match name == self.instance {
             true => self.kind.slower,
-            false => self.heartbeats.is_slower(name),
+            false => self.heartbeats.of(name).is_some_and(|beat| beat.slower),
         }
     }
 
@@ -125,7 +125,7 @@
     fn is_steadily_slower(&self, name: &str) -> bool {
         match name == self.instance {
             true => self.kind.steady,
-            false => self.heartbeats.is_steadily_slower(name),
+            false => self.heartbeats.of(name).is_some_and(|beat| beat.steady),
         }
     }
 
@@ -137,14 +137,9 @@
             .and_then(|config| config.service(&self.service));
         let models = service.map_or(&[][..], |service| &service.models);
         let asked = |model: &str| -> Vec<Asked> {
-            let heads = self.batches.values().map(|batch| &batch.head);
-            let same = heads.filter(|head| head.model == model);
-            same.map(|head| Asked {
-                items: head.items.len(),
-                step: head.step,
-                tokens: head.tokens(),
-            })
-            .collect()
+            let batches = self.batches.values();
+            let same = batches.filter(|batch| batch.head.model == model);
+            same.map(|batch| batch.asked).collect()
         };
         let models = models.iter().map(|model| &model.name);
         demands(models.map(|name| (name.clone(), asked(name))).collect())
@@ -219,7 +214,8 @@
         if claim.second.as_deref() == Some(&self.instance) {
             return None;
         }
-        let theirs = self.heartbeats.pace(&claim.holder);
+        let beat = self.heartbeats.of(&claim.holder);
+        let theirs = beat.map_or(0.0, |beat| beat.pace);
         let mine = self.pace;
         let pace = match mine > 0.0 && theirs > 0.0 {
             true => theirs / mine,
@@ -229,7 +225,7 @@
             joinable: claim.second.is_none(),
             pace,
             since: now.since(held.seen),
-            slower: self.heartbeats.is_slower(&claim.holder),
+            slower: beat.is_some_and(|beat| beat.slower),
         })
     }
 }
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     base::Millis,
-    batch::{Claim, Head, Item, Log, Partial, Sample}, //
+    batch::{Claim, Head, Item, Log, Partial, Sample},
+    policy::model_share::Asked, //
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -35,6 +36,8 @@
 pub(super) struct OpenBatch {
     /// Whether results are on their way to the store.
     pub(super) appending: bool,
+    /// What it asks for, as all runners weigh it.
+    pub(super) asked: Asked,
     pub(super) chunks: HashMap<u16, Arc<Vec<Item>>>,
     pub(super) claims: BTreeMap<u16, Held>,
     pub(super) fetching: Vec<u16>,
@@ -61,6 +64,11 @@
         }
         Self {
             appending: false,
+            asked: Asked {
+                items: head.items.len(),
+                step: head.step,
+                tokens: head.tokens(),
+            },
             chunks: HashMap::new(),
             claims: BTreeMap::new(),
             fetching: Vec::new(),
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -18,7 +18,6 @@
 /// An order that the engine has not been seen to carry out.
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
-    pub(super) model: String,
     /// No other order is given before.
     pub(super) until: Millis,
 }
@@ -48,6 +47,7 @@
         }
 
         let loading = self.heartbeats.loading(&self.instance, now);
+        let slot = may_begin(self.store.now(), standing.all);
         let mut due = None;
         for weights in &report.weights {
             let is_home = standing.home.as_ref() == Some(&weights.model);
@@ -68,7 +68,7 @@
                     .heartbeats
                     .ready(&weights.model, named, &self.instance, now),
                 runners: standing.runners,
-                slot: may_begin(self.store.now(), standing.all),
+                slot,
                 soon: self.is_step_near(&weights.model, named),
                 waiting: needs.waiting,
             };
@@ -103,7 +103,6 @@
         };
         let request = order_request(&order);
         self.order = Some(Pending {
-            model: model.clone(),
             until: now + WITHIN + SETTLE,
         });
         self.changed = Some(model.clone());
@@ -133,20 +132,20 @@
         tracing::info!(model, version, ?answer, "order answered");
         if answer.is_some() {
             let until = self.clock.now() + SETTLE;
-            let model = model.to_owned();
-            self.order = Some(Pending { model, until });
+            self.order = Some(Pending { until });
         }
     }
 
     /// Whether the engine takes new weights of `model`: it refuses what of the
     /// model has not begun until it has them.
     pub(super) fn is_changing(&self, model: &str) -> bool {
-        let ordered = self
-            .order
-            .as_ref()
-            .is_some_and(|order| order.model == model);
+        self.is_loading() && self.changed.as_deref() == Some(model)
+    }
+
+    /// Whether the engine takes new weights, or may.
+    pub(super) fn is_loading(&self) -> bool {
         let busy = self.report.as_ref().is_some_and(|(report, _)| report.busy);
-        ordered || (busy && self.changed.as_deref() == Some(model))
+        self.order.is_some() || busy
     }
 
     /// Whether a run of `model` here must not change its version midway.
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -27,7 +27,7 @@
         };
         batch.running.remove(&index);
         match end {
-            ItemEnd::Done { sample } => {
+            ItemEnd::Done(sample) => {
                 if !batch.is_over() && !batch.log.has(index) {
                     batch.results.push((index, sample));
                 }
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -26,9 +26,8 @@
 /// How an item's run ended.
 #[derive(Debug)]
 pub(super) enum ItemEnd {
-    Done {
-        sample: Sample,
-    },
+    /// The result.
+    Done(Sample),
     /// The engine takes nothing any more, or the item's time is over.
     Dropped,
 }
@@ -268,7 +267,7 @@
         if failures >= task.most_failures {
             tracing::warn!(item = task.item.id, failures, "item given up");
             let sample = terminated(&task.item.id);
-            return ItemEnd::Done { sample };
+            return ItemEnd::Done(sample);
         }
         if task.single_version && text.versions.len() > 1 {
             text = Text::default();
@@ -283,7 +282,7 @@
             Score::Given(score) => Some(score),
             Score::GivenUp => {
                 let sample = terminated(&task.item.id);
-                return ItemEnd::Done { sample };
+                return ItemEnd::Done(sample);
             }
             Score::TimedOut => return ItemEnd::Dropped,
         },
@@ -295,7 +294,7 @@
         text: text.events.join("\n"),
         versions: text.versions.into_iter().collect(),
     };
-    ItemEnd::Done { sample }
+    ItemEnd::Done(sample)
 }
 
 /// The result of an item that is given up.
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -225,12 +225,12 @@
             self.heartbeats.excuse(now);
         }
         self.look_at_engine(now);
-        self.look_at_pace(now);
+        let usual = self.look_at_pace(now);
         self.append_results();
         let standing = self.standing(now);
         self.settle_home(&standing, now);
         self.plan_versions(&standing, now);
-        self.plan_claims(&standing, now);
+        self.plan_claims(&standing, usual, now);
         self.plan_sweep(now);
         self.plan_heartbeat(now);
     }
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -15,7 +15,7 @@
     faults::{Outage, StoreFaults},
     plain::{Plain, PlainFault},
     rows::Rows,
-    scene::{Scene, Shape, put_config, server_entry},
+    scene::{Scene, Shape, announce_engine, put_config, server_entry},
     store::Store,
     trainer::{Batch, Reply, ScenePage}, //
 };
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -133,9 +133,7 @@
 
     /// Announces an engine.
     pub fn announce_engine(&self, engine: &Engine, state: &str) {
-        let mut entry = server_entry("engines", engine.address, state);
-        entry["born"] = engine.born().0.into();
-        self.store.put("servers", &engine.id, Some(&entry));
+        announce_engine(&self.store, engine, state);
     }
 
     /// Announces a server.
@@ -257,6 +255,13 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Writes an engine's announcement.
+pub fn announce_engine(store: &Store, engine: &Engine, state: &str) {
+    let mut entry = server_entry("engines", engine.address, state);
+    entry["born"] = engine.born().0.into();
+    store.put("servers", &engine.id, Some(&entry));
+}
+
 /// A server's announcement.
 pub fn server_entry(service: &str, address: SocketAddr, state: &str) -> serde_json::Value {
     serde_json::json!({
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -16,6 +16,7 @@
         PlainFault,
         Store,
         StoreFaults,
+        announce_engine,
         put_config,
         server_entry, //
     },
@@ -110,12 +111,6 @@
     ("stranger-state", "engines", "resting"),
 ];
 
-fn announce(store: &Store, engine: &Engine) {
-    let mut entry = server_entry("engines", engine.address, "ready");
-    entry["born"] = engine.born().0.into();
-    store.put("servers", &engine.id, Some(&entry));
-}
-
 impl Soak {
     async fn open(rng: ChaCha8Rng, folder: &Path) -> io::Result<Self> {
         let store = Store::open().await?;
@@ -137,7 +132,7 @@
             process.start()?;
         }
         for engine in &engines {
-            announce(&store, engine);
+            announce_engine(&store, engine, "ready");
         }
         for server in &plain {
             let entry = server_entry("plain", server.address, "ready");
@@ -176,7 +171,7 @@
             Fault::EngineAgain { engine } => {
                 let engine = &self.engines[engine];
                 engine.restart(&engine.id, "m0");
-                announce(&self.store, engine);
+                announce_engine(&self.store, engine, "ready");
             }
             Fault::Forget => self.store.forget_history(),
             Fault::Hangup { process } => self.processes[process].signal(Signal::HUP),
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -294,6 +294,12 @@
     assert_eq!(ids(&directory), ["a"]);
 }
 
+/// The id of the server that the tests' address means.
+fn meant(directory: &Directory) -> Option<&str> {
+    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
+    found.map(|server| server.life.id.as_str())
+}
+
 /// An address is given to another server while the entry of the one before is
 /// still there: the one that takes work is meant.
 #[test]
@@ -301,8 +307,7 @@
     let mut directory = Directory::default();
     directory.put(server("old", true));
     directory.put(server("new", false));
-    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
-    assert_eq!(found.map(|server| server.life.id.as_str()), Some("new"));
+    assert_eq!(meant(&directory), Some("new"));
 }
 
 /// A runner starts anew and lists the announcements in the order of their ids:
@@ -312,8 +317,7 @@
     let mut directory = Directory::default();
     directory.put(server("new", false));
     directory.put(server("old", true));
-    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
-    assert_eq!(found.map(|server| server.life.id.as_str()), Some("new"));
+    assert_eq!(meant(&directory), Some("new"));
 }
 
 /// An engine crashes and starts again, and its life before stays announced for
@@ -326,11 +330,7 @@
         let id = format!("life-{life}");
         directory.put(server(&id, false));
         directory.put(server("life-0", false));
-        let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
-        assert_eq!(
-            found.map(|server| server.life.id.as_str()),
-            Some(id.as_str())
-        );
+        assert_eq!(meant(&directory), Some(id.as_str()));
     }
 }
 
@@ -345,8 +345,7 @@
         service: "other".to_owned(),
         ..server("stranger", false)
     });
-    let found = directory.at("127.0.0.1:1".parse().unwrap(), "s");
-    assert_eq!(found.map(|server| server.life.id.as_str()), Some("engine"));
+    assert_eq!(meant(&directory), Some("engine"));
 }
 
 /// A server starts again under its id and announces itself anew: of two lives at
