Let a claim speak for its holder; order engines under the highest fencing number

Two findings, each traced and mended with a test that fails first.

Ruled out: lost claims (the log shows the takeover of a claim that stands). Now what the holder wrote last decides, claim or heartbeat; a second runner's join is no sign of life.

Once springs had been taken over at epoch 2, all orders for foam at epoch 1 were refused as stale. Ruled out: the lease and the swap's waves, which the log shows working. The agent now passes orders on under the highest number of all leases, and reads all of them when it starts.

--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -6,12 +6,12 @@
     work::Work, //
 };
 use crate::{
-    base::{Cause, Failure, WeightVersion},
+    base::{Cause, Failure, Fence, WeightVersion},
     policy::{
         fences::{Fences, Ruling},
-        lease::Lease, //
+        lease::{LEASES, Lease}, //
     },
-    table::Platform,
+    table::{Platform, Row, Tag},
     wire::{EngineState, FromAgent, Order, OrderKind, Slot}, //
 };
 use std::{
@@ -30,21 +30,22 @@
         let platform = self.platform.clone();
         let server = self.settings.common.instance.clone();
         tokio::task::spawn_local(async move {
+            let (model, kind, fence) = (order.model.clone(), order.kind.clone(), order.fence);
             let result: Result<EngineState, Failure> = async {
                 rule(&fences, &platform, &order).await?;
                 let Some(gate) = gate else {
                     let detail = "a plain service takes no orders";
                     return Err(Failure::not_run(Cause::BadRequest, detail));
                 };
-                run_order(&gate, &order).await
+                run_order(&gate, &fences, order).await
             }
             .await;
             tracing::info!(
                 target: "decision",
                 server,
-                model = order.model,
-                order = ?order.kind,
-                fence = order.fence,
+                model,
+                order = ?kind,
+                fence,
                 done = result.is_ok(),
                 why = result.as_ref().err().map(|failure| failure.cause.word()),
                 "order"
@@ -69,11 +70,15 @@
         Ruling::Ask => {
             // An agent that has just started knows no fencing number, and its
             // engine may not check any: an owner that was paused past its
-            // lease could have an old order passed. The lease's row tells the
-            // newest number; without it no order passes.
-            let epoch = epoch(platform, &order.lease).await?;
+            // lease could have an old order passed. The leases' rows tell the
+            // newest numbers, also the highest that the engine may have seen;
+            // without them no order passes.
+            let epochs = epochs(platform).await?;
             let mut fences = fences.borrow_mut();
-            fences.learn(&order.lease, epoch.max(1));
+            fences.learn(&order.lease, 1);
+            for (lease, epoch) in epochs {
+                fences.learn(&lease, epoch.max(1));
+            }
             fences.rule(&order.lease, order.fence, version)
         }
         Ruling::Pass | Ruling::Stale(_) => ruling,
@@ -87,15 +92,15 @@
     }
 }
 
-async fn epoch(platform: &Platform, lease: &str) -> Result<u64, Failure> {
-    let row = platform
-        .get(lease)
-        .await
-        .map_err(|error| Failure::not_run(Cause::StoreDown, error.to_string()))?;
-    let Some(row) = row else {
-        return Ok(0);
+/// The epoch of each trainer's lease, by the path of its row.
+async fn epochs(platform: &Platform) -> Result<Vec<(String, Fence)>, Failure> {
+    let listing = platform.list(LEASES, &mut Tag::default()).await;
+    let listing = listing.map_err(|error| Failure::not_run(Cause::StoreDown, error.to_string()))?;
+    let rows = listing.map(|listing| listing.rows).unwrap_or_default();
+    let epoch = |(path, row): (String, Row)| {
+        let lease: Lease = serde_json::from_str(&row.value)
+            .map_err(|error| Failure::not_run(Cause::StoreDown, error.to_string()))?;
+        Ok((path, lease.epoch))
     };
-    let lease: Lease = serde_json::from_str(&row.value)
-        .map_err(|error| Failure::not_run(Cause::StoreDown, error.to_string()))?;
-    Ok(lease.epoch)
+    rows.into_iter().map(epoch).collect()
 }
--- a/src/agent/run_order.rs
+++ b/src/agent/run_order.rs
@@ -3,8 +3,10 @@
 use super::gate::Gate;
 use crate::{
     base::{Cause, Failure, Millis},
+    policy::fences::Fences,
     wire::{EngineState, Order, OrderKind}, //
 };
+use std::cell::RefCell;
 
 /// How long after an order the engine is asked until its state is certain.
 const SETTLE: u32 = 40;
@@ -17,8 +19,14 @@
 ///
 /// The engine's answer to the order proves nothing: it can be lost, or tell
 /// of success before all of the weights are there. Only the state counts.
-pub(super) async fn run_order(gate: &Gate, order: &Order) -> Result<EngineState, Failure> {
+pub(super) async fn run_order(
+    gate: &Gate,
+    fences: &RefCell<Fences>,
+    order: Order,
+) -> Result<EngineState, Failure> {
     let _one = gate.orders.lock().await;
+    let fence = fences.borrow().highest().max(order.fence);
+    let order = &Order { fence, ..order };
     gate.pausing.send_replace(Some(order.model.clone()));
     let lock = gate.lock(&order.model);
     let guard = lock.write().await;
--- a/src/entry/ownership.rs
+++ b/src/entry/ownership.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::{Cause, Failure, Millis, stable_hash},
-    policy::lease::{Claimant, Lease, Step, Watch}, //
+    policy::lease::{Claimant, LEASES, Lease, Step, Watch}, //
     table::{Platform, StoreError, Transaction, Write, Written},
 };
 
@@ -150,7 +150,7 @@
 
 /// The row of a trainer's lease.
 pub(super) fn path((team, trainer): &TrainerKey) -> String {
-    format!("leases/{team}/{trainer}")
+    format!("{LEASES}{team}/{trainer}")
 }
 
 /// One look at a row, apart from the duty's loop.
--- a/src/policy/fences.rs
+++ b/src/policy/fences.rs
@@ -36,6 +36,17 @@
         }
     }
 
+    /// The number under which orders go to the engine: the highest of all leases.
+    ///
+    /// Each trainer's lease counts its own epochs, but an engine keeps one highest
+    /// number for all of them. Under its own lease's number an order of a trainer
+    /// that was never taken over was refused for good once another trainer had been:
+    /// the step stood still, while the lease's own number is checked here anyway.
+    pub fn highest(&self) -> Fence {
+        let all = self.highest.values().map(|(fence, _)| *fence);
+        all.max().unwrap_or_default()
+    }
+
     /// Rules on an order for `version` under `fence`, and notes it if it passes.
     pub fn rule(&mut self, lease: &str, fence: Fence, version: WeightVersion) -> Ruling {
         let Some(highest) = self.highest.get_mut(lease) else {
@@ -67,4 +78,28 @@
         assert_eq!(rule(4, 1), Ruling::Pass);
         assert_eq!(rule(3, 9), Ruling::Stale(4));
     }
+
+    /// An engine knows one number for all leases. Orders for a lease at epoch 1
+    /// follow those for a lease at epoch 4, and must not go to it under a lower one.
+    #[test]
+    fn the_engines_number_never_falls() {
+        let mut fences = Fences::default();
+        assert_eq!(fences.highest(), 0);
+        fences.learn("taken-over", 4);
+        fences.learn("calm", 1);
+        let mut highest = 0;
+        for (lease, fence, version) in [
+            ("calm", 1, 1),
+            ("taken-over", 4, 1),
+            ("calm", 1, 2),
+            ("taken-over", 5, 1),
+            ("calm", 1, 3),
+        ] {
+            let ruling = fences.rule(lease, fence, WeightVersion(version));
+            assert_eq!(ruling, Ruling::Pass, "{lease} {version}");
+            assert!(fences.highest() >= highest);
+            highest = fences.highest();
+        }
+        assert_eq!(highest, 5);
+    }
 }
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -25,6 +25,9 @@
     pub renewals: u64,
 }
 
+/// The prefix of the rows that hold trainers' leases.
+pub const LEASES: &str = "leases/";
+
 /// A lease that was not renewed for this long, by the watcher's own clock,
 /// may be taken over.
 pub const LEASE: Millis = Millis(4_000);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod latency;
 pub mod lease;
 pub mod ledger;
+pub mod liveness;
 pub mod model_share;
 pub mod pace;
 pub mod patience;
--- a/src/runner/changes.rs
+++ b/src/runner/changes.rs
@@ -44,7 +44,7 @@
     pub(super) fn put(&mut self, part: &str, key: &str, value: &[u8], revision: u64, now: Millis) {
         if part == HEARTBEATS {
             if let Some(heartbeat) = decode::<Heartbeat>("heartbeat", value) {
-                self.heartbeats.take(key, heartbeat, now);
+                self.heartbeats.take(key, heartbeat, revision, now);
             }
             return;
         }
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -60,7 +60,7 @@
         self.heartbeat.last = next.clone();
         self.heartbeat.sending = true;
         self.heartbeat.sent = now;
-        self.heartbeats.take(&self.instance, next.clone(), now);
+        self.heartbeats.take(&self.instance, next.clone(), 0, now);
         let (store, events) = (self.store.clone(), self.events.clone());
         let transaction = heartbeat_write(&self.instance, &next);
         tokio::spawn(async move {
--- a/src/runner/heartbeats.rs
+++ b/src/runner/heartbeats.rs
@@ -3,7 +3,10 @@
 use crate::{
     base::Millis,
     batch::Heartbeat,
-    policy::pace::usual, //
+    policy::{
+        liveness::{self, Beat, Sign, is_alive},
+        pace::usual, //
+    },
 };
 use std::collections::BTreeMap;
 
@@ -12,6 +15,8 @@
 struct Seen {
     at: Millis,
     heartbeat: Heartbeat,
+    /// When the store took it; 0 for this runner's own.
+    revision: u64,
 }
 
 /// All runners by instance, this one included.
@@ -20,24 +25,33 @@
     seen: BTreeMap<String, Seen>,
 }
 
-/// A runner whose heartbeat has not changed for so long is taken for gone. Heartbeats
-/// come every second; one may be lost or late.
-const SILENCE_MOST: Millis = Millis(2_300);
-
 impl Seen {
-    fn is_alive(&self, now: Millis) -> bool {
-        now.since(self.at) < SILENCE_MOST
+    /// What it tells of the runner's life.
+    fn beat(&self) -> Beat {
+        Beat {
+            at: self.at,
+            revision: self.revision,
+            token: self.heartbeat.token,
+            works: self.heartbeat.working || self.heartbeat.leaving,
+        }
     }
 
     /// Whether the runner lives and takes new bundles.
     fn takes_work(&self, now: Millis) -> bool {
-        self.is_alive(now) && self.heartbeat.working && !self.heartbeat.leaving
+        is_alive(self.at, now) && self.heartbeat.working && !self.heartbeat.leaving
     }
 }
 
 impl Heartbeats {
-    /// Takes a heartbeat of `instance`; an older one than known changes nothing.
-    pub(super) fn take(&mut self, instance: &str, heartbeat: Heartbeat, now: Millis) {
+    /// Takes a heartbeat of `instance` that the store took at `revision`; an older
+    /// one than known changes nothing.
+    pub(super) fn take(
+        &mut self,
+        instance: &str,
+        heartbeat: Heartbeat,
+        revision: u64,
+        now: Millis,
+    ) {
         let order = |heartbeat: &Heartbeat| (heartbeat.token, heartbeat.sequence);
         let known = self.seen.get(instance);
         if known.is_some_and(|known| order(&known.heartbeat) >= order(&heartbeat)) {
@@ -51,8 +65,12 @@
                 "runner seen"
             );
         }
-        self.seen
-            .insert(instance.to_owned(), Seen { at: now, heartbeat });
+        let seen = Seen {
+            at: now,
+            heartbeat,
+            revision,
+        };
+        self.seen.insert(instance.to_owned(), seen);
     }
 
     /// The store was away: no heartbeat could arrive, so none is late.
@@ -60,12 +78,10 @@
         self.seen.values_mut().for_each(|seen| seen.at = now);
     }
 
-    /// Whether the runner `instance`, in its life `token`, still works.
-    pub(super) fn works(&self, instance: &str, token: u64, now: Millis) -> bool {
-        self.seen.get(instance).is_some_and(|seen| {
-            let beat = &seen.heartbeat;
-            seen.is_alive(now) && beat.token == token && (beat.working || beat.leaving)
-        })
+    /// Whether the runner `instance`, which wrote `sign`, still works.
+    pub(super) fn works(&self, instance: &str, sign: Sign, now: Millis) -> bool {
+        let beat = self.seen.get(instance).map(Seen::beat);
+        liveness::works(sign, beat, now)
     }
 
     /// The last heartbeat of `instance`.
@@ -108,7 +124,7 @@
     /// Engines that change weights, beside that of `me`.
     pub(super) fn loading(&self, me: &str, now: Millis) -> usize {
         let loads = |(name, seen): &(&String, &Seen)| {
-            seen.is_alive(now) && seen.heartbeat.loading && name.as_str() != me
+            is_alive(seen.at, now) && seen.heartbeat.loading && name.as_str() != me
         };
         self.seen.iter().filter(loads).count()
     }
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -208,7 +208,7 @@
         if claim.holder == self.instance {
             return Some(Holder::Nobody);
         }
-        if self.away_since.is_none() && !self.heartbeats.works(&claim.holder, claim.token, now) {
+        if self.away_since.is_none() && !self.heartbeats.works(&claim.holder, held.sign, now) {
             return Some(Holder::Nobody);
         }
         if claim.second.as_deref() == Some(&self.instance) {
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -3,7 +3,7 @@
 use crate::{
     base::Millis,
     batch::{Claim, Head, Item, Log, Partial, Sample},
-    policy::model_share::Asked, //
+    policy::{liveness::Sign, model_share::Asked}, //
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -18,6 +18,8 @@
     pub(super) revision: u64,
     /// When this runner saw it.
     pub(super) seen: Millis,
+    /// When its holder wrote it.
+    pub(super) sign: Sign,
 }
 
 /// A bundle that this runner has taken.
@@ -174,6 +176,7 @@
             .is_none_or(|held| held.revision < revision);
         if newer {
             let held = Held {
+                sign: self.sign_of(bundle, &claim, revision, now),
                 claim,
                 revision,
                 seen: now,
@@ -182,6 +185,27 @@
         }
     }
 
+    /// When the holder of `claim` wrote it. A second runner that joins writes the row
+    /// as well, which is no sign of life of its holder.
+    fn sign_of(&self, bundle: u16, claim: &Claim, revision: u64, now: Millis) -> Sign {
+        let token = claim.token;
+        if claim.second.is_none() {
+            return Sign {
+                at: now,
+                revision,
+                token,
+            };
+        }
+        let before = self.claims.get(&bundle);
+        let same = |held: &&Held| (&held.claim.holder, held.claim.token) == (&claim.holder, token);
+        let unknown = Sign {
+            at: now,
+            revision: 0,
+            token,
+        };
+        before.filter(same).map_or(unknown, |held| held.sign)
+    }
+
     /// Whether the runner `instance`, in its life `token`, is known to hold `bundle`.
     pub(super) fn is_claimed_by(&self, bundle: u16, instance: &str, token: u64) -> bool {
         let held = self.claims.get(&bundle);
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -125,6 +125,14 @@
         self.inner.tell();
     }
 
+    /// Writes a row of a part as another runner or gateway does.
+    pub fn put_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        let value = BASE64_STANDARD.encode(value);
+        let _ = lock(&self.inner.rows).transact(&[], vec![(name, Some(value))]);
+        self.inner.tell();
+    }
+
     /// The rows of a part, in all tables.
     pub fn rows_of(&self, part: &str) -> usize {
         lock(&self.inner.rows).count(part)
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -13,7 +13,10 @@
     Shape,
     StoreFaults, //
 };
-use redwingpond::base::Millis;
+use redwingpond::{
+    base::Millis,
+    batch::{self, Claim, Heartbeat, WorkKey}, //
+};
 use std::{
     collections::BTreeSet,
     time::Duration, //
@@ -226,6 +229,43 @@
     assert_eq!(runs.filter(|run| run.item == failing).count(), 3);
 }
 
+/// A runner starts and claims a bundle before its first heartbeat that says that it
+/// works has arrived. The others know its claim and the heartbeat of its start, and
+/// leave the bundle to it until it is silent for too long: they took such bundles
+/// over at once, and an item that fails at each run ran at three runners in turn.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_counts_before_its_holders_heartbeat() {
+    let shape = Shape {
+        engines: 1,
+        ..Shape::default()
+    };
+    let scene = Scene::open(shape).await.unwrap();
+    let batch = Batch::new("claimed", 1, 2, 2);
+    let token = u64::from(u32::MAX);
+    let start = Heartbeat {
+        service: "engines".to_owned(),
+        token,
+        ..Heartbeat::default()
+    };
+    let claim = Claim {
+        holder: "runner-x".to_owned(),
+        second: None,
+        token,
+    };
+    let (work, part) = (batch::WORK, batch::part_of(&batch.id));
+    let beats = batch::HEARTBEATS;
+    let key = WorkKey::Claim(0).to_string();
+    let store = &scene.store;
+    store.put_row(work, beats, "runner-x", &batch::encode(&start));
+    store.put_row(work, &part, &key, &batch::encode(&claim));
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+
+    sleep(1_200).await;
+    let runs = scene.engines[0].runs();
+    assert!(runs.is_empty(), "taken over from a holder that works");
+    check_whole(&batch, &scene.read(&batch, 2, SOON).await);
+}
+
 /// The store goes away in each of its ways while a batch runs. Its results wait
 /// and are listed once it is back; nothing is listed twice; a submission in
 /// the outage is never accepted, and a refusal of one is true.
--- a/standins/tests/integration/stage.rs
+++ b/standins/tests/integration/stage.rs
@@ -3,6 +3,7 @@
 use datadriven::TestCase;
 use hyper::Method;
 use redwing_standins::{
+    balancer::Balancer,
     client::{Answered, Client},
     engine,
     fleet::{Backend, Fleet, Options, Plan},
@@ -78,12 +79,13 @@
         let engines = number(case, "engines", 0);
         let capacity = number(case, "capacity", 8);
         let time = number(case, "service-ms", 0);
+        let fenced = case.args.contains_key("checks-fence");
         let mut pools = format!(
             "  ledger: {{kind: service, servers: {services}, capacity: {capacity}, service_ms: {time}, queue: 32}}\n"
         );
         if engines > 0 {
             let models = format!(
-                "  judge: {{kind: scorer, servers: 1, capacity: 64}}\n  models: {{kind: engine, servers: {engines}, capacity: 8}}\n"
+                "  judge: {{kind: scorer, servers: 1, capacity: 64}}\n  models: {{kind: engine, servers: {engines}, capacity: 8, checks_fence: {fenced}}}\n"
             );
             pools.push_str(&models);
         }
@@ -349,11 +351,17 @@
     /// `steps steps=N groups=N samples=N staleness=N`: a trainer's whole run.
     fn steps(&mut self, case: &TestCase) -> String {
         let fleet = self.fleet.as_ref().unwrap();
+        let balancer = match case.args.contains_key("entry") {
+            true => Arc::new(Balancer::new(vec![
+                self.entries[number(case, "entry", 0) as usize],
+            ])),
+            false => fleet.balancer.clone(),
+        };
         let config = trainer::Config {
-            balancer: fleet.balancer.clone(),
+            balancer,
             groups: number(case, "groups", 4) as u32,
             max_tokens: 60,
-            model: "m".into(),
+            model: text(case, "model", "m"),
             name: text(case, "trainer", "t"),
             platform: fleet.platform.address,
             prompts: vec!["Judge.".into()],
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -8,6 +8,7 @@
         batch_age::{Age, Verdict, judge},
         claim_choice::{Holder, Offer, Place, Taker, capacity, choose, is_mine_by_rule},
         engine_life::{Met, is_settled, present},
+        liveness::{Beat, Sign, works},
         model_share::{Asked, Demand, Member, demands, homes},
         pace::{Pace, is_slow, is_slower, usual},
         patience::Patience,
@@ -1261,3 +1262,102 @@
     assert!(given_up <= 2, "{given_up} of 20 slow answers given up");
     assert!(patience.wait(now + Millis(20_000)) <= Millis(300));
 }
+
+/// A claim, its holder's last heartbeat, and whether the holder still works.
+struct Holding {
+    name: &'static str,
+    beat: Option<Beat>,
+    now: u64,
+    works: bool,
+}
+
+/// A claim is there, seen at 1,000 ms at revision 50, by life 20 of its holder. Whether
+/// others take its bundle over is decided by what the holder wrote last.
+#[test]
+fn a_claims_holder_is_known_to_work() {
+    let sign = Sign {
+        at: Millis(1_000),
+        revision: 50,
+        token: 20,
+    };
+    let beat = |at: u64, revision: u64, token: u64, works: bool| {
+        Some(Beat {
+            at: Millis(at),
+            revision,
+            token,
+            works,
+        })
+    };
+    let cases = [
+        Holding {
+            name: "no heartbeat yet",
+            beat: None,
+            now: 1_100,
+            works: true,
+        },
+        Holding {
+            name: "no heartbeat for long",
+            beat: None,
+            now: 3_300,
+            works: false,
+        },
+        Holding {
+            name: "the heartbeat of its start",
+            beat: beat(900, 20, 20, false),
+            now: 1_100,
+            works: true,
+        },
+        Holding {
+            name: "the heartbeat of its start, and silence since",
+            beat: beat(900, 20, 20, false),
+            now: 3_300,
+            works: false,
+        },
+        Holding {
+            name: "its engine has failed since",
+            beat: beat(1_050, 51, 20, false),
+            now: 1_100,
+            works: false,
+        },
+        Holding {
+            name: "heartbeats go on",
+            beat: beat(9_000, 90, 20, true),
+            now: 9_500,
+            works: true,
+        },
+        Holding {
+            name: "heartbeats have ended",
+            beat: beat(9_000, 90, 20, true),
+            now: 11_400,
+            works: false,
+        },
+        Holding {
+            name: "its next life",
+            beat: beat(1_050, 51, 51, true),
+            now: 1_100,
+            works: false,
+        },
+        Holding {
+            name: "a late claim of the life before",
+            beat: beat(900, 40, 40, true),
+            now: 1_100,
+            works: false,
+        },
+        Holding {
+            name: "the heartbeat of the life before",
+            beat: beat(900, 15, 10, true),
+            now: 1_100,
+            works: true,
+        },
+        Holding {
+            name: "an outage has hidden all heartbeats",
+            beat: beat(8_000, 20, 20, false),
+            now: 8_100,
+            works: true,
+        },
+    ];
+    for case in cases {
+        let found = works(sign, case.beat, Millis(case.now));
+        assert_eq!(found, case.works, "{}", case.name);
+    }
+}
