Run what trainers wait for first, and late steps group by group

Cause: with work beyond the engines, each trainer's two steps under way share them, runners begin with the longest texts of all groups, and all groups of a step end together, late. Ruled out: second runs (no joins, 58 of 3,754 runs twice), loads (96 orders).

Change, pure in policy/step_order.rs and claim_line.rs: what a trainer waits for (groupTarget) goes before its other groups once work is scarce; a step that can't be whole in time is worked off group by group; what is late makes way.

--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -25,6 +25,8 @@
 /// batch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Bundle {
+    /// The group's place in the submission.
+    pub group: u16,
     pub items: Vec<u16>,
 }
 
@@ -38,6 +40,8 @@
     pub items: Vec<ItemRef>,
     pub least_version: u64,
     pub model: String,
+    /// The groups that its trainer waits for; 0 for all.
+    pub needed: u16,
     pub path: String,
     pub step: u64,
 }
@@ -76,6 +80,7 @@
             items,
             least_version: submission.least_version,
             model: submission.model.clone(),
+            needed: submission.needed,
             path: submission.path.clone(),
             step: submission.step,
         };
@@ -96,6 +101,13 @@
         order
     }
 
+    /// Whether more groups than its trainer waits for stand before that of `bundle`.
+    /// The trainer takes any groups, but those that were left over from an earlier
+    /// step come first and are waited for.
+    pub fn is_beyond(&self, bundle: &Bundle) -> bool {
+        self.needed > 0 && bundle.group >= self.needed
+    }
+
     /// The output tokens that its trainer expects; 0 when it gave no estimates.
     pub fn tokens(&self) -> u64 {
         let expected = self.items.iter().map(|item| u64::from(item.expected));
@@ -117,13 +129,17 @@
 /// The groups in the order of their first items, dealt into bundles of equal
 /// size.
 fn bundles_of(items: &[Item]) -> Vec<Bundle> {
-    let groups = groups_of(items).into_iter();
-    let bundles = groups.flat_map(|group| {
+    let groups = groups_of(items).into_iter().enumerate();
+    let bundles = groups.flat_map(|(number, group)| {
         let count = group.len().div_ceil(BUNDLE_MOST).max(1);
         let size = group.len().div_ceil(count).max(1);
-        group.chunks(size).map(<[u16]>::to_vec).collect::<Vec<_>>()
+        let bundle = |items: &[u16]| Bundle {
+            group: number as u16,
+            items: items.to_vec(),
+        };
+        group.chunks(size).map(bundle).collect::<Vec<_>>()
     });
-    bundles.map(|items| Bundle { items }).collect()
+    bundles.collect()
 }
 
 fn groups_of(items: &[Item]) -> Vec<Vec<u16>> {
--- a/src/batch/item.rs
+++ b/src/batch/item.rs
@@ -38,6 +38,8 @@
     /// The oldest weight version that may generate its tokens.
     pub least_version: u64,
     pub model: String,
+    /// The groups that its trainer waits for; 0 for all.
+    pub needed: u16,
     /// The path it was submitted under.
     pub path: String,
     pub step: u64,
--- a/src/platform/batch_calls.rs
+++ b/src/platform/batch_calls.rs
@@ -45,6 +45,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireBatch {
+    #[serde(default)]
+    group_target: u64,
     items: Vec<WireItem>,
     #[serde(default)]
     min_version: u64,
@@ -110,6 +112,7 @@
         items,
         least_version: wire.min_version,
         model: wire.model,
+        needed: u16::try_from(wire.group_target).unwrap_or(0),
         path: path.to_owned(),
         step: wire.step,
     })
--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -4,9 +4,9 @@
 //! the slowest; every runner sees it within a few tens of ms and takes bundles
 //! as its engine has room. Engines crash, slow down or fall silent in between.
 
-use super::pace::{
-    SLOW_FROM,
-    is_slow, //
+use super::{
+    pace::{SLOW_FROM, is_slow},
+    step_order::Turn, //
 };
 use crate::base::Millis;
 
@@ -17,7 +17,9 @@
     pub age: Millis,
     /// The batch, by the runner's own numbering.
     pub batch: usize,
-    /// When its batch's results are due, by the runner's clock.
+    /// Whether its trainer waits for other groups first.
+    pub beyond: bool,
+    /// When its batch's results are due.
     pub due: Millis,
     pub bundle: u16,
     /// Whether this runner is known to hold its claim.
@@ -27,10 +29,17 @@
     pub home: bool,
     /// Items that are not listed yet.
     pub left: u32,
+    /// Its place among the bundles of its model that wait, group by group; of use
+    /// only when its step is worked off so.
+    pub line: usize,
     /// Whether the engine's weights are new enough for it.
     pub loaded: bool,
     /// Its place in the order in which the batch's bundles should begin.
     pub order: u16,
+    /// How its step's bundles begin.
+    pub turn: Turn,
+    /// The expected tokens of what is left of it.
+    pub work: u64,
 }
 
 /// Who runs a bundle already.
@@ -73,7 +82,12 @@
     /// Whether the bundle at `order` falls to this runner by the common rule:
     /// each has one runner, worked out alike by all.
     pub fn has(self, order: u16) -> bool {
-        usize::from(order) % self.count.max(1) == self.rank
+        self.has_line(usize::from(order))
+    }
+
+    /// The same by a place in a line of bundles.
+    fn has_line(self, line: usize) -> bool {
+        line % self.count.max(1) == self.rank
     }
 }
 
@@ -129,22 +143,34 @@
 pub fn choose(offers: &[Offer], taker: Taker) -> Option<&Offer> {
     let fits = |offer: &&Offer| offer.loaded && taker.room > 0 && class(offer, taker).is_some();
     offers.iter().filter(fits).min_by_key(|offer| {
-        let order = match taker.yields {
-            true => u16::MAX - offer.order,
-            false => offer.order,
-        };
-        // Runners that see a new batch at the same moment begin with different
-        // bundles: without it all would claim the first one, and all but one
-        // would lose a round trip to the store each time.
         (
             class(offer, taker),
+            offer.beyond,
+            offer.turn == Turn::Late,
             offer.due,
-            !taker.place.has(offer.order),
-            order,
+            within_step(offer, taker),
         )
     })
 }
 
+/// The order of a step's offers to a runner.
+///
+/// Runners that see a new batch, or a free place, at the same moment begin with
+/// different bundles: without it all would claim the first one, and all but one
+/// would lose a round trip to the store each time.
+fn within_step(offer: &Offer, taker: Taker) -> (usize, bool, usize) {
+    let place = taker.place;
+    let order = match (offer.turn, taker.yields) {
+        (Turn::ByGroup | Turn::Late, _) => {
+            let round = offer.line / place.count.max(1);
+            return (round, !place.has_line(offer.line), offer.line);
+        }
+        (Turn::Whole, true) => u16::MAX - offer.order,
+        (Turn::Whole, false) => offer.order,
+    };
+    (0, !place.has(offer.order), usize::from(order))
+}
+
 /// The order of kinds of offers; `None` for one that is not worth taking.
 fn class(offer: &Offer, taker: Taker) -> Option<u8> {
     match offer.holder {
--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -54,6 +54,8 @@
         if now < self.claims_from {
             return;
         }
+        let places = place.count as u32 * self.slots;
+        self.line_up(&ids, &mut offers, places);
         let mut taker = Taker {
             place: standing.share,
             room,
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -9,6 +9,7 @@
 mod heartbeat;
 mod heartbeats;
 mod items;
+mod line;
 mod offers;
 mod open_batch;
 mod orders;
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -8,7 +8,8 @@
     base::Millis,
     policy::{
         claim_choice::{Holder, Offer, Place},
-        model_share::{Asked, Demand, Member, demands, homes}, //
+        model_share::{Asked, Demand, Member, demands, homes},
+        step_order::Turn, //
     },
     routing::Route, //
 };
@@ -175,7 +176,8 @@
             let loaded = loaded.is_some_and(|held| held >= batch.head.least_version);
             let loaded = loaded && !self.is_changing(&batch.head.model);
             for bundle in 0..batch.head.bundles.len() as u16 {
-                let left = batch.left(bundle).len() as u32;
+                let items = batch.left(bundle);
+                let left = items.len() as u32;
                 if left == 0 || batch.mine.contains_key(&bundle) {
                     continue;
                 }
@@ -185,14 +187,20 @@
                 offers.push(Offer {
                     age: now.since(batch.seen),
                     batch: number,
-                    due: batch.seen + route.results_due,
+                    beyond: batch
+                        .head
+                        .is_beyond(&batch.head.bundles[usize::from(bundle)]),
+                    due: batch.head.accepted + route.results_due,
                     bundle,
                     claimed: batch.is_claimed_by(bundle, &self.instance, self.token),
                     order: batch.order_of(bundle),
                     holder,
                     home: home == Some(batch.head.model.as_str()),
                     left,
+                    line: 0,
                     loaded,
+                    turn: Turn::Whole,
+                    work: batch.work(&items),
                 });
             }
         }
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -3,7 +3,7 @@
 use crate::{
     base::Millis,
     batch::{Claim, Head, Item, Log, Partial, Sample},
-    policy::{liveness::Sign, model_share::Asked}, //
+    policy::{liveness::Sign, model_share::Asked, step_order::Turn}, //
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -55,6 +55,8 @@
     pub(super) results: Vec<(u16, Sample)>,
     pub(super) running: HashMap<u16, AbortHandle>,
     pub(super) seen: Millis,
+    /// How its waiting bundles begin, as this runner last worked it out.
+    pub(super) turn: Turn,
 }
 
 impl OpenBatch {
@@ -83,6 +85,7 @@
             results: Vec::new(),
             running: HashMap::new(),
             seen: now,
+            turn: Turn::Whole,
         }
     }
 
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -9,7 +9,7 @@
     batch::{Item, PARTIALS, Partial, Sample, State, encode, part_of, partial_key},
     net::{CallError, Opened, Peer},
     platform::{EngineRequest, EventReader, Store, instance_of, not_executed, version_of_head},
-    policy::{engine_life::Met, pace::Pace},
+    policy::{engine_life::Met, pace::Pace, step_order::Rate},
     routing::Life,
     store::{Key, Transaction}, //
 };
@@ -41,6 +41,8 @@
     /// What all runs tell of its pace.
     pub(super) pace: Arc<Mutex<Pace>>,
     pub(super) peer: Peer,
+    /// What its places take for an expected token.
+    pub(super) rate: Arc<Mutex<Rate>>,
     /// The engine's present life while it takes work.
     pub(super) server: watch::Receiver<Option<Life>>,
     pub(super) scorers: Arc<Scorers>,
@@ -53,6 +55,11 @@
         self.pace.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What its places take for an expected token; held only for a moment.
+    pub(super) fn rate(&self) -> MutexGuard<'_, Rate> {
+        self.rate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until the engine has another life than `life`. A connection to an
     /// engine that lost power hangs: its runs began again only 2.5 s later, when
     /// their streams had paused too long.
@@ -237,6 +244,10 @@
                 let (item, events, server) = (&task.item.id, text.events.len(), &server.id);
                 let taken = engine.clock.now().since(now).0;
                 let waited = text.first.map_or(taken, |first| first.since(now).0);
+                if begun == 0 {
+                    let run = (taken - waited) as f64;
+                    engine.rate().note(task.item.expected, run);
+                }
                 tracing::info!(
                     item,
                     server,
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -56,6 +56,7 @@
                 met: watch::Sender::new(None),
                 pace: Arc::default(),
                 peer: Peer::open(settings.engine, clock),
+                rate: Arc::default(),
                 scorers: Arc::new(scorers),
                 server: life,
                 store: store.clone(),
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -5,6 +5,7 @@
     mod duties;
     mod kept_rows;
     mod messages;
+    mod overload;
     mod platform_wire;
     mod settings_faults;
     mod step_times;
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -13,6 +13,7 @@
         pace::{Pace, is_slow, is_slower, usual},
         patience::Patience,
         server_choice::{self, Candidate, hedge_after},
+        step_order::{Rate, Step as OpenStep, Supply, Turn, is_ample, turns},
         version_plan::{Situation, Step, may_begin, step}, //
     },
 };
@@ -23,14 +24,18 @@
     Offer {
         age: Millis(0),
         batch: 0,
+        beyond: false,
         due: Millis(7_500),
         bundle,
         claimed: false,
         holder: Holder::Nobody,
         home: true,
         left: 4,
+        line: usize::from(bundle),
         loaded: true,
         order: bundle,
+        turn: Turn::Whole,
+        work: 0,
     }
 }
 
@@ -1361,3 +1366,164 @@
         assert_eq!(found, case.works, "{}", case.name);
     }
 }
+
+/// Steps of one model, and the turn of each.
+struct Order {
+    name: &'static str,
+    /// When each step is due and its waiting work, in s of one place.
+    steps: Vec<(u64, u64)>,
+    places: u32,
+    turns: Vec<Turn>,
+}
+
+/// It is second 10, and a place takes 1 ms for a token. A step that can be whole in
+/// time begins with its longest texts; one that can't is worked off by groups; what
+/// is late makes way.
+#[test]
+fn a_steps_order_follows_what_can_be_in_time() {
+    use Turn::{ByGroup, Late, Whole};
+    for test in [
+        Order {
+            name: "enough engines",
+            steps: vec![(17, 150)],
+            places: 90,
+            turns: vec![Whole],
+        },
+        Order {
+            name: "a third of them is left",
+            steps: vec![(17, 190)],
+            places: 30,
+            turns: vec![ByGroup],
+        },
+        Order {
+            name: "the step before takes its time first",
+            steps: vec![(14, 60), (17, 130)],
+            places: 30,
+            turns: vec![Whole, ByGroup],
+        },
+        Order {
+            name: "a late step waits for the others",
+            steps: vec![(10, 90), (17, 120)],
+            places: 30,
+            turns: vec![Late, Whole],
+        },
+    ] {
+        let steps: Vec<OpenStep> = test
+            .steps
+            .iter()
+            .map(|(due, work)| OpenStep {
+                beyond: 0,
+                due: Millis(due * 1_000),
+                needed: work * 1_000,
+            })
+            .collect();
+        let supply = Supply {
+            places: test.places,
+            token: 1.0,
+        };
+        let found = turns(&steps, supply, Millis(10_000));
+        assert_eq!(found, test.turns, "{}", test.name);
+        let unknown = Supply {
+            token: 0.0,
+            ..supply
+        };
+        assert!(!turns(&steps, unknown, Millis(10_000)).contains(&ByGroup));
+    }
+}
+
+/// Two runners free a place each while a step is worked off by groups. They take the
+/// next bundles in line, each its own; what its trainer waits for goes before the
+/// groups beyond, and late steps before those but after all else.
+#[test]
+fn a_late_steps_groups_are_taken_one_after_another() {
+    let by_group = |line: u16| Offer {
+        turn: Turn::ByGroup,
+        // The longest texts stand at the end of the line.
+        order: 100 - line,
+        line: usize::from(line),
+        ..offer(line)
+    };
+    let late = Offer {
+        due: Millis(3_000),
+        turn: Turn::Late,
+        line: 4,
+        ..offer(4)
+    };
+    let beyond = Offer {
+        beyond: true,
+        due: Millis(3_000),
+        ..offer(5)
+    };
+    let offers = [
+        beyond,
+        late,
+        by_group(3),
+        by_group(2),
+        by_group(1),
+        by_group(0),
+    ];
+    let taken = |offers: &[Offer], rank: usize| {
+        let place = Place { count: 2, rank };
+        choose(offers, usual_taker(place, 1)).map(|offer| offer.bundle)
+    };
+    assert_eq!(taken(&offers, 0), Some(0));
+    assert_eq!(taken(&offers, 1), Some(1));
+    assert_eq!(taken(&offers[..2], 0), Some(4));
+    assert_eq!(taken(&offers[..1], 0), Some(5));
+}
+
+/// What a place takes for an expected token, by runs whose estimates are off by half.
+#[test]
+fn a_places_rate_is_learned_from_its_runs() {
+    let mut rate = Rate::default();
+    assert!(rate.token() <= 0.0, "unknown at first");
+    for run in 0..200 {
+        let expected = if run % 2 == 0 { 300 } else { 900 };
+        rate.note(expected, 480.0);
+    }
+    assert!((0.75..0.85).contains(&rate.token()), "{}", rate.token());
+    let mut unestimated = Rate::default();
+    unestimated.note(0, 700.0);
+    assert!((699.0..701.0).contains(&unestimated.token()));
+}
+
+/// The groups beyond what trainers wait for go with the others while there is room for
+/// all, and last once there is not.
+#[test]
+fn groups_beyond_go_last_when_work_is_scarce_of_engines() {
+    struct Test {
+        beyond: u64,
+        places: u32,
+        ample: bool,
+    }
+
+    for test in [
+        Test {
+            beyond: 10,
+            places: 80,
+            ample: true,
+        },
+        Test {
+            beyond: 200,
+            places: 80,
+            ample: false,
+        },
+        Test {
+            beyond: 10,
+            places: 30,
+            ample: false,
+        },
+    ] {
+        let step = OpenStep {
+            beyond: test.beyond * 1_000,
+            due: Millis(7_500),
+            needed: 150_000,
+        };
+        let supply = Supply {
+            places: test.places,
+            token: 1.0,
+        };
+        let ample = is_ample(&[step], supply, Millis(0));
+        assert_eq!(ample, test.ample, "{} {}", test.beyond, test.places);
+    }
+}
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -41,6 +41,7 @@
         items,
         least_version: 1,
         model: "m".to_owned(),
+        needed: 0,
         path: "/p/b".to_owned(),
         step: 0,
     }
@@ -109,6 +110,38 @@
     assert_eq!(head.order(), [1, 0, 2]);
 }
 
+/// A trainer waits for two of three groups: those that stand first in its submission,
+/// as groups that are left over from an earlier step do. Without a number it waits for
+/// all.
+#[test]
+fn groups_beyond_those_waited_for_are_known() {
+    struct Test {
+        needed: u16,
+        beyond: [bool; 3],
+    }
+
+    for test in [
+        Test {
+            needed: 2,
+            beyond: [false, false, true],
+        },
+        Test {
+            needed: 0,
+            beyond: [false; 3],
+        },
+    ] {
+        let items = vec![item(1, "c", 0), item(2, "a", 0), item(3, "b", 0)];
+        let submission = Submission {
+            needed: test.needed,
+            ..submission(items)
+        };
+        let (head, _) = Head::of(&submission, Millis(0));
+        let bundles = head.bundles.iter();
+        let beyond: Vec<bool> = bundles.map(|bundle| head.is_beyond(bundle)).collect();
+        assert_eq!(beyond, test.beyond, "{}", test.needed);
+    }
+}
+
 fn bundles(head: &Head) -> Vec<Vec<u16>> {
     let bundles = head.bundles.iter();
     bundles.map(|bundle| bundle.items.clone()).collect()
--- /dev/null
+++ b/tests/integration/overload.rs
@@ -0,0 +1,449 @@
+//! Replays trainers that ask for more than the engines can do.
+//!
+//! A trainer with a model of its own keeps two steps under way and asks for one every
+//! 4 s, or when the step before the last is whole. It waits for 90% of a step's groups,
+//! reads twice a second, and gives a step up after 12 s. Groups that were not whole
+//! come first in a later step. Texts have 20 events in the mean and 118 at most, at
+//! 41 ms an event; estimates are off by half. The decisions are the runners' own.
+
+use redwingpond::{
+    base::{Millis, stable_hash},
+    policy::{
+        claim_choice::{Holder, Offer, Place, Taker, choose},
+        claim_line::line_up,
+        step_order::{Supply, Turn}, //
+    },
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+const TICK: u64 = 20;
+const DAY: u64 = 34_000;
+const DUE: u64 = 7_500;
+/// What is read later than this after its due time is late.
+const READ_WITHIN: u64 = 700;
+const GIVE_UP: u64 = 12_000;
+const EVERY: u64 = 4_000;
+const TRAIN: u64 = 500;
+const READ_EVERY: u64 = 500;
+const SLOTS: i32 = 6;
+const EVENT: u64 = 41;
+/// From a claim to a text's first event, and from its last one to its result.
+const AROUND: u64 = 130;
+
+/// Random numbers that are the same in every run.
+struct Draw {
+    count: u64,
+    seed: u64,
+}
+
+impl Draw {
+    /// Between 0 and 1.
+    fn uniform(&mut self) -> f64 {
+        self.count += 1;
+        let hash = stable_hash(&[&self.seed.to_le_bytes(), &self.count.to_le_bytes()]);
+        ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+    }
+
+    /// With the mean 1; half of the values are within a factor of about `spread`.
+    fn around_one(&mut self, spread: f64) -> f64 {
+        let (a, b) = (self.uniform(), self.uniform());
+        let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
+        (spread * normal - spread * spread / 2.0).exp()
+    }
+
+    fn item(&mut self) -> Item {
+        let tail = if self.uniform() < 0.104 { 5.0 } else { 1.0 };
+        let events = (16.4 * tail * self.around_one(0.84)).clamp(1.0, 118.0);
+        Item {
+            events: events as u64,
+            expected: ((events * 48.0 * self.around_one(0.5)) as u64).max(1),
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Item {
+    events: u64,
+    expected: u64,
+}
+
+#[derive(Clone)]
+struct Group {
+    /// Whether it was left over from an earlier step.
+    again: bool,
+    items: Vec<Item>,
+    left: usize,
+    /// When it became whole.
+    whole: Option<u64>,
+}
+
+struct Bundle {
+    begun: bool,
+    group: usize,
+    items: Vec<usize>,
+    order: u16,
+}
+
+struct OpenStep {
+    asked: u64,
+    bundles: Vec<Bundle>,
+    ended: Option<u64>,
+    groups: Vec<Group>,
+}
+
+struct Run {
+    engine: usize,
+    group: usize,
+    step: usize,
+    until: u64,
+}
+
+/// How offers are lined up.
+type Rule = fn(&mut [Offer], Supply, Millis);
+
+/// A load: a step's groups and their items, and the engines.
+#[derive(Clone, Copy)]
+struct Load {
+    engines: usize,
+    groups: usize,
+    size: usize,
+}
+
+impl Load {
+    fn needed(self) -> usize {
+        (self.groups * 9).div_ceil(10)
+    }
+
+    /// The worth of all groups that trainers wait for, by eight seeds: 1 in time, 0.375
+    /// until the step is given up, 0 for what never comes.
+    fn worth(self, rule: Rule) -> f64 {
+        let seeds = 8;
+        let worth = (0..seeds).map(|seed| Replay::new(self, seed).run(rule));
+        worth.sum::<f64>() / f64::from(seeds as u32)
+    }
+}
+
+struct Replay {
+    draw: Draw,
+    /// Free places by engine; below 0 while items wait for one.
+    free: Vec<i32>,
+    left_over: Vec<Group>,
+    load: Load,
+    /// When each coming step may be asked for.
+    may_ask: Vec<u64>,
+    runs: Vec<Run>,
+    steps: Vec<OpenStep>,
+    /// Until when the trainer trains, and the steps it has trained on.
+    trained: (u64, usize),
+}
+
+impl Replay {
+    fn new(load: Load, seed: u64) -> Self {
+        Self {
+            draw: Draw { count: 0, seed },
+            free: vec![SLOTS; load.engines],
+            left_over: Vec::new(),
+            load,
+            may_ask: vec![0, EVERY],
+            runs: Vec::new(),
+            steps: Vec::new(),
+            trained: (0, 0),
+        }
+    }
+
+    fn run(mut self, rule: Rule) -> f64 {
+        for now in (0..DAY + GIVE_UP).step_by(TICK as usize) {
+            self.end_runs(now);
+            if now % READ_EVERY == 0 {
+                self.read(now);
+            }
+            let due = self.may_ask.get(self.steps.len());
+            if due.is_some_and(|at| *at <= now) && now <= DAY {
+                self.ask(now);
+            }
+            self.begin(now, rule);
+        }
+        self.judge()
+    }
+
+    fn ask(&mut self, now: u64) {
+        let again = self.left_over.len().min(self.load.needed() / 2);
+        let mut groups: Vec<Group> = self.left_over.drain(..again).collect();
+        while groups.len() < self.load.groups {
+            let items = (0..self.load.size).map(|_| self.draw.item());
+            groups.push(Group {
+                again: false,
+                items: items.collect(),
+                left: self.load.size,
+                whole: None,
+            });
+        }
+        let mut bundles = Vec::new();
+        for (group, of) in groups.iter().enumerate() {
+            let indices: Vec<usize> = (0..of.items.len()).collect();
+            for items in indices.chunks(4) {
+                bundles.push(Bundle {
+                    begun: false,
+                    group,
+                    items: items.to_vec(),
+                    order: 0,
+                });
+            }
+        }
+        let longest = |bundle: &Bundle| {
+            let expected = bundle.items.iter();
+            let expected = expected.map(|item| groups[bundle.group].items[*item].expected);
+            expected.max().unwrap_or(0)
+        };
+        let mut order: Vec<usize> = (0..bundles.len()).collect();
+        order.sort_by_key(|bundle| std::cmp::Reverse(longest(&bundles[*bundle])));
+        for (place, bundle) in order.into_iter().enumerate() {
+            bundles[bundle].order = place as u16;
+        }
+        self.steps.push(OpenStep {
+            asked: now,
+            bundles,
+            ended: None,
+            groups,
+        });
+    }
+
+    fn end_runs(&mut self, now: u64) {
+        let ended: Vec<Run> = self.runs.extract_if(.., |run| run.until <= now).collect();
+        for run in ended {
+            self.free[run.engine] += 1;
+            let group = &mut self.steps[run.step].groups[run.group];
+            group.left -= 1;
+            if group.left == 0 {
+                group.whole = Some(now);
+            }
+        }
+    }
+
+    /// The trainer reads: it ends steps that are whole or whose time is over, trains,
+    /// and may ask for more.
+    fn read(&mut self, now: u64) {
+        for step in 0..self.steps.len() {
+            let open = &self.steps[step];
+            if open.ended.is_some() {
+                continue;
+            }
+            let whole = |group: &&Group| group.whole.is_some();
+            let enough = open.groups.iter().filter(whole).count() >= self.load.needed();
+            let again = open
+                .groups
+                .iter()
+                .all(|group| !group.again || whole(&group));
+            if (enough && again) || now >= open.asked + GIVE_UP {
+                self.end(step, now);
+            }
+        }
+        while let Some(ended) = self.steps.get(self.trained.1).and_then(|step| step.ended) {
+            let trained = ended.max(self.trained.0) + TRAIN;
+            self.trained = (trained, self.trained.1 + 1);
+            let next = EVERY * (self.trained.1 as u64 + 1);
+            self.may_ask.push(trained.max(next));
+        }
+    }
+
+    fn end(&mut self, step: usize, now: u64) {
+        self.steps[step].ended = Some(now);
+        let gone = self.runs.extract_if(.., |run| run.step == step);
+        gone.for_each(|run| self.free[run.engine] += 1);
+        let groups = self.steps[step].groups.iter();
+        let left = groups.filter(|group| group.whole.is_none());
+        let again = left.map(|group| Group {
+            again: true,
+            left: group.items.len(),
+            ..group.clone()
+        });
+        self.left_over.extend(again);
+    }
+
+    /// Engines with free places take bundles, one each at a time.
+    fn begin(&mut self, now: u64, rule: Rule) {
+        let supply = Supply {
+            places: self.load.engines as u32 * SLOTS.unsigned_abs(),
+            token: EVENT as f64 / 48.0,
+        };
+        loop {
+            let Some(engine) = (0..self.free.len()).max_by_key(|engine| self.free[*engine]) else {
+                return;
+            };
+            let mut offers = self.offers(now);
+            rule(&mut offers, supply, Millis(now));
+            let taker = Taker {
+                place: Place {
+                    count: self.load.engines,
+                    rank: engine,
+                },
+                room: self.free[engine].max(0).unsigned_abs(),
+                slower: false,
+                yields: false,
+            };
+            let Some(chosen) = choose(&offers, taker).copied() else {
+                return;
+            };
+            self.take(now, engine, chosen);
+        }
+    }
+
+    fn take(&mut self, now: u64, engine: usize, offer: Offer) {
+        let step = &mut self.steps[offer.batch];
+        let bundle = &mut step.bundles[usize::from(offer.bundle)];
+        bundle.begun = true;
+        for item in &bundle.items {
+            let events = step.groups[bundle.group].items[*item].events;
+            let free = self.free[engine] > 0;
+            self.free[engine] -= 1;
+            // What finds no place waits at the engine for one; texts take some 0.8 s
+            // and the places of an engine free one after another.
+            let waits = if free { 0 } else { 150 };
+            self.runs.push(Run {
+                engine,
+                group: bundle.group,
+                step: offer.batch,
+                until: now + AROUND + waits + EVENT * events,
+            });
+        }
+    }
+
+    fn offers(&self, now: u64) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        let open = self.steps.iter().enumerate();
+        for (batch, step) in open.filter(|(_, step)| step.ended.is_none()) {
+            for (number, bundle) in step.bundles.iter().enumerate() {
+                if bundle.begun {
+                    continue;
+                }
+                let items = &step.groups[bundle.group].items;
+                offers.push(Offer {
+                    age: Millis(now - step.asked),
+                    batch,
+                    beyond: bundle.group >= self.load.needed(),
+                    due: Millis(step.asked + DUE),
+                    bundle: number as u16,
+                    claimed: false,
+                    holder: Holder::Nobody,
+                    home: true,
+                    left: bundle.items.len() as u32,
+                    line: 0,
+                    loaded: true,
+                    order: bundle.order,
+                    turn: Turn::Whole,
+                    work: bundle.items.iter().map(|item| items[*item].expected).sum(),
+                });
+            }
+        }
+        offers
+    }
+
+    fn judge(&self) -> f64 {
+        let asked = DAY.div_ceil(EVERY) as usize;
+        let needed = self.load.needed();
+        let worth = |step: &OpenStep| {
+            let mut whole: Vec<u64> = step.groups.iter().filter_map(|group| group.whole).collect();
+            whole.sort_unstable();
+            let read = whole.iter().take(needed).map(|at| {
+                let at = at + READ_EVERY / 2 - step.asked;
+                match at {
+                    _ if at <= DUE + READ_WITHIN => 1.0,
+                    _ if at <= GIVE_UP => 0.375,
+                    _ => 0.0,
+                }
+            });
+            read.sum::<f64>()
+        };
+        let steps = self.steps.iter().take(asked);
+        steps.map(worth).sum::<f64>() / (asked * needed) as f64
+    }
+}
+
+/// The decision as runners make it.
+fn product(offers: &mut [Offer], supply: Supply, now: Millis) {
+    line_up(offers, supply, now);
+}
+
+/// By due time, the longest texts first, whatever trainers wait for.
+fn longest_first(offers: &mut [Offer], _: Supply, _: Millis) {
+    for offer in offers {
+        offer.beyond = false;
+    }
+}
+
+/// The same, but what trainers wait for first.
+fn needed_first(_: &mut [Offer], _: Supply, _: Millis) {}
+
+/// The step with the least left to do first.
+fn shortest_step(offers: &mut [Offer], _: Supply, _: Millis) {
+    rank_steps(offers, work_of);
+}
+
+/// The step with the least time to spare first.
+fn least_slack(offers: &mut [Offer], supply: Supply, _: Millis) {
+    rank_steps(offers, |offers, batch| {
+        let of_step = |offer: &&Offer| offer.batch == batch;
+        let due = offers.iter().find(of_step).map_or(0, |offer| offer.due.0);
+        let work = work_of(offers, batch) as f64 * supply.token;
+        due.saturating_sub((work / f64::from(supply.places)) as u64)
+    });
+}
+
+fn rank_steps(offers: &mut [Offer], rank: impl Fn(&[Offer], usize) -> u64) {
+    let batches: BTreeSet<usize> = offers.iter().map(|offer| offer.batch).collect();
+    let ranks: BTreeMap<usize, u64> = batches
+        .into_iter()
+        .map(|batch| (batch, rank(offers, batch)))
+        .collect();
+    for offer in offers {
+        offer.due = Millis(ranks[&offer.batch]);
+    }
+}
+
+fn work_of(offers: &[Offer], batch: usize) -> u64 {
+    let of_step = offers.iter().filter(|offer| offer.batch == batch);
+    of_step.map(|offer| offer.work).sum()
+}
+
+/// Trainers wait for every step, and all steps are late, once work outgrows engines
+/// by a fifth: the steps under way share the engines, all groups of a step end
+/// together, and each step takes the time of two. What trainers wait for first, group
+/// by group where a step can't be whole in time, keeps most groups in time.
+#[test]
+fn groups_are_in_time_when_work_outgrows_the_engines() {
+    let springs = Load {
+        engines: 0,
+        groups: 25,
+        size: 8,
+    };
+    let ticking = Load {
+        engines: 0,
+        groups: 13,
+        size: 16,
+    };
+    let rules: [(&str, Rule); 5] = [
+        ("longest first", longest_first),
+        ("shortest step", shortest_step),
+        ("least slack", least_slack),
+        ("needed first", needed_first),
+        ("product", product),
+    ];
+    let mut gain = Vec::new();
+    for load in [springs, ticking] {
+        for engines in [8, 7, 6, 5, 4] {
+            let load = Load { engines, ..load };
+            let worths = rules.map(|(name, rule)| (name, load.worth(rule)));
+            println!("{} groups, {engines} engines: {worths:.3?}", load.groups);
+            let [(_, before), .., (_, product)] = worths;
+            let best = worths.iter().map(|(_, worth)| *worth).fold(0.0, f64::max);
+            assert!(product >= best - 0.06, "{engines} engines: {worths:?}");
+            assert!(product >= before - 0.005, "{engines} engines: {worths:?}");
+            gain.push(product - before);
+        }
+    }
+    let mean = gain.iter().sum::<f64>() / gain.len() as f64;
+    assert!(mean > 0.12, "{mean}");
+}
