Read the change again: one urgency, one rule of places, one write of the stand-in

Behaviour stays. The order of kinds of offers stood twice (choice and line) and is Offer::urgency now; Place::has serves bundles and places in line; the sign of a claim's holder uses is_claimed_by; the stand-in store's three writes share one; an order's own number needn't be compared again, as the fences noted it.

--- a/src/agent/run_order.rs
+++ b/src/agent/run_order.rs
@@ -25,7 +25,8 @@
     order: Order,
 ) -> Result<EngineState, Failure> {
     let _one = gate.orders.lock().await;
-    let fence = fences.borrow().highest().max(order.fence);
+    // INVARIANT: an order that passed was noted, so this is no lower than its own.
+    let fence = fences.borrow().highest();
     let order = &Order { fence, ..order };
     gate.pausing.send_replace(Some(order.model.clone()));
     let lock = gate.lock(&order.model);
--- a/src/policy/claim_choice.rs
+++ b/src/policy/claim_choice.rs
@@ -42,6 +42,14 @@
     pub work: u64,
 }
 
+impl Offer {
+    /// The order of offers of one kind: what its trainer waits for, then what may be
+    /// in time, then what is due first.
+    pub fn urgency(&self) -> (bool, bool, Millis) {
+        (self.beyond, self.turn == Turn::Late, self.due)
+    }
+}
+
 /// Who runs a bundle already.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Holder {
@@ -81,13 +89,8 @@
 impl Place {
     /// Whether the bundle at `order` falls to this runner by the common rule:
     /// each has one runner, worked out alike by all.
-    pub fn has(self, order: u16) -> bool {
-        self.has_line(usize::from(order))
-    }
-
-    /// The same by a place in a line of bundles.
-    fn has_line(self, line: usize) -> bool {
-        line % self.count.max(1) == self.rank
+    pub fn has(self, order: impl Into<usize>) -> bool {
+        order.into() % self.count.max(1) == self.rank
     }
 }
 
@@ -145,9 +148,7 @@
     offers.iter().filter(fits).min_by_key(|offer| {
         (
             class(offer, taker),
-            offer.beyond,
-            offer.turn == Turn::Late,
-            offer.due,
+            offer.urgency(),
             within_step(offer, taker),
         )
     })
@@ -160,13 +161,13 @@
 /// would lose a round trip to the store each time.
 fn within_step(offer: &Offer, taker: Taker) -> (usize, bool, usize) {
     let place = taker.place;
-    let order = match (offer.turn, taker.yields) {
-        (Turn::ByGroup | Turn::Late, _) => {
-            let round = offer.line / place.count.max(1);
-            return (round, !place.has_line(offer.line), offer.line);
-        }
-        (Turn::Whole, true) => u16::MAX - offer.order,
-        (Turn::Whole, false) => offer.order,
+    if offer.turn != Turn::Whole {
+        let round = offer.line / place.count.max(1);
+        return (round, !place.has(offer.line), offer.line);
+    }
+    let order = match taker.yields {
+        true => u16::MAX - offer.order,
+        false => offer.order,
     };
     (0, !place.has(offer.order), usize::from(order))
 }
--- a/src/policy/claim_line.rs
+++ b/src/policy/claim_line.rs
@@ -41,10 +41,7 @@
 
     let mut line: Vec<&mut Offer> = offers.iter_mut().filter(|offer| waits(offer)).collect();
     // Bundles are numbered group by group, in the order of the submission.
-    line.sort_by_key(|offer| {
-        let late = offer.turn == Turn::Late;
-        (offer.beyond, late, offer.due, offer.batch, offer.bundle)
-    });
+    line.sort_by_key(|offer| (offer.urgency(), offer.batch, offer.bundle));
     for (place, offer) in line.into_iter().enumerate() {
         offer.line = place;
     }
--- a/src/policy/liveness.rs
+++ b/src/policy/liveness.rs
@@ -8,7 +8,7 @@
 
 /// A runner that has written nothing for so long is taken for gone. Heartbeats come
 /// every second; one may be lost or late.
-pub const SILENCE_MOST: Millis = Millis(2_300);
+const SILENCE_MOST: Millis = Millis(2_300);
 
 /// The last heartbeat of a runner.
 #[derive(Clone, Copy, Debug)]
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -199,14 +199,14 @@
                 token,
             };
         }
-        let before = self.claims.get(&bundle);
-        let same = |held: &&Held| (&held.claim.holder, held.claim.token) == (&claim.holder, token);
+        let same = self.is_claimed_by(bundle, &claim.holder, token);
+        let before = self.claims.get(&bundle).filter(|_| same);
         let unknown = Sign {
             at: now,
             revision: 0,
             token,
         };
-        before.filter(same).map_or(unknown, |held| held.sign)
+        before.map_or(unknown, |held| held.sign)
     }
 
     /// Whether the runner `instance`, in its life `token`, is known to hold `bundle`.
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -111,25 +111,24 @@
     /// Writes a row as the operators and the backend servers do, whatever goes
     /// wrong; `None` removes it.
     pub fn put(&self, table: &str, key: &str, value: Option<&serde_json::Value>) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
         let value = value.map(|value| BASE64_STANDARD.encode(value.to_string()));
-        // Without a condition it always holds.
-        let _ = lock(&self.inner.rows).transact(&[], vec![(name, value)]);
-        self.inner.tell();
+        self.write(table, "", key, value);
     }
 
     /// Writes a row whose value is `value` as it stands, base64 or not.
     pub fn put_raw(&self, table: &str, key: &str, value: &str) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
-        let _ = lock(&self.inner.rows).transact(&[], vec![(name, Some(value.to_owned()))]);
-        self.inner.tell();
+        self.write(table, "", key, Some(value.to_owned()));
     }
 
     /// Writes a row of a part as another runner or gateway does.
     pub fn put_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        self.write(table, part, key, Some(BASE64_STANDARD.encode(value)));
+    }
+
+    fn write(&self, table: &str, part: &str, key: &str, value: Option<String>) {
         let name = (table.to_owned(), part.to_owned(), key.to_owned());
-        let value = BASE64_STANDARD.encode(value);
-        let _ = lock(&self.inner.rows).transact(&[], vec![(name, Some(value))]);
+        // Without a condition it always holds.
+        let _ = lock(&self.inner.rows).transact(&[], vec![(name, value)]);
         self.inner.tell();
     }
 
