Log what was asked beside each attempt

A caller that comes again has a new id, so the logs could not tell whether the calls under which servers ended were one request or many. Each choice of a server, failed attempt and broken run now names the request's fingerprint: a 64-bit hash of method, host, path, credential and body, the same in every process. No decision uses it yet.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -4,6 +4,7 @@
 mod cause;
 mod clock;
 mod failure;
+mod fingerprint;
 mod incarnation;
 mod millis;
 mod priority;
@@ -18,6 +19,7 @@
     cause::Cause,
     clock::Clock,
     failure::Failure,
+    fingerprint::{Asked, Fingerprint},
     incarnation::Incarnation,
     millis::Millis,
     priority::Priority,
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -1,7 +1,7 @@
 //! A call, and how it ended.
 
 use crate::{
-    base::Millis,
+    base::{Fingerprint, Millis},
     net::{Answer, Opened},
     routing::Route, //
 };
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub body: Bytes,
+    /// Names what it asks; its retries have the same.
+    pub fingerprint: Fingerprint,
     /// Without those that concern one connection.
     pub headers: HeaderMap,
     pub id: String,
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -124,7 +124,8 @@
                 Ok(opened) => return StreamEnd::Opened(opened),
                 Err(error) => error,
             };
-            tracing::info!(call = call.id, server = server.life.id, %error, "stream not opened");
+            let (request, server) = (call.fingerprint, &server.life.id);
+            tracing::info!(call = call.id, %request, server, %error, "stream not opened");
             reason = "no-connection";
             if error.verdict().may_have_run() {
                 let reason = "connection-broke".to_owned();
@@ -192,6 +193,7 @@
         let (id, latency, of) = (&server.life.id, latency as u64, candidates.len());
         tracing::info!(
             call = call.id,
+            request = %call.fingerprint,
             server = id,
             service,
             in_flight,
@@ -259,8 +261,9 @@
             } => {
                 let out = *server_fault && state.book.fail(server, now);
                 drop(state);
-                let (call, server, taken) = (&call.id, &server.id, taken as u64);
-                tracing::info!(call, server, reason, taken, "attempt failed");
+                let (request, call) = (call.fingerprint, &call.id);
+                let (server, taken) = (&server.id, taken as u64);
+                tracing::info!(call, %request, server, reason, taken, "attempt failed");
                 if out {
                     tracing::warn!(server, reason, "server distrusted after failures in a row");
                 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -7,7 +7,7 @@
     streams, //
 };
 use crate::{
-    base::{Clock, Millis},
+    base::{Asked, Clock, Fingerprint, Millis},
     calls::{Call, Caller},
     duty::{Answer, Context, Phase},
     platform::{self, Ingress},
@@ -110,12 +110,21 @@
         }
 
         let target = head.uri.path_and_query();
+        let target = target.map_or_else(|| path.to_owned(), ToString::to_string);
+        let fingerprint = Fingerprint::of(Asked {
+            body: &body,
+            credential: platform::credential(&head.headers),
+            host,
+            method: head.method.as_str(),
+            path: &target,
+        });
         let call = Call {
             body,
+            fingerprint,
             headers: platform::forwarded(&head.headers),
             id: id.to_owned(),
             method: head.method.clone(),
-            path: target.map_or_else(|| path.to_owned(), ToString::to_string),
+            path: target,
             route,
             until,
         };
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -37,6 +37,7 @@
         SETTINGS_VARIABLE,
         answered,
         caller_deadline,
+        credential,
         forwarded,
         instance_of,
         not_executed,
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -62,6 +62,12 @@
     number(headers, &DEADLINE).map(Millis)
 }
 
+/// What the caller proves its identity with; empty where it has none.
+pub fn credential(headers: &HeaderMap) -> &[u8] {
+    let value = headers.get(hyper::header::AUTHORIZATION);
+    value.map_or(&[], HeaderValue::as_bytes)
+}
+
 /// Headers of a server's answer that concern one connection, and its word on its
 /// load, which is for this program.
 const ANSWER_OWN: [&str; 5] = [
--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -170,6 +170,7 @@
             let task = Task {
                 batch: id.to_owned(),
                 begun,
+                fingerprint: run_item::fingerprint(&head.host, &item),
                 host: head.host.clone(),
                 index,
                 item,
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -5,7 +5,7 @@
     Scorers, //
 };
 use crate::{
-    base::{Clock, Millis},
+    base::{Asked, Clock, Fingerprint, Millis},
     batch::{Item, PARTIALS, Partial, Sample, State, encode, part_of, partial_key},
     net::{CallError, Opened, Peer},
     platform::{EngineRequest, EventReader, Store, instance_of, not_executed, version_of_head},
@@ -15,6 +15,7 @@
 };
 use hyper::{
     HeaderMap,
+    Method,
     StatusCode, //
 };
 use std::{
@@ -103,6 +104,8 @@
     pub(super) batch: String,
     /// What an earlier run has left.
     pub(super) begun: Option<Partial>,
+    /// Names what the item asks of its engine.
+    pub(super) fingerprint: Fingerprint,
     pub(super) host: String,
     pub(super) index: u16,
     pub(super) item: Item,
@@ -222,6 +225,17 @@
     }
 }
 
+/// Names what `item` of a batch of `host` asks of its engine.
+pub(super) fn fingerprint(host: &str, item: &Item) -> Fingerprint {
+    Fingerprint::of(Asked {
+        body: &item.body,
+        credential: &[],
+        host,
+        method: Method::POST.as_str(),
+        path: &item.path,
+    })
+}
+
 /// Runs the item to its end.
 pub(super) async fn run(engine: Engine, task: Task) -> ItemEnd {
     let now = engine.clock.now();
@@ -267,12 +281,14 @@
             Run::Refused => {}
             Run::Outlived => {
                 let events = text.events.len();
-                tracing::info!(item = task.item.id, events, "its engine has started anew");
+                let (request, server) = (task.fingerprint, &server.id);
+                tracing::info!(item = task.item.id, %request, server, events, "its engine has started anew");
                 wait = AGAIN;
             }
             Run::Broken(error) => {
                 let events = text.events.len();
-                tracing::info!(item = task.item.id, events, %error, "run broke off");
+                let (request, server) = (task.fingerprint, &server.id);
+                tracing::info!(item = task.item.id, %request, server, events, %error, "run broke off");
             }
         }
         if failures >= task.most_failures {
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -1,7 +1,7 @@
 //! Has texts scored.
 
 use crate::{
-    base::Millis,
+    base::{Asked, Fingerprint, Millis},
     batch::Scorer,
     calls::{Call, CallEnd, Caller},
     platform::{self, ATTEMPT_ID},
@@ -37,6 +37,7 @@
 impl Scorers {
     /// Calls the scorer until it gives its score.
     pub(super) async fn score(&self, scorer: &Scorer, until: Millis) -> Score {
+        let fingerprint = fingerprint(scorer);
         let mut failures = 0;
         loop {
             let now = self.site.now();
@@ -57,6 +58,7 @@
             let most_failures = route.attempts;
             let call = Call {
                 body: scorer.body.clone(),
+                fingerprint,
                 headers: headers(scorer),
                 id: scorer.id.clone(),
                 method: Method::POST,
@@ -91,6 +93,16 @@
     }
 }
 
+fn fingerprint(scorer: &Scorer) -> Fingerprint {
+    Fingerprint::of(Asked {
+        body: &scorer.body,
+        credential: &[],
+        host: &scorer.host,
+        method: Method::POST.as_str(),
+        path: &scorer.path,
+    })
+}
+
 fn headers(scorer: &Scorer) -> HeaderMap {
     let mut headers = HeaderMap::new();
     platform::set_header(&mut headers, "host", &scorer.host);
