--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -22,7 +22,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError}, //
 };
 use tokio::sync::watch;
 
@@ -33,6 +33,8 @@
     pub cut_after: Option<u64>,
     /// A cut run ends as if it were whole, but for its last event.
     pub cut_quietly: bool,
+    /// Runs with this body end it after an event's time.
+    pub fatal: Option<String>,
     /// It answers 500 to these items.
     pub fails: Vec<String>,
     /// It answers 422 to these items.
@@ -63,6 +65,8 @@
 struct Inner {
     clock: Clock,
     state: Mutex<State>,
+    /// Brings it down and up; set once it listens.
+    switch: OnceLock<Arc<watch::Sender<bool>>>,
 }
 
 struct State {
@@ -104,10 +108,13 @@
                 runs: Vec::new(),
                 version: 1,
             }),
+            switch: OnceLock::new(),
         });
         let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::open_shared(address, &inner, answer).await?;
+        let switch = server.switch();
+        inner.switch.get_or_init(|| switch);
         Ok(Self {
             address: server.address,
             id: id.to_owned(),
@@ -268,10 +275,22 @@
         if state.faults.fails.contains(&item) {
             return text(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "");
         }
+        let fatal = state.faults.fatal.as_ref();
+        let fatal = fatal.is_some_and(|fatal| fatal.as_bytes() == body);
+        let event = state.event;
         let cut = state.faults.cut_after;
         let quietly = state.faults.cut_quietly;
         let born = state.born;
         drop(state);
+        if fatal {
+            let engine = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(event.as_duration()).await;
+                if let Some(switch) = engine.switch.get() {
+                    switch.send_replace(false);
+                }
+            });
+        }
 
         let first = after.map_or(0, |after: u64| after + 1);
         let run = Stream {
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -1,6 +1,7 @@
 //! A plain backend server.
 
 use crate::server::Server;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
     Request,
@@ -18,10 +19,12 @@
     sync::{
         Arc,
         Mutex,
+        OnceLock,
         PoisonError,
         atomic::{AtomicU32, Ordering}, //
     },
 };
+use tokio::sync::watch;
 
 /// How a plain server behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -52,12 +55,17 @@
 
 struct Inner {
     clock: Clock,
+    /// The body of requests that end it once they have run.
+    fatal: Mutex<Option<Bytes>>,
     fault: Mutex<PlainFault>,
-    id: String,
+    /// Its present life.
+    life: Mutex<String>,
     /// Requests that it works on now.
     open: AtomicU32,
     /// The ids of the requests that it ran, and when.
     runs: Mutex<Vec<(String, Millis)>>,
+    /// Brings it down and up; set once it listens.
+    switch: OnceLock<Arc<watch::Sender<bool>>>,
     work: Mutex<Millis>,
 }
 
@@ -66,15 +74,19 @@
     pub async fn open(id: &str) -> io::Result<Self> {
         let inner = Arc::new(Inner {
             clock: Clock::open(),
+            fatal: Mutex::default(),
             fault: Mutex::default(),
-            id: id.to_owned(),
+            life: Mutex::new(id.to_owned()),
             open: AtomicU32::new(0),
             runs: Mutex::default(),
+            switch: OnceLock::new(),
             work: Mutex::new(Millis(5)),
         });
         let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::open_shared(address, &inner, answer).await?;
+        let switch = server.switch();
+        inner.switch.get_or_init(|| switch);
         Ok(Self {
             address: server.address,
             id: id.to_owned(),
@@ -88,6 +100,22 @@
         *lock(&self.inner.fault) = fault;
     }
 
+    /// Lets each request with this body end the server.
+    pub fn set_fatal(&self, body: &str) {
+        *lock(&self.inner.fatal) = Some(Bytes::copy_from_slice(body.as_bytes()));
+    }
+
+    /// Whether it runs.
+    pub fn is_up(&self) -> bool {
+        self.inner.switch.get().is_some_and(|up| *up.borrow())
+    }
+
+    /// Starts it again after its end, as another life.
+    pub fn restart(&self, life: &str) {
+        life.clone_into(&mut lock(&self.inner.life));
+        self.inner.set_up(true);
+    }
+
     /// Sets what a request takes from now on.
     pub fn set_work(&self, work: Millis) {
         *lock(&self.inner.work) = work;
@@ -120,11 +148,17 @@
 }
 
 impl Inner {
+    fn set_up(&self, up: bool) {
+        if let Some(switch) = self.switch.get() {
+            switch.send_replace(up);
+        }
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> io::Result<Answer> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         let expected = head.headers.get("x-expect-instance");
-        if expected.is_some_and(|expected| expected != self.id.as_str()) {
+        if expected.is_some_and(|expected| expected != lock(&self.life).as_str()) {
             return Ok(text(StatusCode::MISDIRECTED_REQUEST, "text/plain", ""));
         }
         let fault = *lock(&self.fault);
@@ -142,6 +176,10 @@
         let _open = Open(&self.open);
         let work = *lock(&self.work);
         tokio::time::sleep(work.as_duration()).await;
+        if lock(&self.fatal).as_ref() == Some(&body) {
+            self.set_up(false);
+            std::future::pending::<()>().await;
+        }
         match fault {
             PlainFault::Mute => std::future::pending::<()>().await,
             PlainFault::Reset => return Err(io::Error::other("reset on command")),
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -2,6 +2,7 @@
 
 mod integration {
     mod bad_input;
+    mod crashes;
     mod scenarios;
     mod site;
     mod stage;
--- /dev/null
+++ b/standins/tests/integration/crashes.rs
@@ -0,0 +1,183 @@
+//! Requests under which the servers that run them end.
+
+use hyper::Method;
+use redwing_standins::site::{
+    Batch,
+    Engine,
+    EngineFaults,
+    Scene,
+    Shape,
+    server_entry, //
+};
+use redwingpond::base::Millis;
+use std::time::Duration;
+
+/// The most servers that one request may end: after the third it runs no more.
+const ENDED_MOST: usize = 3;
+
+/// How soon all gateways and runners must know of a crash.
+const KNOWN_WITHIN: u64 = 3_000;
+
+/// How long a server is down after a crash.
+const DOWN: u64 = 300;
+
+async fn sleep(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Starts each plain server that has ended again, as another life at its address.
+fn revive_plain(scene: &Scene, lives: &mut [String]) {
+    for (plain, life) in scene.plain.iter().zip(lives) {
+        if plain.is_up() {
+            continue;
+        }
+        scene.store.put("servers", life, None);
+        *life = format!("{life}-again");
+        plain.restart(life);
+        scene.announce(life, "plain", plain.address, "ready");
+    }
+}
+
+/// Starts each engine that has ended again, as another life at its address.
+fn revive_engines(scene: &Scene, lives: &mut [String]) {
+    for (engine, life) in scene.engines.iter().zip(lives) {
+        if *engine.switch().borrow() {
+            continue;
+        }
+        scene.store.put("servers", life, None);
+        *life = format!("{life}-again");
+        engine.restart(life, "m0");
+        engine.switch().send_replace(true);
+        let mut entry = server_entry("engines", engine.address, "ready");
+        entry["born"] = engine.born().0.into();
+        scene.store.put("servers", life, Some(&entry));
+    }
+}
+
+async fn call(scene: &Scene, gateway: usize, path: &str, id: &str, body: &str) -> Option<u16> {
+    let headers = [("x-attempt-id", id), ("x-deadline-ms", "1500")];
+    let answer = scene.send(gateway, Method::POST, path, &headers, body.to_owned());
+    Some(answer.await?.status.as_u16())
+}
+
+/// A weighbridge call ends each server that runs it. Its caller comes again at
+/// another gateway under a new id, and again after the servers are back: all servers
+/// of the service ended each time, and other callers were refused for seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_ends_its_servers_is_given_up() {
+    for path in ["/safe/x", "/once/x"] {
+        let shape = Shape {
+            engines: 1,
+            gateways: 3,
+            plain: 4,
+            ..Shape::default()
+        };
+        let scene = Scene::open(shape).await.unwrap();
+        let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+        for plain in &scene.plain {
+            plain.set_fatal("fatal");
+        }
+
+        let mut ids = Vec::new();
+        for round in 0..8 {
+            let id = format!("fatal-{round}");
+            let status = call(&scene, round % 3, path, &id, "fatal").await;
+            assert!(matches!(status, Some(502..=504)), "{path} {id}: {status:?}");
+            ids.push(id);
+            sleep(DOWN).await;
+            revive_plain(&scene, &mut lives);
+            sleep(DOWN).await;
+        }
+        let runs = scene.plain.iter();
+        let ended: usize = runs
+            .map(|plain| ids.iter().map(|id| plain.runs_of(id)).sum::<usize>())
+            .sum();
+        assert!(ended <= ENDED_MOST, "{path}: {ended} servers ended");
+        for gateway in 0..3 {
+            let id = format!("other-{gateway}");
+            let status = call(&scene, gateway, path, &id, "harmless").await;
+            assert_eq!(status, Some(200), "{path} {id}");
+        }
+    }
+}
+
+/// A call whose answer is a stream ends each engine that runs it, after the first
+/// event. Its caller opens it again at another gateway; each time an engine ended,
+/// with all the items that ran there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_its_servers_is_given_up() {
+    let mut scene = Scene::open(Shape::default()).await.unwrap();
+    scene.put_config(serde_json::json!([{
+        "name": "live", "host": "site.example", "pathPrefix": "/live/", "routeType": "streaming",
+        "timeoutMs": 2_000, "targetLatencyMs": 200, "priority": 1, "maxAttempts": 3,
+        "service": "engines",
+    }]));
+    sleep(DOWN).await;
+    let mut lives: Vec<String> = scene
+        .engines
+        .iter()
+        .map(|engine| engine.id.clone())
+        .collect();
+    for engine in &scene.engines {
+        engine.set_event(Millis(20));
+        engine.set_faults(EngineFaults {
+            fatal: Some("7".to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+
+    for round in 0..8 {
+        // A stream that breaks off has no whole answer.
+        let _ = call(&scene, round % 2, "/live/x", &format!("fatal-{round}"), "7").await;
+        sleep(DOWN).await;
+        revive_engines(&scene, &mut lives);
+        sleep(DOWN).await;
+    }
+    let runs = scene.engines.iter().flat_map(Engine::runs);
+    let ended = runs.filter(|run| run.item.starts_with("fatal-")).count();
+    assert!(ended <= ENDED_MOST, "{ended} engines ended");
+    let status = call(&scene, 0, "/live/x", "other", "3").await;
+    assert_eq!(status, Some(200));
+}
+
+/// An item ends each engine that runs it. Its runner offers it again as soon as the
+/// engine is back, and other runners take its bundle over: every engine ended for as
+/// long as the step was open, and the items beside it never became whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_that_ends_its_engines_is_given_up() {
+    let shape = Shape {
+        engines: 4,
+        ..Shape::default()
+    };
+    let scene = Scene::open(shape).await.unwrap();
+    let mut lives: Vec<String> = scene
+        .engines
+        .iter()
+        .map(|engine| engine.id.clone())
+        .collect();
+    for engine in &scene.engines {
+        engine.set_event(Millis(20));
+        engine.set_faults(EngineFaults {
+            fatal: Some("7".to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+    let mut batch = Batch::new("fatal", 4, 4, 20);
+    batch.groups[1][2] = 7;
+    let fatal = batch.item(1, 2);
+    assert_eq!(scene.submit(0, &batch).await, Some(202));
+
+    let until = scene.clock.now() + Millis(4 * KNOWN_WITHIN);
+    let mut results = Vec::new();
+    while scene.clock.now() < until {
+        sleep(DOWN).await;
+        revive_engines(&scene, &mut lives);
+        let page = scene.page(0, &batch, results.len()).await;
+        results.extend(page.map(|page| page.results).unwrap_or_default());
+    }
+    let runs = scene.engines.iter().flat_map(Engine::runs);
+    let ended = runs.filter(|run| run.item == fatal).count();
+    assert!(ended <= ENDED_MOST, "{ended} engines ended");
+    let whole = results.iter().filter(|reply| reply.state == "succeeded");
+    assert_eq!(whole.count(), batch.items().len() - 1, "items beside it");
+}
