Refuse a call under which three servers have ended, at every gateway

What callers saw: one call ended every server of its service, and did so again each time they were back; all other callers of the service were refused for seconds. Cause: a gateway bounds a call's attempts and forgets it with the last one. Its caller comes again under a new id at another gateway, so nothing ever bounded the request itself. The class: what a request does to servers was counted by attempt and by instance, not by request and by site.

Each gateway now notes the servers that ended under a request, by its fingerprint: its connection broke amid the request, and nothing listens at its address any more. The note is a row in the store that all instances follow, so the count holds wherever the request comes; from three on it is refused as not run. An answer to the same request anywhere acquits it, so a request that many callers share is not taken for the one that ran beside it. A gateway is ready once it has read the crashes.

Ruled out: waiting longer between attempts (the servers end as often, later); distrusting the servers (they are innocent); a lower bound (a loss of a rack takes two servers from under a call and its retry).

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -17,6 +17,8 @@
     Answered(Answer),
     /// Nothing that may be handed on.
     Failed {
+        /// Whether it tells of the server's end.
+        end: End,
         reason: &'static str,
         /// Whether the failure speaks against the server.
         server_fault: bool,
@@ -24,6 +26,29 @@
     },
 }
 
+/// What a failed attempt tells of its server's end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    /// Its connection broke amid the request: it may have ended.
+    Broke,
+    /// Nothing listens at its address, or another life does: it has ended.
+    Gone,
+    /// It answered.
+    Lives,
+    /// There is no telling.
+    Unknown,
+}
+
+impl End {
+    pub(super) fn of(error: &CallError) -> Self {
+        match error {
+            CallError::Broken { .. } => Self::Broke,
+            _ if error.is_refused() => Self::Gone,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Judges what came back for the attempt of the request `id`.
 pub(super) fn judge(id: &str, outcome: Result<Answer, CallError>) -> Attempt {
     let answer = match outcome {
@@ -35,7 +60,12 @@
                 CallError::Timeout { .. } => "silence",
                 CallError::TooLarge { .. } => "too-large",
             };
-            return failed(reason, true, error.verdict());
+            return Attempt::Failed {
+                end: End::of(&error),
+                reason,
+                server_fault: true,
+                verdict: error.verdict(),
+            };
         }
     };
 
@@ -44,9 +74,21 @@
     // would get another's answer.
     let echoed = answer.headers.get(platform::ATTEMPT_ID);
     if is_refusal(answer.status, &answer.headers) {
-        let full = matches!(answer.status.as_u16(), 429 | 503);
-        let reason = if full { "server-full" } else { "misdirected" };
-        return failed(reason, !full, Verdict::NotRun);
+        if matches!(answer.status.as_u16(), 429 | 503) {
+            return Attempt::Failed {
+                end: End::Lives,
+                reason: "server-full",
+                server_fault: false,
+                verdict: Verdict::NotRun,
+            };
+        }
+        let misdirected = answer.status == StatusCode::MISDIRECTED_REQUEST;
+        return Attempt::Failed {
+            end: if misdirected { End::Gone } else { End::Lives },
+            reason: "misdirected",
+            server_fault: true,
+            verdict: Verdict::NotRun,
+        };
     }
     if echoed.is_none_or(|echoed| echoed.as_bytes() != id.as_bytes()) {
         return failed("foreign-answer", false, Verdict::MayHaveRun);
@@ -66,6 +108,7 @@
 
 fn failed(reason: &'static str, server_fault: bool, verdict: Verdict) -> Attempt {
     Attempt::Failed {
+        end: End::Unknown,
         reason,
         server_fault,
         verdict,
--- a/src/calls/book.rs
+++ b/src/calls/book.rs
@@ -1,7 +1,11 @@
 //! What this process saw of each server.
 
+use super::attempt::{
+    Attempt,
+    End, //
+};
 use crate::{
-    base::Millis,
+    base::{Fingerprint, Millis},
     policy::{health::Health, latency::Latency, server_choice::Candidate},
     routing::{Life, Server}, //
 };
@@ -10,6 +14,8 @@
 /// One server's record.
 #[derive(Debug, Default)]
 struct Record {
+    /// Requests of which the server has not been seen to answer or refuse them.
+    asked: Vec<Asked>,
     health: Health,
     in_flight: u32,
     latency: Latency,
@@ -18,6 +24,14 @@
     used: Millis,
 }
 
+/// A request that a server may be working on.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// When it was given up here; `None` while its answer is awaited.
+    left: Option<Millis>,
+    request: Fingerprint,
+}
+
 /// The records of all servers, by life.
 #[derive(Debug, Default)]
 pub(super) struct Book {
@@ -30,6 +44,13 @@
 /// Records of servers that got no call for so long are dropped.
 const FORGET: Millis = Millis(60_000);
 
+/// A server that ends may still have worked on a request that was given up this
+/// long before: its caller left, or its time was over.
+const LEFT_KEPT: Millis = Millis(3_000);
+
+/// Requests of one server that are kept apart; its slots and queue hold fewer.
+const ASKED_MOST: usize = 256;
+
 /// Above this many records the unused ones are looked for.
 const RECORDS_MOST: usize = 4_096;
 
@@ -106,4 +127,89 @@
             record.reported = Some((load, now));
         }
     }
+
+    /// `request` is sent to `server`.
+    pub(super) fn ask(&mut self, server: &Life, request: Fingerprint) {
+        let record = self.records.entry(server.clone()).or_default();
+        if record.asked.len() == ASKED_MOST {
+            record.asked.remove(0);
+        }
+        let left = None;
+        record.asked.push(Asked { left, request });
+    }
+
+    /// `server` answered or refused `request`, which was sent at `began`: it lives,
+    /// and what was given up before then has not ended it.
+    pub(super) fn reply(&mut self, server: &Life, request: Fingerprint, began: Millis) {
+        let Some(record) = self.records.get_mut(server) else {
+            return;
+        };
+        record.drop_one(request);
+        record
+            .asked
+            .retain(|asked| asked.left.is_none_or(|left| left >= began));
+    }
+
+    /// Notes what became of `request`, which was sent to `server` at `began`.
+    pub(super) fn settle(
+        &mut self,
+        server: &Life,
+        request: Fingerprint,
+        began: Millis,
+        attempt: &Attempt,
+        now: Millis,
+    ) {
+        match attempt {
+            Attempt::Answered(_)
+            | Attempt::Failed {
+                end: End::Lives, ..
+            } => self.reply(server, request, began),
+            Attempt::Failed { verdict, .. } if !verdict.may_have_run() => {
+                self.unask(server, request);
+            }
+            Attempt::Failed { .. } => self.leave(server, request, now),
+        }
+    }
+
+    /// `request` never reached `server`.
+    fn unask(&mut self, server: &Life, request: Fingerprint) {
+        if let Some(record) = self.records.get_mut(server) {
+            record.drop_one(request);
+        }
+    }
+
+    /// Nobody waits for the answer to `request` any more.
+    pub(super) fn leave(&mut self, server: &Life, request: Fingerprint, now: Millis) {
+        let Some(record) = self.records.get_mut(server) else {
+            return;
+        };
+        let mut waiting = record.asked.iter_mut();
+        let asked = waiting.find(|asked| asked.request == request && asked.left.is_none());
+        if let Some(asked) = asked {
+            asked.left = Some(now);
+        }
+    }
+
+    /// `server` has ended; returns the requests that it may have been working on.
+    pub(super) fn end_life(&mut self, server: &Life, now: Millis) -> Vec<Fingerprint> {
+        let Some(record) = self.records.get_mut(server) else {
+            return Vec::new();
+        };
+        let recent = |asked: &Asked| asked.left.is_none_or(|left| now.since(left) < LEFT_KEPT);
+        let asked = std::mem::take(&mut record.asked);
+        asked
+            .into_iter()
+            .filter(recent)
+            .map(|asked| asked.request)
+            .collect()
+    }
+}
+
+impl Record {
+    fn drop_one(&mut self, request: Fingerprint) {
+        let same = |asked: &Asked| asked.request == request && asked.left.is_none();
+        if let Some(place) = self.asked.iter().position(same) {
+            self.asked.swap_remove(place);
+        }
+    }
 }
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -4,12 +4,12 @@
     Call,
     CallEnd,
     StreamEnd,
-    attempt::{Attempt, is_refusal},
+    attempt::{Attempt, End, is_refusal},
     book::Book,
     run::Run, //
 };
 use crate::{
-    base::{Clock, Millis, stable_hash},
+    base::{Clock, Fingerprint, Millis, stable_hash},
     net::{Answer, CallError, Peer},
     platform,
     policy::{
@@ -18,7 +18,7 @@
         typical::Typical, //
     },
     routing::{Kind, Life, Server},
-    view::Site, //
+    view::{Crashes, Site}, //
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -33,12 +33,13 @@
 pub struct Caller {
     /// The caller's data centre.
     home: String,
+    pub(crate) crashes: Arc<Crashes>,
     pub(super) site: Arc<Site>,
     state: Mutex<State>,
 }
 
 pub(super) struct State {
-    book: Book,
+    pub(super) book: Book,
     pub(super) budget: RetryBudget,
     peers: HashMap<SocketAddr, Peer>,
     /// What a service's answers take.
@@ -67,14 +68,25 @@
 /// takes, so that a slot is likely to be free.
 pub(super) const WAIT_FULL: Millis = Millis(60);
 
+/// Why a call in quarantine is refused.
+pub(super) const QUARANTINE: &str = "quarantine";
+
+/// When a call in quarantine is worth asking again: once people have looked at it.
+pub(super) const WAIT_QUARANTINE: Millis = Millis(60_000);
+
+/// How long the look whether a server has ended may take: some round trips between
+/// data centres. The call waits for it before it is sent on.
+const LOOK_WITHIN: Millis = Millis(50);
+
 /// When a call for which no server is known is worth asking again: servers
 /// announce themselves within a second or two.
 pub(super) const WAIT_NO_SERVER: Millis = Millis(300);
 
 impl Caller {
     /// A caller in the data centre `home`.
-    pub fn new(site: Arc<Site>, home: &str) -> Self {
+    pub fn new(site: Arc<Site>, crashes: Arc<Crashes>, home: &str) -> Self {
         Self {
+            crashes,
             home: home.to_owned(),
             site,
             state: Mutex::new(State {
@@ -216,10 +228,15 @@
     pub(super) async fn send(&self, call: &Call, sent: Sent) -> (Sent, Result<Answer, CallError>) {
         let left = call.until.since(self.site.now());
         let request = Self::request(call, &sent.server, left);
-        self.state().book.begin(&sent.server.life, sent.at);
+        {
+            let mut state = self.state();
+            state.book.begin(&sent.server.life, sent.at);
+            state.book.ask(&sent.server.life, call.fingerprint);
+        }
         let mut running = Running {
             caller: self,
             done: false,
+            request: call.fingerprint,
             sent: &sent,
         };
         let within = left + AFTER_END;
@@ -241,6 +258,9 @@
         let taken = now.since(sent.at).0 as f64;
         let server = &sent.server.life;
         let mut state = self.state();
+        state
+            .book
+            .settle(server, call.fingerprint, sent.at, attempt, now);
         match attempt {
             Attempt::Answered(answer) => {
                 if let Some(load) = platform::server_load(&answer.headers) {
@@ -271,6 +291,26 @@
         }
     }
 
+    /// Finds out whether `server` has ended, by what an attempt told of it. If so,
+    /// its end counts against the requests that it was working on. A server that
+    /// leaves ends as planned.
+    pub(super) async fn look_after(&self, server: &Server, end: End) {
+        let has_ended = match end {
+            End::Broke => self.peer(server.address).is_gone(LOOK_WITHIN).await,
+            End::Gone => true,
+            End::Lives | End::Unknown => false,
+        };
+        if !has_ended {
+            return;
+        }
+        let now = self.site.now();
+        let requests = self.state().book.end_life(&server.life, now);
+        let known = self.site.directory().get(&server.life.id).cloned();
+        if known.is_some_and(|known| known.life == server.life && !known.draining) {
+            self.crashes.note(&server.life, &requests);
+        }
+    }
+
     pub(super) fn typical(&self, service: &str) -> f64 {
         let state = self.state();
         state
@@ -287,6 +327,7 @@
     caller: &'a Caller,
     /// Whether it ended by itself.
     done: bool,
+    request: Fingerprint,
     sent: &'a Sent,
 }
 
@@ -301,6 +342,7 @@
             // says how slow this one is at least.
             let waited = now.since(self.sent.at).0 as f64;
             state.book.lag(server, now, waited);
+            state.book.leave(server, self.request, now);
         }
     }
 }
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -5,12 +5,12 @@
     CallEnd,
     Caller,
     attempt::{Attempt, judge},
-    caller::{REFUSALS_MOST, Sent, WAIT_FULL, WAIT_NO_SERVER}, //
+    caller::{QUARANTINE, REFUSALS_MOST, Sent, WAIT_FULL, WAIT_NO_SERVER, WAIT_QUARANTINE}, //
 };
 use crate::{
     base::{Millis, Verdict},
     net::Answer,
-    policy::server_choice::hedge_after,
+    policy::{quarantine, server_choice::hedge_after},
     routing::{Kind, Life}, //
 };
 use futures_util::{
@@ -77,17 +77,23 @@
             caller.learn(call, &sent, &attempt);
             match attempt {
                 Attempt::Answered(answer) if self.is_final(&answer) => {
+                    caller.crashes.survived(call.fingerprint);
                     let failures = self.failures + u32::from(is_failure(&answer));
                     return CallEnd::Answered { answer, failures };
                 }
                 Attempt::Answered(answer) => {
+                    caller.crashes.survived(call.fingerprint);
                     self.failures += u32::from(is_failure(&answer));
                     self.ran += 1;
                     kept = Some(answer);
                 }
                 Attempt::Failed {
-                    reason, verdict, ..
+                    end,
+                    reason,
+                    verdict,
+                    ..
                 } => {
+                    caller.look_after(&sent.server, end).await;
                     self.last = reason;
                     match verdict {
                         Verdict::NotRun => self.refusals += 1,
@@ -100,6 +106,14 @@
 
     /// The server for another attempt, if the call may have one.
     fn next(&mut self) -> Option<Sent> {
+        // A call that ends each server that runs it would end all of them: its
+        // attempts here and its caller's returns elsewhere are one request, whose
+        // crashes all instances count together.
+        let verdict = self.caller.crashes.judge(self.call.fingerprint);
+        if verdict == quarantine::Verdict::Barred {
+            self.last = QUARANTINE;
+            return None;
+        }
         let repeatable = self.is_idempotent() || self.ran == 0;
         let allowed = repeatable
             && self.refusals < REFUSALS_MOST
@@ -161,6 +175,10 @@
         }
         let reason = self.last.to_owned();
         match (self.ran, self.tried.is_empty()) {
+            (0, _) if self.last == QUARANTINE => CallEnd::NotRun {
+                reason,
+                wait: WAIT_QUARANTINE,
+            },
             (0, true) => CallEnd::NotRun {
                 reason,
                 wait: WAIT_NO_SERVER,
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -11,7 +11,7 @@
     duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
     platform::Store,
     settings::GatewaySettings,
-    view::{Site, keep}, //
+    view::{Crashes, Site, keep, keep_crashes}, //
 };
 use std::{
     collections::HashMap,
@@ -64,6 +64,7 @@
         let clock = Clock::open();
         let site = Arc::new(Site::new(clock));
         let store = Store::open(common.store, clock);
+        let (crashes, writes) = Crashes::open(store.clone());
         let front = Arc::new(Front {
             batches: Batches {
                 clock,
@@ -71,7 +72,11 @@
                 site: site.clone(),
                 store: store.clone(),
             },
-            caller: Arc::new(Caller::new(site.clone(), &common.data_centre)),
+            caller: Arc::new(Caller::new(
+                site.clone(),
+                crashes.clone(),
+                &common.data_centre,
+            )),
             clock,
             site: site.clone(),
         });
@@ -79,8 +84,10 @@
         let supervisor = handle.supervisor().clone();
         let health = handle.health();
         let seen = site.clone();
+        let shared = crashes.clone();
         let serve = move |context: duty::Context| async move {
             tokio::spawn(keep(seen, store));
+            tokio::spawn(keep_crashes(shared, writes));
             let answering = context.clone();
             let handler = move |request| {
                 let front = front.clone();
@@ -96,7 +103,7 @@
         let none: Route = Arc::new(|_| Box::pin(async { None }));
         let watched = (health.clone(), none.clone());
         let serve = move |context: duty::Context| async move {
-            let knows = move || is_ready(&site, clock.now());
+            let knows = move || is_ready(&site, &crashes, clock.now());
             let ready = admin(context.clone(), ready, health, knows, none);
             let (health, none) = watched;
             let metrics = admin(context, metrics, health, || true, none);
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     base::Millis,
-    view::Site, //
+    view::{Crashes, Site}, //
 };
 
 /// A gateway without the store can't take batches; others may still reach it.
@@ -11,8 +11,8 @@
 const STORE_PATIENCE: Millis = Millis(1_500);
 
 /// Whether the gateway knows enough to serve, and reaches the store.
-pub(super) fn is_ready(site: &Site, now: Millis) -> bool {
-    let knows = site.config().is_some() && site.servers_listed();
+pub(super) fn is_ready(site: &Site, crashes: &Crashes, now: Millis) -> bool {
+    let knows = site.config().is_some() && site.servers_listed() && crashes.are_listed();
     let away = site.store_away_since();
     knows && away.is_none_or(|since| now.since(since) < STORE_PATIENCE)
 }
--- a/src/net/call_error.rs
+++ b/src/net/call_error.rs
@@ -22,6 +22,8 @@
     Connect {
         address: SocketAddr,
         message: String,
+        /// Whether the peer's system answered that nothing listens there.
+        refused: bool,
     },
     /// The answer was larger than this program takes.
     #[snafu(display("{address}: the answer exceeds {limit} bytes"))]
@@ -32,6 +34,11 @@
 }
 
 impl CallError {
+    /// Whether nothing listens at the peer's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { refused: true, .. })
+    }
+
     /// Whether the peer may have acted on the request.
     pub fn verdict(&self) -> Verdict {
         match self {
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -28,6 +28,7 @@
     ResultExt, //
 };
 use std::{
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError}, //
 };
@@ -176,6 +177,20 @@
         self.bounded(self.start(request, false), within).await
     }
 
+    /// Whether nothing listens at the peer's address any more, found out within
+    /// `within` by a new connection, which is kept for the next request.
+    pub async fn is_gone(&self, within: Millis) -> bool {
+        match tokio::time::timeout(within.as_duration(), self.connect()).await {
+            Ok(Ok(sender)) => {
+                let until = usable_until(self.lines.clock.now(), &HeaderMap::new());
+                self.lines.put(sender, until);
+                false
+            }
+            Ok(Err(error)) => error.is_refused(),
+            Err(_) => false,
+        }
+    }
+
     async fn whole(
         &self,
         request: Request<Full<Bytes>>,
@@ -277,19 +292,30 @@
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
         let address = self.address;
-        let refused = |message: String| ConnectSnafu { address, message }.build();
+        let failed = |error: &dyn std::fmt::Display, refused| {
+            let message = error.to_string();
+            let context = ConnectSnafu {
+                address,
+                message,
+                refused,
+            };
+            context.build()
+        };
         let connecting = TcpStream::connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT.as_duration(), connecting)
             .await
-            .map_err(|_| refused(format!("no connection within {CONNECT_TIMEOUT}")))?
-            .map_err(|error| refused(error.to_string()))?;
-        guard_against_silence(&stream).map_err(|error| refused(error.to_string()))?;
+            .map_err(|_| failed(&format!("no connection within {CONNECT_TIMEOUT}"), false))?
+            .map_err(|error| {
+                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                failed(&error, refused)
+            })?;
+        guard_against_silence(&stream).map_err(|error| failed(&error, false))?;
 
         let (sender, connection) = Builder::new()
             .max_buf_size(64 * 1024)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| refused(error.to_string()))?;
+            .map_err(|error| failed(&error, false))?;
         metrics::counter!("redwing_connections_opened_total").increment(1);
         tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub mod model_share;
 pub mod pace;
 pub mod patience;
+pub mod quarantine;
 pub mod retry;
 pub mod retry_budget;
 pub mod router;
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -12,7 +12,7 @@
     net::Peer,
     platform::Store,
     settings::RunnerSettings,
-    view::{Site, keep}, //
+    view::{Crashes, Site, keep, keep_crashes}, //
 };
 use std::{
     net::SocketAddr,
@@ -45,8 +45,9 @@
         let site = Arc::new(Site::new(clock));
         let store = Store::open(common.store, clock);
         let (server, life) = watch::channel(None);
+        let (crashes, writes) = Crashes::open(store.clone());
         let scorers = Scorers {
-            caller: Caller::new(site.clone(), &common.data_centre),
+            caller: Caller::new(site.clone(), crashes.clone(), &common.data_centre),
             site: site.clone(),
         };
         let seed = Seed {
@@ -74,6 +75,7 @@
         let health = handle.health();
         let work = move |context| async move {
             tokio::spawn(keep(site, store));
+            tokio::spawn(keep_crashes(crashes, writes));
             Work::run(seed, context).await;
         };
         handle.add(duty::spawn("work", &supervisor, work)?);
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -5,6 +5,7 @@
     batch::Scorer,
     calls::{Call, CallEnd, Caller},
     platform::{self, ATTEMPT_ID},
+    policy::quarantine::Verdict,
     view::Site, //
 };
 use hyper::{
@@ -34,6 +35,11 @@
 /// The wait between two calls for the same score; scores take about 100 ms.
 const AGAIN: Millis = Millis(80);
 
+/// The same once two servers have ended under the call. The request that ends them
+/// does so again within a second or is in quarantine: a call that comes back at
+/// once is beside it for a third time, and would be taken for it.
+const AGAIN_SUSPECT: Millis = Millis(1_000);
+
 impl Scorers {
     /// Calls the scorer until it gives its score.
     pub(super) async fn score(&self, scorer: &Scorer, until: Millis) -> Score {
@@ -81,14 +87,21 @@
                     let status = answer.status.as_u16();
                     tracing::info!(call = scorer.id, status, failures, "the scorer failed");
                 }
-                CallEnd::NotRun { wait, .. } => tokio::time::sleep(wait.as_duration()).await,
+                CallEnd::NotRun { wait, .. } => {
+                    let left = until.since(self.site.now());
+                    tokio::time::sleep(wait.min(left).as_duration()).await;
+                }
                 CallEnd::Lost { failures: more, .. } => failures += more,
                 CallEnd::TimedOut => {}
             }
             if failures >= most_failures {
                 return Score::GivenUp;
             }
-            tokio::time::sleep(AGAIN.as_duration()).await;
+            let wait = match self.caller.crashes.judge(fingerprint) {
+                Verdict::Clear => AGAIN,
+                Verdict::Suspect | Verdict::Barred => AGAIN_SUSPECT,
+            };
+            tokio::time::sleep(wait.as_duration()).await;
         }
     }
 }
--- a/src/store/follower.rs
+++ b/src/store/follower.rs
@@ -26,6 +26,8 @@
 /// How a table is read.
 #[derive(Clone, Copy, Debug)]
 pub struct Following {
+    /// How long the store holds a call for changes when there are none.
+    pub hold: Millis,
     /// Whether its rows lie in several parts.
     pub parts: bool,
     /// The wait after a batch of changes, in which more of them gather: it
@@ -34,11 +36,11 @@
     pub table: &'static str,
 }
 
-/// How long the store holds a call for changes when there are none. A feed may
+/// How long the store holds a call for changes that must soon be seen. A feed may
 /// fall silent while the store goes on: it is asked anew twice a second, so
 /// that a configuration that was accepted meanwhile is seen in 1.1 s at most,
 /// of the 2 s that the users allow.
-const HOLD: Millis = Millis(500);
+pub const HOLD: Millis = Millis(500);
 
 /// The first wait after a failed call, and the longest.
 const BACKOFF: Millis = Millis(50);
@@ -93,8 +95,8 @@
 
 impl Follower {
     async fn changes(&mut self, after: u64) -> Result<u64, StoreError> {
-        let table = self.following.table;
-        let listing = self.store.changes(table, after, HOLD).await?;
+        let Following { hold, table, .. } = self.following;
+        let listing = self.store.changes(table, after, hold).await?;
         let revision = listing.revision.max(after);
         let changes = self.view.feed(listing.rows);
         if !changes.is_empty() {
--- /dev/null
+++ b/src/view/crashes.rs
@@ -0,0 +1,235 @@
+//! Servers that ended under requests, as all instances know them.
+
+use super::crash_row::{
+    CRASHES,
+    Crash,
+    read_at,
+    value_at, //
+};
+use crate::{
+    base::{Fingerprint, Millis},
+    platform::Store,
+    policy::quarantine::{ENDED_MOST, Quarantine, Verdict},
+    routing::Life,
+    store::{Change, Followed, Following, Transaction, follow}, //
+};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{AtomicBool, Ordering}, //
+    },
+};
+use tokio::sync::mpsc;
+
+/// The crashes that this program saw or heard of; [`keep_crashes`] shares them.
+///
+/// A request that ends each server that runs it comes again at other instances,
+/// under other ids. What each of them saw goes through the store to all, so that
+/// three servers end under it at most, wherever it comes.
+pub struct Crashes {
+    listed: AtomicBool,
+    quarantine: Mutex<Quarantine>,
+    store: Store,
+    writes: mpsc::Sender<Write>,
+}
+
+/// Takes what is to be written; for [`keep_crashes`].
+pub struct CrashWrites(mpsc::Receiver<Write>);
+
+/// A change that all instances should learn.
+#[derive(Debug)]
+struct Write {
+    crash: Crash,
+    /// Whether the crash counts, or counts no more.
+    counts: bool,
+}
+
+/// Changes that may wait for the store. A server's end concerns some ten requests;
+/// more than this many wait only when dozens end in an outage.
+const WRITES_MOST: usize = 1_024;
+
+/// The most rows of one transaction; the store takes 100.
+const ROWS_MOST: usize = 90;
+
+/// The wait after a write that the store did not take.
+const WRITE_AGAIN: Millis = Millis(200);
+
+/// How long the store holds a call for changes. A silent feed is noticed after
+/// this and half a second: within the 3 s that the users allow for all to know.
+const HOLD: Millis = Millis(1_000);
+
+/// The wait after changes, in which those of one crash gather.
+const PACE: Millis = Millis(10);
+
+/// How often crashes that count no more are looked for.
+const SWEEP: Millis = Millis(60_000);
+
+/// Batches of changes that may wait here; the follower waits then.
+const RING: usize = 16;
+
+impl Crashes {
+    /// No crash is known yet; `store` is where they are shared.
+    pub fn open(store: Store) -> (Arc<Self>, CrashWrites) {
+        let (writes, pending) = mpsc::channel(WRITES_MOST);
+        let crashes = Self {
+            listed: AtomicBool::new(false),
+            quarantine: Mutex::default(),
+            store,
+            writes,
+        };
+        (Arc::new(crashes), CrashWrites(pending))
+    }
+
+    /// The server `life` has ended, and `requests` were under way there.
+    pub fn note(&self, life: &Life, requests: &[Fingerprint]) {
+        let now = self.store.now();
+        for request in requests {
+            let (request, life) = (*request, life.clone());
+            if !self.quarantine().note(request, life.clone(), now) {
+                continue;
+            }
+            let ended = self.quarantine().ended(request);
+            let server = &life.id;
+            tracing::warn!(%request, server, ended, "server ended under a request");
+            metrics::counter!("redwing_crashes_seen_total").increment(1);
+            if ended == ENDED_MOST {
+                tracing::warn!(%request, ended, "request in quarantine");
+                metrics::counter!("redwing_requests_quarantined_total").increment(1);
+            }
+            self.write(Crash { life, request }, true);
+        }
+    }
+
+    /// A server answered `request`.
+    pub fn survived(&self, request: Fingerprint) {
+        let acquitted = self.quarantine().acquit(request);
+        if acquitted.is_empty() {
+            return;
+        }
+        let ended = acquitted.len();
+        tracing::info!(%request, ended, "request acquitted: a server answered it");
+        for life in acquitted {
+            self.write(Crash { life, request }, false);
+        }
+    }
+
+    /// What may be done with `request`.
+    pub fn judge(&self, request: Fingerprint) -> Verdict {
+        self.quarantine().judge(request)
+    }
+
+    /// How many servers ended under `request`.
+    pub fn ended(&self, request: Fingerprint) -> usize {
+        self.quarantine().ended(request)
+    }
+
+    /// Whether the crashes that others saw were read since the start.
+    pub fn are_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self, crash: Crash, counts: bool) {
+        let write = Write { crash, counts };
+        if let Err(error) = self.writes.try_send(write) {
+            metrics::counter!("redwing_crashes_unshared_total").increment(1);
+            tracing::warn!(%error, "a crash is known here only");
+        }
+    }
+
+    fn take(&self, change: Change) {
+        let (key, value) = match change {
+            Change::Put { key, value, .. } => (key, Some(value)),
+            Change::Removed { key, .. } => (key, None),
+        };
+        let Some(Crash { life, request }) = Crash::parse(&key) else {
+            tracing::warn!(key, "an entry names no crash");
+            return;
+        };
+        let at = value.map(|value| read_at(&value));
+        match at {
+            None => self.quarantine().forget(request, &life),
+            Some(None) => {}
+            Some(Some(at)) => {
+                let mut quarantine = self.quarantine();
+                let server = life.id.clone();
+                if quarantine.note(request, life, at) {
+                    let ended = quarantine.ended(request);
+                    tracing::info!(%request, server, ended, "crash heard of");
+                }
+            }
+        }
+    }
+}
+
+/// Shares crashes with all instances through the store, for good.
+pub async fn keep_crashes(crashes: Arc<Crashes>, writes: CrashWrites) {
+    let store = &crashes.store;
+    let (sender, mut feed) = mpsc::channel(RING);
+    let following = Following {
+        hold: HOLD,
+        pace: PACE,
+        parts: false,
+        table: CRASHES,
+    };
+    tokio::spawn(follow(store.clone(), following, sender));
+    tokio::spawn(write_all(writes, store.clone()));
+    let mut sweep = tokio::time::interval(SWEEP.as_duration());
+    loop {
+        tokio::select! {
+            Some(followed) = feed.recv() => {
+                if let Followed::Changes { changes, listed } = followed {
+                    for change in changes {
+                        crashes.take(change);
+                    }
+                    crashes.listed.fetch_or(listed, Ordering::Relaxed);
+                }
+            }
+            _ = sweep.tick() => {
+                let expired = crashes.quarantine().expired(store.now(), ROWS_MOST);
+                for (request, life) in expired {
+                    crashes.quarantine().forget(request, &life);
+                    crashes.write(Crash { life, request }, false);
+                }
+            }
+            else => return,
+        }
+    }
+}
+
+/// Writes changes in their order. A write whose outcome is unknown is written
+/// again: it says the same.
+async fn write_all(writes: CrashWrites, store: Store) {
+    let CrashWrites(mut writes) = writes;
+    while let Some(first) = writes.recv().await {
+        let mut last = BTreeMap::from([(first.crash, first.counts)]);
+        while last.len() < ROWS_MOST
+            && let Ok(next) = writes.try_recv()
+        {
+            last.insert(next.crash, next.counts);
+        }
+        let at = value_at(store.now());
+        let (set, remove): (Vec<_>, Vec<_>) = last.into_iter().partition(|(_, counts)| *counts);
+        let transaction = Transaction {
+            expect: Vec::new(),
+            remove: remove.iter().map(|(crash, _)| crash.key()).collect(),
+            set: set
+                .iter()
+                .map(|(crash, _)| (crash.key(), at.clone()))
+                .collect(),
+        };
+        while let Err(error) = store.transact(&transaction).await {
+            tracing::debug!(%error, "crashes wait for the store");
+            tokio::time::sleep(WRITE_AGAIN.as_duration()).await;
+        }
+    }
+}
--- a/src/view/keeper.rs
+++ b/src/view/keeper.rs
@@ -14,7 +14,7 @@
         read_named,
         read_server, //
     },
-    store::{Change, Followed, Following, follow}, //
+    store::{Change, Followed, Following, HOLD, follow}, //
 };
 use std::{
     collections::HashSet,
@@ -40,6 +40,7 @@
     let (operators, mut operator_feed) = mpsc::channel(RING);
     let (servers, mut server_feed) = mpsc::channel(RING);
     let following = |table, pace| Following {
+        hold: HOLD,
         pace,
         parts: false,
         table,
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -1,9 +1,13 @@
-//! What a program knows of its site: configuration, servers, named versions.
+//! What a program knows of its site: configuration, servers, named versions,
+//! crashes.
 
+mod crash_row;
+mod crashes;
 mod keeper;
 mod site;
 
 pub use self::{
+    crashes::{CrashWrites, Crashes, keep_crashes},
     keeper::keep,
     site::Site, //
 };
--- a/standins/tests/integration/crashes.rs
+++ b/standins/tests/integration/crashes.rs
@@ -63,6 +63,11 @@
 /// A weighbridge call ends each server that runs it. Its caller comes again at
 /// another gateway under a new id, and again after the servers are back: all servers
 /// of the service ended each time, and other callers were refused for seconds.
+/// A gateway forgot a call with its last attempt, and no gateway knew what another
+/// had seen. A gateway's log of one such call, of which the servers remember nothing:
+/// `attempt failed reason=connection-broke taken=97`, then at the next server
+/// `attempt failed reason=connection-broke taken=97`, `lost: it may have run`. Here 24
+/// servers ended under eight such calls, three for each, as the route allows.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_ends_its_servers_is_given_up() {
     for path in ["/safe/x", "/once/x"] {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -7,6 +7,7 @@
     mod messages;
     mod overload;
     mod platform_wire;
+    mod quarantine;
     mod settings_faults;
     mod step_times;
 }
--- /dev/null
+++ b/tests/integration/quarantine.rs
@@ -0,0 +1,146 @@
+//! Which requests run no more, as a table of what happened to them.
+
+use redwingpond::{
+    base::{Asked, Fingerprint, Millis},
+    policy::quarantine::{Quarantine, RETENTION, Verdict},
+    routing::Life, //
+};
+
+/// What happened to a request.
+#[derive(Clone, Copy)]
+enum News {
+    Answered,
+    /// The server with this number ended under it.
+    Ended(u64),
+    /// The crash of the server with this number counts no more.
+    Forgotten(u64),
+}
+
+struct Test {
+    news: &'static [News],
+    verdict: Verdict,
+}
+
+fn request(body: &str) -> Fingerprint {
+    Fingerprint::of(Asked {
+        body: body.as_bytes(),
+        credential: b"",
+        host: "site.example",
+        method: "POST",
+        path: "/safe/x",
+    })
+}
+
+/// A server that starts again under its id is another one.
+fn life(number: u64) -> Life {
+    Life::new("server", Millis(number))
+}
+
+#[test]
+fn three_servers_bar_a_request_until_it_is_answered() {
+    use News::{Answered, Ended, Forgotten};
+    for (number, test) in [
+        Test {
+            news: &[],
+            verdict: Verdict::Clear,
+        },
+        Test {
+            news: &[Ended(1)],
+            verdict: Verdict::Clear,
+        },
+        Test {
+            news: &[Ended(1), Ended(2)],
+            verdict: Verdict::Suspect,
+        },
+        Test {
+            news: &[Ended(1), Ended(2), Ended(3)],
+            verdict: Verdict::Barred,
+        },
+        // Two instances that saw one crash.
+        Test {
+            news: &[Ended(1), Ended(1), Ended(1)],
+            verdict: Verdict::Clear,
+        },
+        // Many callers ask the same: an answer to one speaks for all.
+        Test {
+            news: &[Ended(1), Ended(2), Answered, Ended(3), Ended(4)],
+            verdict: Verdict::Suspect,
+        },
+        Test {
+            news: &[Ended(1), Ended(2), Ended(3), Forgotten(1)],
+            verdict: Verdict::Suspect,
+        },
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut quarantine = Quarantine::default();
+        let asked = request("a");
+        for news in test.news {
+            match news {
+                Answered => {
+                    quarantine.acquit(asked);
+                }
+                Ended(server) => {
+                    quarantine.note(asked, life(*server), Millis(0));
+                }
+                Forgotten(server) => quarantine.forget(asked, &life(*server)),
+            }
+        }
+        assert_eq!(quarantine.judge(asked), test.verdict, "case {number}");
+        assert_eq!(quarantine.judge(request("b")), Verdict::Clear);
+    }
+}
+
+/// A crash counts for a day, and no longer.
+#[test]
+fn crashes_expire() {
+    let mut quarantine = Quarantine::default();
+    let asked = request("a");
+    quarantine.note(asked, life(1), Millis(0));
+    quarantine.note(asked, life(2), Millis(5));
+    assert!(quarantine.expired(RETENTION, 10).is_empty());
+    let old = quarantine.expired(RETENTION + Millis(1), 10);
+    assert_eq!(old, [(asked, life(1))]);
+    let old = quarantine.expired(RETENTION + Millis(6), 1);
+    assert_eq!(old.len(), 1);
+}
+
+/// The same asked again under another id is one request; any other content, host or
+/// credential makes another.
+#[test]
+fn a_fingerprint_names_what_was_asked() {
+    let asked = Asked {
+        body: b"body",
+        credential: b"key",
+        host: "host",
+        method: "POST",
+        path: "/a?b",
+    };
+    let name = Fingerprint::of(asked);
+    assert_eq!(Fingerprint::parse(&name.to_string()), Some(name));
+    for other in [
+        Asked {
+            body: b"other",
+            ..asked
+        },
+        Asked {
+            credential: b"",
+            ..asked
+        },
+        Asked {
+            host: "other",
+            ..asked
+        },
+        Asked {
+            method: "PUT",
+            ..asked
+        },
+        Asked {
+            path: "/a?c",
+            ..asked
+        },
+    ] {
+        assert_ne!(Fingerprint::of(other), name, "{other:?}");
+    }
+}
