Count a server's end under a call that nobody waits for any more

What callers saw: a call that ends its servers went on doing so when its caller left, or its time was over, before the server ended: 16 servers in eight returns. Cause: the gateway forgot the attempt with its caller, and saw no connection break. And a slow first attempt had a second server asked beside it: both ended.

A request under which a server has ended goes to one server at a time. A process that ends closes its connections a moment before its listener: the look takes 10 ms more where a connection still comes about.

--- a/src/calls/book.rs
+++ b/src/calls/book.rs
@@ -150,7 +150,8 @@
             .retain(|asked| asked.left.is_none_or(|left| left >= began));
     }
 
-    /// Notes what became of `request`, which was sent to `server` at `began`.
+    /// Notes what became of `request`, which was sent to `server` at `began`; true
+    /// when the server may still be working on it.
     pub(super) fn settle(
         &mut self,
         server: &Life,
@@ -158,14 +159,18 @@
         began: Millis,
         attempt: &Attempt,
         now: Millis,
-    ) {
+    ) -> bool {
         match attempt {
             Attempt::Answered(_)
             | Attempt::Failed {
                 end: End::Lives, ..
-            } => self.reply(server, request, began),
+            } => {
+                self.reply(server, request, began);
+                false
+            }
             Attempt::Failed { verdict, .. } if !verdict.may_have_run() => {
                 self.unask(server, request);
+                false
             }
             Attempt::Failed { .. } => self.leave(server, request, now),
         }
@@ -178,16 +183,26 @@
         }
     }
 
-    /// Nobody waits for the answer to `request` any more.
-    pub(super) fn leave(&mut self, server: &Life, request: Fingerprint, now: Millis) {
+    /// Nobody waits for the answer to `request` any more; true when the server may
+    /// still be working on it.
+    pub(super) fn leave(&mut self, server: &Life, request: Fingerprint, now: Millis) -> bool {
         let Some(record) = self.records.get_mut(server) else {
-            return;
+            return false;
         };
         let mut waiting = record.asked.iter_mut();
         let asked = waiting.find(|asked| asked.request == request && asked.left.is_none());
+        let is_open = asked.is_some();
         if let Some(asked) = asked {
             asked.left = Some(now);
         }
+        is_open
+    }
+
+    /// Whether `server` may be working on `request`.
+    pub(super) fn is_open(&self, server: &Life, request: Fingerprint) -> bool {
+        let record = self.records.get(server);
+        let mut asked = record.iter().flat_map(|record| &record.asked);
+        asked.any(|asked| asked.request == request)
     }
 
     /// `server` has ended; returns the requests that it may have been working on.
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -28,14 +28,17 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak}, //
 };
+use tokio::runtime::Handle;
 
 /// Sends calls to backend servers and keeps what it learns of them.
 pub struct Caller {
     /// The caller's data centre.
     home: String,
     pub(crate) crashes: Arc<Crashes>,
+    /// For the looks that outlast their call.
+    me: Weak<Self>,
     pub(super) site: Arc<Site>,
     state: Mutex<State>,
 }
@@ -71,6 +74,11 @@
 /// takes, so that a slot is likely to be free.
 pub(super) const WAIT_FULL: Millis = Millis(60);
 
+/// When to look whether a server has ended under a request for which nobody waits
+/// any more: longer than calls run as a rule, and sooner than a server is back, which
+/// takes a second at least.
+const LOOK_LATER: Millis = Millis(500);
+
 /// Why a call in quarantine is refused.
 pub(super) const QUARANTINE: &str = "quarantine";
 
@@ -87,10 +95,11 @@
 
 impl Caller {
     /// A caller in the data centre `home`.
-    pub fn new(site: Arc<Site>, crashes: Arc<Crashes>, home: &str) -> Self {
-        Self {
+    pub fn new(site: Arc<Site>, crashes: Arc<Crashes>, home: &str) -> Arc<Self> {
+        Arc::new_cyclic(|me| Self {
             crashes,
             home: home.to_owned(),
+            me: me.clone(),
             site,
             state: Mutex::new(State {
                 book: Book::default(),
@@ -98,7 +107,7 @@
                 peers: HashMap::new(),
                 services: HashMap::new(),
             }),
-        }
+        })
     }
 
     /// Runs `call` to its end. Dropping the future closes the connections of
@@ -275,9 +284,12 @@
         let taken = now.since(sent.at).0 as f64;
         let server = &sent.server.life;
         let mut state = self.state();
-        state
+        let open = state
             .book
             .settle(server, call.fingerprint, sent.at, attempt, now);
+        if open {
+            self.look_later(&sent.server, call.fingerprint);
+        }
         match attempt {
             Attempt::Answered(answer) => {
                 if let Some(load) = platform::server_load(&answer.headers) {
@@ -308,12 +320,31 @@
         }
     }
 
+    /// Looks after a while whether `server` has ended, if by then nothing has shown
+    /// what became of `request`, for whose answer nobody waits any more. Without it
+    /// a request whose caller leaves before its server ends counts for nothing.
+    pub(super) fn look_later(&self, server: &Arc<Server>, request: Fingerprint) {
+        let (Some(caller), Ok(runtime)) = (self.me.upgrade(), Handle::try_current()) else {
+            return;
+        };
+        let server = server.clone();
+        runtime.spawn(async move {
+            tokio::time::sleep(LOOK_LATER.as_duration()).await;
+            if caller.state().book.is_open(&server.life, request) {
+                caller.look_after(&server, End::Broke).await;
+            }
+        });
+    }
+
     /// Finds out whether `server` has ended, by what an attempt told of it. If so,
     /// its end counts against the requests that it was working on. A server that
     /// leaves ends as planned.
     pub(super) async fn look_after(&self, server: &Server, end: End) {
         let has_ended = match end {
-            End::Broke => self.peer(server.address).is_gone(LOOK_WITHIN).await,
+            End::Broke => {
+                let peer = self.peer(server.address);
+                self.is_replaced(server) || peer.is_gone(LOOK_WITHIN).await
+            }
             End::Gone => true,
             End::Lives | End::Unknown => false,
         };
@@ -328,6 +359,12 @@
         }
     }
 
+    /// Whether another life of the service is announced at the server's address.
+    fn is_replaced(&self, server: &Server) -> bool {
+        let now = self.site.server_at(server.address, &server.service);
+        now.is_some_and(|now| now.life != server.life)
+    }
+
     pub(super) fn typical(&self, service: &str) -> f64 {
         let state = self.state();
         state
@@ -359,7 +396,9 @@
             // says how slow this one is at least.
             let waited = now.since(self.sent.at).0 as f64;
             state.book.lag(server, now, waited);
-            state.book.leave(server, self.request, now);
+            if state.book.leave(server, self.request, now) {
+                self.caller.look_later(&self.sent.server, self.request);
+            }
         }
     }
 }
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -138,7 +138,9 @@
     /// How long the attempt under way may stay silent before another server is
     /// asked beside it; `None` for good.
     fn hedge_wait(&self, under_way: usize) -> Option<Millis> {
-        let wanted = under_way == 1 && self.is_idempotent() && !self.hedged;
+        // A request that may end its servers isn't sent to two at once.
+        let harmless = self.caller.crashes.ended(self.call.fingerprint) == 0;
+        let wanted = under_way == 1 && self.is_idempotent() && !self.hedged && harmless;
         if !wanted || self.pending() + self.ran >= self.call.route.attempts {
             return None;
         }
--- a/src/calls/watched.rs
+++ b/src/calls/watched.rs
@@ -53,6 +53,9 @@
     fn drop(&mut self) {
         let now = self.caller.site.now();
         let server = &self.sent.server.life;
-        self.caller.state().book.leave(server, self.request, now);
+        let is_open = self.caller.state().book.leave(server, self.request, now);
+        if is_open {
+            self.caller.look_later(&self.sent.server, self.request);
+        }
     }
 }
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -72,11 +72,7 @@
                 site: site.clone(),
                 store: store.clone(),
             },
-            caller: Arc::new(Caller::new(
-                site.clone(),
-                crashes.clone(),
-                &common.data_centre,
-            )),
+            caller: Caller::new(site.clone(), crashes.clone(), &common.data_centre),
             clock,
             site: site.clone(),
         });
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -65,6 +65,9 @@
 /// connection up. A peer behind a partition sends nothing, not even a reset.
 const USER_TIMEOUT: Millis = Millis(3_000);
 
+/// How long a process that ends takes to close all that it has open.
+const CLOSING: Millis = Millis(10);
+
 /// Silence after which the system probes a kept connection, and between probes.
 const KEEPALIVE: std::time::Duration = std::time::Duration::from_secs(2);
 
@@ -179,11 +182,23 @@
 
     /// Whether nothing listens at the peer's address any more, found out within
     /// `within` by a new connection, which is kept for the next request.
+    ///
+    /// A process that ends closes its connections and its listener one after the
+    /// other. A connection that comes about in between is closed at once, so it is
+    /// looked at again a moment later.
     pub async fn is_gone(&self, within: Millis) -> bool {
-        match tokio::time::timeout(within.as_duration(), self.connect()).await {
-            Ok(Ok(sender)) => {
+        let look = async {
+            let line = self.connect().await?;
+            tokio::time::sleep(CLOSING.as_duration()).await;
+            match line.is_closed() {
+                true => self.connect().await,
+                false => Ok(line),
+            }
+        };
+        match tokio::time::timeout(within.as_duration(), look).await {
+            Ok(Ok(line)) => {
                 let until = usable_until(self.lines.clock.now(), &HeaderMap::new());
-                self.lines.put(sender, until);
+                self.lines.put(line, until);
                 false
             }
             Ok(Err(error)) => error.is_refused(),
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -16,7 +16,7 @@
 
 /// Sends texts to the service that scores them.
 pub(super) struct Scorers {
-    pub(super) caller: Caller,
+    pub(super) caller: Arc<Caller>,
     pub(super) site: Arc<Site>,
 }
 
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -105,6 +105,11 @@
         *lock(&self.inner.fatal) = Some(Bytes::copy_from_slice(body.as_bytes()));
     }
 
+    /// Ends it, with all that it is working on.
+    pub fn end(&self) {
+        self.inner.set_up(false);
+    }
+
     /// Whether it runs.
     pub fn is_up(&self) -> bool {
         self.inner.switch.get().is_some_and(|up| *up.borrow())
@@ -148,13 +153,22 @@
 }
 
 impl Inner {
+    /// Ends the server after `work`, whether the request's caller waits or not.
+    fn end_after(self: &Arc<Self>, work: Millis) {
+        let server = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(work.as_duration()).await;
+            server.set_up(false);
+        });
+    }
+
     fn set_up(&self, up: bool) {
         if let Some(switch) = self.switch.get() {
             switch.send_replace(up);
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> io::Result<Answer> {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         let expected = head.headers.get("x-expect-instance");
@@ -175,11 +189,11 @@
         self.open.fetch_add(1, Ordering::Relaxed);
         let _open = Open(&self.open);
         let work = *lock(&self.work);
-        tokio::time::sleep(work.as_duration()).await;
         if lock(&self.fatal).as_ref() == Some(&body) {
-            self.set_up(false);
+            self.end_after(work);
             std::future::pending::<()>().await;
         }
+        tokio::time::sleep(work.as_duration()).await;
         match fault {
             PlainFault::Mute => std::future::pending::<()>().await,
             PlainFault::Reset => return Err(io::Error::other("reset on command")),
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -121,6 +121,14 @@
         Ok(())
     }
 
+    /// Starts another gateway and waits until it is ready.
+    pub async fn start_gateway(&mut self) -> io::Result<()> {
+        let settings = self.gateway_settings(self.gateways.len());
+        let gateway = Gateway::open(settings).map_err(io::Error::other)?;
+        self.gateways.push(gateway);
+        self.wait_up().await
+    }
+
     /// Announces all servers as ready.
     pub fn announce_all(&self) {
         for engine in &self.engines {
--- a/standins/tests/integration/crashes.rs
+++ b/standins/tests/integration/crashes.rs
@@ -5,8 +5,10 @@
     Batch,
     Engine,
     EngineFaults,
+    Outage,
     Scene,
     Shape,
+    StoreFaults,
     server_entry, //
 };
 use redwingpond::base::Millis;
@@ -106,6 +108,151 @@
     }
 }
 
+/// A call ends each server that runs it, and nobody waits for it any more when it
+/// does: its caller has left, or its time was over. It comes again every second. A
+/// gateway forgot its attempt with the caller, and saw no connection break: 16 servers
+/// ended. It now looks half a second later whether the server is still there; and it
+/// sends a request under which a server has ended to one server at a time, where it
+/// asked a second one beside a slow first, and lost both.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_nobody_waits_for_is_given_up_too() {
+    struct Test {
+        deadline: &'static str,
+        name: &'static str,
+        within: Duration,
+    }
+
+    for test in [
+        Test {
+            deadline: "30",
+            name: "timed-out",
+            within: Duration::from_secs(2),
+        },
+        Test {
+            deadline: "1500",
+            name: "left",
+            within: Duration::from_millis(30),
+        },
+    ] {
+        let shape = Shape {
+            engines: 1,
+            gateways: 2,
+            plain: 3,
+            ..Shape::default()
+        };
+        let scene = Scene::open(shape).await.unwrap();
+        let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+        for plain in &scene.plain {
+            plain.set_fatal("fatal");
+            plain.set_work(Millis(80));
+        }
+
+        let mut ids = Vec::new();
+        for round in 0..8 {
+            let id = format!("fatal-{round}");
+            let headers = [
+                ("host", "site.example"),
+                ("x-attempt-id", id.as_str()),
+                ("x-deadline-ms", test.deadline),
+            ];
+            let gateway = scene.gateways[round % 2].callers;
+            let (path, body) = ("/safe/x", "fatal");
+            let asking =
+                scene
+                    .client
+                    .call(Method::POST, gateway, path, &headers, body, test.within);
+            // Nobody waits for the answer.
+            let _ = asking.await;
+            ids.push(id);
+            sleep(2 * DOWN).await;
+            revive_plain(&scene, &mut lives);
+            sleep(2 * DOWN).await;
+        }
+        let ended: usize = scene
+            .plain
+            .iter()
+            .map(|plain| ids.iter().map(|id| plain.runs_of(id)).sum::<usize>())
+            .sum();
+        assert!(ended <= ENDED_MOST, "{}: {ended} servers ended", test.name);
+    }
+}
+
+/// Many callers ask the same. Servers end under them for reasons of their own, and
+/// others answer: nobody is refused for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_answered_is_acquitted() {
+    let shape = Shape {
+        engines: 1,
+        gateways: 2,
+        plain: 3,
+        ..Shape::default()
+    };
+    let scene = Scene::open(shape).await.unwrap();
+    let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+    for round in 0..6 {
+        for plain in &scene.plain {
+            plain.set_work(Millis(80));
+        }
+        let dying = &scene.plain[round % 3];
+        let gateway = round % 2;
+        let asking = (0..6).map(|number| {
+            let id = format!("shared-{round}-{number}");
+            let scene = &scene;
+            async move { call(scene, gateway, "/safe/x", &id, "shared").await }
+        });
+        let ending = async {
+            sleep(40).await;
+            dying.end();
+        };
+        let (answers, ()) = tokio::join!(futures_util::future::join_all(asking), ending);
+        for status in answers {
+            assert_eq!(status, Some(200), "round {round}");
+        }
+        sleep(DOWN).await;
+        revive_plain(&scene, &mut lives);
+        sleep(DOWN).await;
+    }
+}
+
+/// The store is away while servers end under a call. What one gateway saw then is
+/// known to all within seconds of the store's return, and to a gateway that starts
+/// later before it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_in_an_outage_are_known_after_it() {
+    let shape = Shape {
+        engines: 1,
+        gateways: 2,
+        plain: 4,
+        ..Shape::default()
+    };
+    let mut scene = Scene::open(shape).await.unwrap();
+    let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+    for plain in &scene.plain {
+        plain.set_fatal("fatal");
+    }
+    scene.store.set_faults(StoreFaults {
+        outage: Outage::Busy,
+        ..StoreFaults::default()
+    });
+    sleep(DOWN).await;
+    // The route allows three attempts: three servers end.
+    let status = call(&scene, 0, "/safe/x", "fatal-0", "fatal").await;
+    assert_eq!(status, Some(502));
+    sleep(DOWN).await;
+    scene.store.set_faults(StoreFaults::default());
+    revive_plain(&scene, &mut lives);
+    sleep(KNOWN_WITHIN).await;
+
+    scene.start_gateway().await.unwrap();
+    for gateway in 0..3 {
+        let id = format!("fatal-{}", gateway + 1);
+        let status = call(&scene, gateway, "/safe/x", &id, "fatal").await;
+        assert_eq!(status, Some(503), "{id}");
+        let runs: usize = scene.plain.iter().map(|plain| plain.runs_of(&id)).sum();
+        assert_eq!(runs, 0, "{id}");
+    }
+}
+
 /// A call whose answer is a stream ends each engine that runs it, after the first
 /// event. Its caller opens it again at another gateway; each time an engine ended,
 /// with all the items that ran there. A stream was watched until its first byte only:
@@ -154,7 +301,8 @@
 /// counted what its engine answered, failures included, and nothing when the engine
 /// ended: `run broke off`, and the item was offered again 60 ms later. 21 engines ended
 /// in 12 s. The items of its bundle share its engines, so that two ends speak against
-/// all of them alike: from then on each runs apart from the others.
+/// all of them alike: from then on each runs apart from the others, and is claimed
+/// anew once its engine has ended, since another runner may have taken it over.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_item_that_ends_its_engines_is_given_up() {
     let shape = Shape {
