Tell an engine's lives apart before its end counts against items

A report from before the announced start isn't used any more, and an end without a later start doesn't count. A suspect is given back and claimed anew, which the store decides.

--- a/src/runner/engine_state.rs
+++ b/src/runner/engine_state.rs
@@ -30,10 +30,16 @@
         let confirmed = met.as_ref().is_some_and(|met| self.is_ours_since(met.at));
         let present = present(announced_id, met.as_ref(), confirmed);
 
-        let fresh = self
-            .report
+        let started = announced
             .as_ref()
-            .is_some_and(|(_, at)| now.since(*at) < REPORT_FRESH);
+            .map_or(Millis(0), |server| server.life.born);
+        let fresh = self.report.as_ref().is_some_and(|(report, at)| {
+            // A report from before the announced start is of the life before. With
+            // the new id it made up a life that never was, and whose end counted
+            // against the items that had just begun.
+            let is_before = report.born.0 > 0 && report.born < started;
+            now.since(*at) < REPORT_FRESH && !is_before
+        });
         let draining = |id: &str| {
             let directory = self.site.directory();
             directory.get(id).is_some_and(|server| server.draining)
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -106,9 +106,14 @@
     async fn look_after(&self, server: &Life, task: &Task, run: &Run) {
         let has_ended = match run {
             Run::Outlived => {
+                let next = self.server.borrow().clone();
+                // Where engines don't tell when they started, ids tell lives apart.
+                let untold = |next: &Life| next.born == Millis(0) && next.id != server.id;
+                let is_later = |next: &Life| next.born > server.born || untold(next);
+                let started = next.as_ref().is_some_and(is_later);
                 let directory = self.scorers.site.directory();
                 let known = directory.get(&server.id);
-                known.is_some_and(|known| !known.draining)
+                started && known.is_some_and(|known| !known.draining)
             }
             Run::Broken(CallError::Broken { .. }) => {
                 let here = self.server.borrow().as_ref() == Some(server);
@@ -327,6 +332,14 @@
         if matches!(run, Run::Whole | Run::Failed | Run::Impossible) {
             engine.crashes.survived(task.fingerprint);
         }
+        let ended = matches!(run, Run::Broken(_) | Run::Outlived);
+        if ended && engine.crashes.judge(task.fingerprint) != Verdict::Clear {
+            // Others take its bundle over by now. It is claimed anew, so that it
+            // does not run here and there at once, and ends two engines.
+            let (item, request) = (&task.item.id, task.fingerprint);
+            tracing::info!(item, %request, "a suspect is given back after its run broke off");
+            return ItemEnd::Dropped;
+        }
         match run {
             Run::Whole => {
                 let (item, events, server) = (&task.item.id, text.events.len(), &server.id);
