Acquit the innocent: trials, answered requests, attempts that never arrived

Causes, each shown by a log: - what was still connecting to a server counted at its end: a call was in quarantine after 'no-connection' at three servers. Each attempt now finds out for itself, and what is sent once the end is known doesn't count; - requests that many share lost several servers at once. An end under a request that others answered in the last 5 s doesn't count; - calls to a scorer had no name of their own; they go by its id now, as items do; - nothing led out of quarantine. A request is tried once 5 s after its last crash, and once more 10 minutes later; the store lets one instance do it; - a runner took and dropped a suspect's bundle every 3 ms until it knew that its engine was gone. It waits for that.

--- a/src/calls/book.rs
+++ b/src/calls/book.rs
@@ -5,7 +5,7 @@
     End, //
 };
 use crate::{
-    base::{Fingerprint, Millis},
+    base::{Fingerprint, Millis, Verdict},
     policy::{health::Health, latency::Latency, server_choice::Candidate},
     routing::{Life, Server}, //
 };
@@ -16,6 +16,8 @@
 struct Record {
     /// Requests of which the server has not been seen to answer or refuse them.
     asked: Vec<Asked>,
+    /// When it was seen to have ended.
+    ended: Option<Millis>,
     health: Health,
     in_flight: u32,
     latency: Latency,
@@ -32,6 +34,13 @@
     request: Fingerprint,
 }
 
+/// When a request was sent, and whether it may have run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sending {
+    pub(super) began: Millis,
+    pub(super) verdict: Verdict,
+}
+
 /// The records of all servers, by life.
 #[derive(Debug, Default)]
 pub(super) struct Book {
@@ -144,6 +153,7 @@
         let Some(record) = self.records.get_mut(server) else {
             return;
         };
+        record.ended = None;
         record.drop_one(request);
         record
             .asked
@@ -168,19 +178,35 @@
                 self.reply(server, request, began);
                 false
             }
-            Attempt::Failed { verdict, .. } if !verdict.may_have_run() => {
-                self.unask(server, request);
-                false
+            Attempt::Failed { verdict, .. } => {
+                let sent = Sending {
+                    began,
+                    verdict: *verdict,
+                };
+                self.lose(server, request, sent, now)
             }
-            Attempt::Failed { .. } => self.leave(server, request, now),
         }
     }
 
-    /// `request` never reached `server`.
-    fn unask(&mut self, server: &Life, request: Fingerprint) {
-        if let Some(record) = self.records.get_mut(server) {
+    /// `request` got no answer of `server`; true when the server may still be
+    /// working on it. One that never reached it, or that was sent once its end was
+    /// known and may have met it closing down, has not ended it.
+    pub(super) fn lose(
+        &mut self,
+        server: &Life,
+        request: Fingerprint,
+        sent: Sending,
+        now: Millis,
+    ) -> bool {
+        let Some(record) = self.records.get_mut(server) else {
+            return false;
+        };
+        let too_late = record.ended.is_some_and(|at| sent.began >= at);
+        if too_late || !sent.verdict.may_have_run() {
             record.drop_one(request);
+            return false;
         }
+        self.leave(server, request, now)
     }
 
     /// Nobody waits for the answer to `request` any more; true when the server may
@@ -205,18 +231,23 @@
         asked.any(|asked| asked.request == request)
     }
 
-    /// `server` has ended; returns the requests that it may have been working on.
+    /// `server` has ended; returns the requests that were given up there of late.
+    ///
+    /// Those whose answers are awaited find out by themselves what became of them:
+    /// some are still connecting, and have never reached it.
     pub(super) fn end_life(&mut self, server: &Life, now: Millis) -> Vec<Fingerprint> {
         let Some(record) = self.records.get_mut(server) else {
             return Vec::new();
         };
-        let recent = |asked: &Asked| asked.left.is_none_or(|left| now.since(left) < LEFT_KEPT);
-        let asked = std::mem::take(&mut record.asked);
-        asked
+        record.ended.get_or_insert(now);
+        let (left, awaited) = std::mem::take(&mut record.asked)
             .into_iter()
-            .filter(recent)
-            .map(|asked| asked.request)
-            .collect()
+            .partition(|asked| asked.left.is_some());
+        record.asked = awaited;
+        let recent = |asked: &Asked| asked.left.is_some_and(|left| now.since(left) < LEFT_KEPT);
+        let left: Vec<Asked> = left;
+        let recent = left.into_iter().filter(recent);
+        recent.map(|asked| asked.request).collect()
     }
 }
 
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -130,9 +130,15 @@
     pub async fn open_stream(self: &Arc<Self>, call: &Call) -> StreamEnd {
         let mut tried = Vec::new();
         let mut reason = "no-server";
+        let trial = self.take_trial(call).await;
         for _ in 0..=REFUSALS_MOST {
             // Its caller opens a stream anew after each end of a server.
-            if self.crashes.judge(call.fingerprint) == Verdict::Barred {
+            let barred = match self.crashes.judge(call.fingerprint) {
+                Verdict::Clear | Verdict::Suspect => false,
+                Verdict::Trial => !trial || !tried.is_empty(),
+                Verdict::Barred => true,
+            };
+            if barred {
                 return StreamEnd::NotRun {
                     reason: QUARANTINE.to_owned(),
                     wait: WAIT_QUARANTINE,
@@ -320,6 +326,12 @@
         }
     }
 
+    /// Whether `call` is in quarantine, and this attempt of it is its trial.
+    pub(super) async fn take_trial(&self, call: &Call) -> bool {
+        let request = call.fingerprint;
+        self.crashes.judge(request) == Verdict::Trial && self.crashes.claim_trial(request).await
+    }
+
     /// Looks after a while whether `server` has ended, if by then nothing has shown
     /// what became of `request`, for whose answer nobody waits any more. Without it
     /// a request whose caller leaves before its server ends counts for nothing.
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -8,9 +8,9 @@
     caller::{QUARANTINE, REFUSALS_MOST, Sent, WAIT_FULL, WAIT_NO_SERVER, WAIT_QUARANTINE}, //
 };
 use crate::{
-    base::{Millis, Verdict},
+    base::{self, Millis},
     net::Answer,
-    policy::{quarantine, server_choice::hedge_after},
+    policy::{quarantine::Verdict, server_choice::hedge_after},
     routing::{Kind, Life}, //
 };
 use futures_util::{
@@ -33,6 +33,8 @@
     ran: u32,
     /// Attempts that did not.
     refusals: u32,
+    /// Whether the call is in quarantine, and this is the trial of it.
+    trial: bool,
     tried: Vec<Life>,
 }
 
@@ -47,6 +49,7 @@
             last: "no-server",
             ran: 0,
             refusals: 0,
+            trial: false,
             tried: Vec::new(),
         }
     }
@@ -56,6 +59,7 @@
         let caller = self.caller;
         let mut under_way = FuturesUnordered::new();
         let mut kept: Option<Answer> = None;
+        self.trial = caller.take_trial(call).await;
         loop {
             if under_way.is_empty() {
                 let Some(sent) = self.next() else {
@@ -96,8 +100,8 @@
                     caller.look_after(&sent.server, end).await;
                     self.last = reason;
                     match verdict {
-                        Verdict::NotRun => self.refusals += 1,
-                        Verdict::MayHaveRun | Verdict::Ran => self.ran += 1,
+                        base::Verdict::NotRun => self.refusals += 1,
+                        base::Verdict::MayHaveRun | base::Verdict::Ran => self.ran += 1,
                     }
                 }
             }
@@ -110,7 +114,12 @@
         // attempts here and its caller's returns elsewhere are one request, whose
         // crashes all instances count together.
         let verdict = self.caller.crashes.judge(self.call.fingerprint);
-        if verdict == quarantine::Verdict::Barred {
+        let barred = match verdict {
+            Verdict::Clear | Verdict::Suspect => false,
+            Verdict::Trial => !(self.trial && self.tried.is_empty()),
+            Verdict::Barred => true,
+        };
+        if barred {
             self.last = QUARANTINE;
             return None;
         }
--- a/src/calls/watched.rs
+++ b/src/calls/watched.rs
@@ -2,10 +2,11 @@
 
 use super::{
     attempt::End,
+    book::Sending,
     caller::{Caller, Sent}, //
 };
 use crate::{
-    base::Fingerprint,
+    base::{Fingerprint, Millis},
     net::CallError, //
 };
 use std::sync::Arc;
@@ -45,8 +46,20 @@
     /// The request failed with `error`: finds out whether its server has ended.
     pub async fn failed(&self, error: &CallError) {
         let end = End::of(error);
+        let now = self.caller.site.now();
+        let sent = Sending {
+            began: self.sent.at,
+            verdict: error.verdict(),
+        };
+        self.lose(sent, now);
         self.caller.look_after(&self.sent.server, end).await;
     }
+
+    fn lose(&self, sent: Sending, now: Millis) {
+        let server = &self.sent.server.life;
+        let mut state = self.caller.state();
+        state.book.lose(server, self.request, sent, now);
+    }
 }
 
 impl Drop for Watched {
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -10,7 +10,8 @@
 };
 use std::collections::{
     BTreeMap,
-    HashMap, //
+    HashMap,
+    HashSet, //
 };
 
 /// What may be done with a request.
@@ -20,7 +21,9 @@
     Clear,
     /// Two servers have ended under it: it runs apart from others like it.
     Suspect,
-    /// It runs no more.
+    /// It is in quarantine, and one attempt may show whether rightly.
+    Trial,
+    /// It is in quarantine.
     Barred,
 }
 
@@ -29,6 +32,12 @@
 /// request's doing far more likely than chance.
 pub const ENDED_MOST: usize = 3;
 
+/// How long after the last crash a request in quarantine is tried once more, by how
+/// often it was tried before. It may have been beside the one that ends servers each
+/// time: that one is in quarantine by the first trial, and the servers are back. A
+/// request that does end servers costs one more at each trial.
+const TRIALS: [Millis; 2] = [Millis(5_000), Millis(600_000)];
+
 /// How long a crash counts. A request that is in quarantine comes back when its
 /// caller's data or the server's program is mended, which takes people a day.
 pub const RETENTION: Millis = Millis(24 * 3_600_000);
@@ -40,6 +49,7 @@
 /// The servers that ended under each request since it was last answered.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    answered: Answered,
     requests: HashMap<Fingerprint, BTreeMap<Life, Millis>>,
 }
 
@@ -65,24 +75,43 @@
         }
     }
 
-    /// A server answered `request` and lives: what ended servers was another.
-    /// Returns the lives that counted against it.
-    pub fn acquit(&mut self, request: Fingerprint) -> Vec<Life> {
+    /// A server answered `request` at `now` and lives: what ended servers was
+    /// another. Returns the lives that counted against it.
+    pub fn acquit(&mut self, request: Fingerprint, now: Millis) -> Vec<Life> {
+        self.answered.note(request, now);
         let ended = self.requests.remove(&request).unwrap_or_default();
         ended.into_keys().collect()
     }
 
+    /// Whether `request` was answered a moment before `now`. Callers that share it
+    /// are at several servers at once, and lose them all within milliseconds to
+    /// another request: such ends don't count.
+    pub fn is_answered(&self, request: Fingerprint, now: Millis) -> bool {
+        self.answered.has(request, now)
+    }
+
     /// How many servers ended under `request`.
     pub fn ended(&self, request: Fingerprint) -> usize {
         self.requests.get(&request).map_or(0, BTreeMap::len)
     }
 
-    /// What may be done with `request`.
-    pub fn judge(&self, request: Fingerprint) -> Verdict {
-        match self.ended(request) {
-            0 | 1 => Verdict::Clear,
-            ended if ended < ENDED_MOST => Verdict::Suspect,
-            _ => Verdict::Barred,
+    /// What may be done with `request` at `now` by the store's clock.
+    pub fn judge(&self, request: Fingerprint, now: Millis) -> Verdict {
+        let Some(lives) = self.requests.get(&request) else {
+            return Verdict::Clear;
+        };
+        let ended = lives.len();
+        if ended < ENDED_MOST {
+            return match ended {
+                0 | 1 => Verdict::Clear,
+                _ => Verdict::Suspect,
+            };
+        }
+        let last = lives.values().max().copied().unwrap_or_default();
+        let wait = TRIALS.get(ended - ENDED_MOST);
+        match wait.is_some_and(|wait| now.since(last) >= *wait) {
+            true => Verdict::Trial,
+            false => Verdict::Barred,
         }
     }
 
@@ -98,3 +127,40 @@
             .collect()
     }
 }
+
+/// Requests that were answered of late, kept in two halves of which the older one
+/// is dropped in turn.
+#[derive(Debug, Default)]
+struct Answered {
+    newer: HashSet<Fingerprint>,
+    older: HashSet<Fingerprint>,
+    since: Millis,
+}
+
+/// How long an answer is remembered at least: longer than a burst of crashes, which
+/// takes a call and its retries, and shorter than callers bear a request that no
+/// server answers any more.
+const ANSWERED_KEPT: Millis = Millis(5_000);
+
+/// The most answers in one half; about 64 KB. A busier instance remembers less long.
+const ANSWERED_MOST: usize = 4_096;
+
+impl Answered {
+    fn note(&mut self, request: Fingerprint, now: Millis) {
+        if now.since(self.since) >= ANSWERED_KEPT || self.newer.len() >= ANSWERED_MOST {
+            let idle = now.since(self.since) >= ANSWERED_KEPT + ANSWERED_KEPT;
+            self.older = std::mem::take(&mut self.newer);
+            if idle {
+                self.older.clear();
+            }
+            self.since = now;
+        }
+        self.newer.insert(request);
+    }
+
+    fn has(&self, request: Fingerprint, now: Millis) -> bool {
+        let age = now.since(self.since);
+        let newer = age < ANSWERED_KEPT + ANSWERED_KEPT && self.newer.contains(&request);
+        newer || (age < ANSWERED_KEPT && self.older.contains(&request))
+    }
+}
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -17,6 +17,7 @@
 mod run_item;
 mod runner_handle;
 mod score;
+mod suspects;
 mod sweep;
 mod work;
 
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -1,15 +1,15 @@
 //! Runs one item on the engine until its text is whole and scored.
 
-use super::score::{
-    Score,
-    Scorers, //
+use super::{
+    score::{Score, Scorers},
+    suspects::Settled, //
 };
 use crate::{
     base::{Asked, Clock, Fingerprint, Millis},
     batch::{Item, PARTIALS, Partial, Sample, State, encode, part_of, partial_key},
     net::{CallError, Opened, Peer},
     platform::{EngineRequest, EventReader, Store, instance_of, not_executed, version_of_head},
-    policy::{engine_life::Met, pace::Pace, quarantine::Verdict, step_order::Rate},
+    policy::{engine_life::Met, pace::Pace, step_order::Rate},
     routing::Life,
     store::{Key, Transaction},
     view::Crashes, //
@@ -25,7 +25,6 @@
 };
 use tokio::sync::{
     Semaphore,
-    SemaphorePermit,
     watch, //
 };
 
@@ -45,6 +44,8 @@
     pub(super) apart: Arc<Semaphore>,
     pub(super) clock: Clock,
     pub(super) crashes: Arc<Crashes>,
+    /// The life whose end a run saw last.
+    pub(super) lost: watch::Sender<Option<Life>>,
     /// A life of the engine that refused what was meant for another.
     pub(super) met: watch::Sender<Option<Met>>,
     /// What all runs tell of its pace.
@@ -69,63 +70,6 @@
         self.rate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until `task` may run; `None` when its time is over before.
-    ///
-    /// A suspect runs alone among its like, so that the next end of an engine
-    /// tells which of them it was: the items beside the one that ends engines
-    /// shared its engines twice, as bundles go from runner to runner whole.
-    async fn admit(&self, task: &Task) -> Option<Option<SemaphorePermit<'_>>> {
-        let end = self.end_of(task);
-        let request = task.fingerprint;
-        let mut permit = None;
-        if self.crashes.judge(request) == Verdict::Suspect {
-            let turn = tokio::time::timeout_at(end, self.apart.acquire()).await;
-            permit = turn.ok()?.ok();
-        }
-        match self.crashes.judge(request) {
-            // Whoever ran before may have shown what this one is.
-            Verdict::Clear => Some(None),
-            Verdict::Suspect => Some(permit),
-            Verdict::Barred => {
-                drop(permit);
-                let item = &task.item.id;
-                tracing::warn!(item, %request, "in quarantine: the item runs no more");
-                // Its bundle would be offered and taken again and again.
-                tokio::time::sleep_until(end).await;
-                None
-            }
-        }
-    }
-
-    fn end_of(&self, task: &Task) -> tokio::time::Instant {
-        let left = task.until.since(self.clock.now());
-        tokio::time::Instant::now() + left.as_duration()
-    }
-
-    /// Counts the end of the life `server` against `task` if it was not planned.
-    async fn look_after(&self, server: &Life, task: &Task, run: &Run) {
-        let has_ended = match run {
-            Run::Outlived => {
-                let next = self.server.borrow().clone();
-                // Where engines don't tell when they started, ids tell lives apart.
-                let untold = |next: &Life| next.born == Millis(0) && next.id != server.id;
-                let is_later = |next: &Life| next.born > server.born || untold(next);
-                let started = next.as_ref().is_some_and(is_later);
-                let directory = self.scorers.site.directory();
-                let known = directory.get(&server.id);
-                started && known.is_some_and(|known| !known.draining)
-            }
-            Run::Broken(CallError::Broken { .. }) => {
-                let here = self.server.borrow().as_ref() == Some(server);
-                here && self.peer.is_gone(LOOK_WITHIN).await
-            }
-            _ => false,
-        };
-        if has_ended {
-            self.crashes.note(server, &[task.fingerprint]);
-        }
-    }
-
     /// Waits until the engine has another life than `life`. A connection to an
     /// engine that lost power hangs: its runs began again only 2.5 s later, when
     /// their streams had paused too long.
@@ -195,9 +139,6 @@
 const AGAIN: Millis = Millis(60);
 const AGAIN_MOST: Millis = Millis(240);
 
-/// How long the look whether the engine beside this runner listens may take.
-const LOOK_WITHIN: Millis = Millis(50);
-
 /// How long the rest of a refusal may take to arrive. Reading it keeps the
 /// connection for the next request: without it each refusal cost a new one,
 /// 6,200 on a day of 950 items.
@@ -216,7 +157,7 @@
 const KEEP_BYTES: usize = 44 * 1024;
 
 /// What came of one run.
-enum Run {
+pub(super) enum Run {
     /// The stream ended as a whole.
     Whole,
     /// The engine did not take it.
@@ -322,22 +263,18 @@
         let Some(server) = server.filter(|_| now < task.until) else {
             return ItemEnd::Dropped;
         };
+        if engine.lost.borrow().as_ref() == Some(&server) {
+            // The work loop does not know yet. A run that begins now finds an
+            // engine that is closing down, whose end would count against it.
+            engine.noticed(&server).await;
+            continue;
+        }
         let begun = text.events.len();
         let run = tokio::select! {
             run = run_once(&engine, &task, &server, &mut text) => run,
             () = engine.next_life(&server) => Run::Outlived,
         };
-        engine.look_after(&server, &task, &run).await;
-        drop(apart);
-        if matches!(run, Run::Whole | Run::Failed | Run::Impossible) {
-            engine.crashes.survived(task.fingerprint);
-        }
-        let ended = matches!(run, Run::Broken(_) | Run::Outlived);
-        if ended && engine.crashes.judge(task.fingerprint) != Verdict::Clear {
-            // Others take its bundle over by now. It is claimed anew, so that it
-            // does not run here and there at once, and ends two engines.
-            let (item, request) = (&task.item.id, task.fingerprint);
-            tracing::info!(item, %request, "a suspect is given back after its run broke off");
+        if engine.settle(&server, &task, &run, apart).await == Settled::GivenBack {
             return ItemEnd::Dropped;
         }
         match run {
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -59,6 +59,7 @@
                 apart: Arc::new(Semaphore::new(1)),
                 clock,
                 crashes: crashes.clone(),
+                lost: watch::Sender::new(None),
                 met: watch::Sender::new(None),
                 pace: Arc::default(),
                 peer: Peer::open(settings.engine, clock),
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -88,8 +88,7 @@
                     tracing::info!(call = scorer.id, status, failures, "the scorer failed");
                 }
                 CallEnd::NotRun { wait, .. } => {
-                    let left = until.since(self.site.now());
-                    tokio::time::sleep(wait.min(left).as_duration()).await;
+                    tokio::time::sleep(wait.min(AGAIN_SUSPECT).as_duration()).await;
                 }
                 CallEnd::Lost { failures: more, .. } => failures += more,
                 CallEnd::TimedOut => {}
@@ -99,7 +98,7 @@
             }
             let wait = match self.caller.crashes.judge(fingerprint) {
                 Verdict::Clear => AGAIN,
-                Verdict::Suspect | Verdict::Barred => AGAIN_SUSPECT,
+                Verdict::Suspect | Verdict::Trial | Verdict::Barred => AGAIN_SUSPECT,
             };
             tokio::time::sleep(wait.as_duration()).await;
         }
@@ -111,7 +110,7 @@
         body: &scorer.body,
         credential: &[],
         host: &scorer.host,
-        id: "",
+        id: &scorer.id,
         method: Method::POST.as_str(),
         path: &scorer.path,
     })
--- a/src/view/crash_row.rs
+++ b/src/view/crash_row.rs
@@ -23,6 +23,19 @@
     pub(super) request: Fingerprint,
 }
 
+/// The row that lets one instance try a request in quarantine, after `ended`
+/// servers ended under it.
+pub(super) fn trial_key(request: Fingerprint, ended: usize) -> Key {
+    Key::new(CRASHES, "", format!("{request}/{TRIAL}/{ended}"))
+}
+
+/// Whether `key` names a trial.
+pub(super) fn is_trial(key: &str) -> bool {
+    key.split('/').nth(1) == Some(TRIAL)
+}
+
+const TRIAL: &str = "trial";
+
 /// What the row holds beside its key.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 struct Value {
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -3,7 +3,9 @@
 use super::crash_row::{
     CRASHES,
     Crash,
+    is_trial,
     read_at,
+    trial_key,
     value_at, //
 };
 use crate::{
@@ -11,7 +13,7 @@
     platform::Store,
     policy::quarantine::{ENDED_MOST, Quarantine, Verdict},
     routing::Life,
-    store::{Change, Followed, Following, Transaction, follow}, //
+    store::{Change, Followed, Following, Key, Outcome, Transaction, follow}, //
 };
 use std::{
     collections::BTreeMap,
@@ -43,9 +45,9 @@
 /// A change that all instances should learn.
 #[derive(Debug)]
 struct Write {
-    crash: Crash,
-    /// Whether the crash counts, or counts no more.
+    /// Whether the row stands from now on, or is removed.
     counts: bool,
+    key: Key,
 }
 
 /// Changes that may wait for the store. A server's end concerns some ten requests;
@@ -65,6 +67,9 @@
 /// The wait after changes, in which those of one crash gather.
 const PACE: Millis = Millis(10);
 
+/// How long an instance has for a trial that it has taken.
+const TRIAL_KEPT: Millis = Millis(60_000);
+
 /// How often crashes that count no more are looked for.
 const SWEEP: Millis = Millis(60_000);
 
@@ -89,6 +94,11 @@
         let now = self.store.now();
         for request in requests {
             let (request, life) = (*request, life.clone());
+            if self.quarantine().is_answered(request, now) {
+                let server = &life.id;
+                tracing::info!(%request, server, "server ended beside a request that others answer");
+                continue;
+            }
             if !self.quarantine().note(request, life.clone(), now) {
                 continue;
             }
@@ -100,26 +110,66 @@
                 tracing::warn!(%request, ended, "request in quarantine");
                 metrics::counter!("redwing_requests_quarantined_total").increment(1);
             }
-            self.write(Crash { life, request }, true);
+            self.write(Crash { life, request }.key(), true);
         }
     }
 
     /// A server answered `request`.
     pub fn survived(&self, request: Fingerprint) {
-        let acquitted = self.quarantine().acquit(request);
+        let acquitted = self.quarantine().acquit(request, self.store.now());
         if acquitted.is_empty() {
             return;
         }
         let ended = acquitted.len();
         tracing::info!(%request, ended, "request acquitted: a server answered it");
         for life in acquitted {
-            self.write(Crash { life, request }, false);
+            self.write(Crash { life, request }.key(), false);
+        }
+        for ended in ENDED_MOST..=ended {
+            self.write(trial_key(request, ended), false);
         }
     }
 
     /// What may be done with `request`.
     pub fn judge(&self, request: Fingerprint) -> Verdict {
-        self.quarantine().judge(request)
+        let now = self.store.now();
+        self.quarantine().judge(request, now)
+    }
+
+    /// Takes the trial of `request` for this instance; false when another has it,
+    /// or the store can't tell. A trial that came to nothing is free after a minute.
+    pub async fn claim_trial(&self, request: Fingerprint) -> bool {
+        let ended = self.ended(request);
+        let key = trial_key(request, ended);
+        let mut revision = 0;
+        for _ in 0..2 {
+            let now = self.store.now();
+            let transaction = Transaction {
+                expect: vec![(key.clone(), revision)],
+                remove: Vec::new(),
+                set: vec![(key.clone(), value_at(now))],
+            };
+            let rows = match self.store.transact(&transaction).await {
+                Ok(Outcome::Done { .. }) => {
+                    tracing::info!(%request, ended, "a request in quarantine is tried once");
+                    return true;
+                }
+                Ok(Outcome::Conflict { rows }) => rows,
+                Err(error) => {
+                    tracing::info!(%request, %error, "no trial without the store");
+                    return false;
+                }
+            };
+            let free = rows.iter().find_map(|row| {
+                let at = read_at(row.value.as_ref()?)?;
+                (now.since(at) >= TRIAL_KEPT).then_some(row.revision)
+            });
+            match free {
+                Some(free) => revision = free,
+                None => return false,
+            }
+        }
+        false
     }
 
     /// How many servers ended under `request`.
@@ -138,8 +188,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn write(&self, crash: Crash, counts: bool) {
-        let write = Write { crash, counts };
+    fn write(&self, key: Key, counts: bool) {
+        let write = Write { counts, key };
         if let Err(error) = self.writes.try_send(write) {
             metrics::counter!("redwing_crashes_unshared_total").increment(1);
             tracing::warn!(%error, "a crash is known here only");
@@ -151,6 +201,9 @@
             Change::Put { key, value, .. } => (key, Some(value)),
             Change::Removed { key, .. } => (key, None),
         };
+        if is_trial(&key) {
+            return;
+        }
         let Some(Crash { life, request }) = Crash::parse(&key) else {
             tracing::warn!(key, "an entry names no crash");
             return;
@@ -197,8 +250,10 @@
             _ = sweep.tick() => {
                 let expired = crashes.quarantine().expired(store.now(), ROWS_MOST);
                 for (request, life) in expired {
+                    let ended = crashes.ended(request);
                     crashes.quarantine().forget(request, &life);
-                    crashes.write(Crash { life, request }, false);
+                    crashes.write(trial_key(request, ended), false);
+                    crashes.write(Crash { life, request }.key(), false);
                 }
             }
             else => return,
@@ -211,21 +266,18 @@
 async fn write_all(writes: CrashWrites, store: Store) {
     let CrashWrites(mut writes) = writes;
     while let Some(first) = writes.recv().await {
-        let mut last = BTreeMap::from([(first.crash, first.counts)]);
+        let mut last = BTreeMap::from([(first.key, first.counts)]);
         while last.len() < ROWS_MOST
             && let Ok(next) = writes.try_recv()
         {
-            last.insert(next.crash, next.counts);
+            last.insert(next.key, next.counts);
         }
         let at = value_at(store.now());
         let (set, remove): (Vec<_>, Vec<_>) = last.into_iter().partition(|(_, counts)| *counts);
         let transaction = Transaction {
             expect: Vec::new(),
-            remove: remove.iter().map(|(crash, _)| crash.key()).collect(),
-            set: set
-                .iter()
-                .map(|(crash, _)| (crash.key(), at.clone()))
-                .collect(),
+            remove: remove.into_iter().map(|(key, _)| key).collect(),
+            set: set.into_iter().map(|(key, _)| (key, at.clone())).collect(),
         };
         while let Err(error) = store.transact(&transaction).await {
             tracing::debug!(%error, "crashes wait for the store");
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -137,6 +137,14 @@
         runs.iter().filter(|(run, _)| run == id).count()
     }
 
+    /// How many requests it ran whose ids begin with `prefix`.
+    pub fn runs_under(&self, prefix: &str) -> usize {
+        let runs = lock(&self.inner.runs);
+        runs.iter()
+            .filter(|(run, _)| run.starts_with(prefix))
+            .count()
+    }
+
     /// All requests that it ran.
     pub fn runs(&self) -> usize {
         lock(&self.inner.runs).len()
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -19,6 +19,9 @@
     status: Option<u16>,
 }
 
+/// The body of the calls that end each server that runs them.
+pub(super) const FATAL: &str = "fatal";
+
 /// All calls so far.
 #[derive(Debug, Default)]
 pub(super) struct Callers {
@@ -49,6 +52,17 @@
         });
     }
 
+    /// Makes the call that ends its server; nobody looks at its answer.
+    pub(super) async fn call_fatal(client: &Client, gateway: SocketAddr, id: &str) {
+        let headers = [
+            ("host", "site.example"),
+            ("x-attempt-id", id),
+            ("x-deadline-ms", "1500"),
+        ];
+        let answer = client.call(Method::POST, gateway, "/safe/x", &headers, FATAL, WITHIN);
+        let _ = answer.await;
+    }
+
     /// What was broken: a call that ran twice, a refusal that was not true, an
     /// answer of another call.
     pub(super) fn broken(&self, servers: &[Plain]) -> Vec<String> {
--- a/standins/src/soak/trainer.rs
+++ b/standins/src/soak/trainer.rs
@@ -16,6 +16,8 @@
     pub(super) accepted: bool,
     pub(super) batch: Batch,
     pub(super) broken: Vec<String>,
+    /// The item that ends each engine that runs it, and is given up.
+    pub(super) fatal: Option<String>,
     /// Whether each submission was refused: then it may never exist.
     refused: bool,
     results: Vec<Reply>,
@@ -31,6 +33,7 @@
             accepted: false,
             batch,
             broken: Vec::new(),
+            fatal: None,
             refused: true,
             results: Vec::new(),
         }
@@ -110,6 +113,9 @@
             broken.push(format!("batch {id} lists an item twice"));
         }
         for reply in &self.results {
+            if self.fatal.as_ref() == Some(&reply.id) {
+                continue;
+            }
             if reply.state != "succeeded" {
                 broken.push(format!("item {} was given up", reply.id));
             } else if reply.text != self.batch.text(&reply.id) {
