Let calls of a program that has just started wait for the list of crashes

Calls and items wait for the list, for a second at most. A trial that reached no server is free at once, any other after 10 s instead of a minute.

--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -329,6 +329,7 @@
     /// Whether `call` is in quarantine, and this attempt of it is its trial.
     pub(super) async fn take_trial(&self, call: &Call) -> bool {
         let request = call.fingerprint;
+        self.crashes.wait_listed().await;
         self.crashes.judge(request) == Verdict::Trial && self.crashes.claim_trial(request).await
     }
 
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -63,6 +63,9 @@
         loop {
             if under_way.is_empty() {
                 let Some(sent) = self.next() else {
+                    if self.trial && self.ran == 0 {
+                        caller.crashes.release_trial(call.fingerprint);
+                    }
                     return self.end(kept);
                 };
                 under_way.push(caller.send(call, sent));
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -41,6 +41,7 @@
         let end = self.end_of(task);
         let request = task.fingerprint;
         let mut told = false;
+        self.crashes.wait_listed().await;
         loop {
             let apart = match self.crashes.judge(request) {
                 Verdict::Clear => return Some(None),
@@ -122,7 +123,11 @@
         if matches!(run, Run::Whole | Run::Failed | Run::Impossible) {
             self.crashes.survived(request);
         }
-        if !ended || self.crashes.judge(request) == Verdict::Clear {
+        let verdict = self.crashes.judge(request);
+        if verdict == Verdict::Trial && matches!(run, Run::Refused) {
+            self.crashes.release_trial(request);
+        }
+        if !ended || verdict == Verdict::Clear {
             return Settled::Kept;
         }
         // Others take its bundle over by now. It is claimed anew, so that it does
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -21,11 +21,13 @@
         Arc,
         Mutex,
         MutexGuard,
-        PoisonError,
-        atomic::{AtomicBool, Ordering}, //
+        PoisonError, //
     },
 };
-use tokio::sync::mpsc;
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant, //
+};
 
 /// The crashes that this program saw or heard of; [`keep_crashes`] shares them.
 ///
@@ -33,7 +35,9 @@
 /// under other ids. What each of them saw goes through the store to all, so that
 /// three servers end under it at most, wherever it comes.
 pub struct Crashes {
-    listed: AtomicBool,
+    listed: watch::Sender<bool>,
+    /// Until when calls wait for the list.
+    listed_until: Instant,
     quarantine: Mutex<Quarantine>,
     store: Store,
     writes: mpsc::Sender<Write>,
@@ -67,8 +71,12 @@
 /// The wait after changes, in which those of one crash gather.
 const PACE: Millis = Millis(10);
 
-/// How long an instance has for a trial that it has taken.
-const TRIAL_KEPT: Millis = Millis(60_000);
+/// How long an instance has for a trial that it has taken: a long item's run. One
+/// that was broken off by something else is free then.
+const TRIAL_KEPT: Millis = Millis(10_000);
+
+/// How long after the start calls wait for the list of crashes: it takes some ms.
+const LISTED_WITHIN: Millis = Millis(1_000);
 
 /// How often crashes that count no more are looked for.
 const SWEEP: Millis = Millis(60_000);
@@ -81,7 +89,8 @@
     pub fn open(store: Store) -> (Arc<Self>, CrashWrites) {
         let (writes, pending) = mpsc::channel(WRITES_MOST);
         let crashes = Self {
-            listed: AtomicBool::new(false),
+            listed: watch::Sender::new(false),
+            listed_until: Instant::now() + LISTED_WITHIN.as_duration(),
             quarantine: Mutex::default(),
             store,
             writes,
@@ -137,7 +146,7 @@
     }
 
     /// Takes the trial of `request` for this instance; false when another has it,
-    /// or the store can't tell. A trial that came to nothing is free after a minute.
+    /// or the store can't tell. A trial that came to nothing is free after a while.
     pub async fn claim_trial(&self, request: Fingerprint) -> bool {
         let ended = self.ended(request);
         let key = trial_key(request, ended);
@@ -179,7 +188,23 @@
 
     /// Whether the crashes that others saw were read since the start.
     pub fn are_listed(&self) -> bool {
-        self.listed.load(Ordering::Relaxed)
+        *self.listed.borrow()
+    }
+
+    /// Waits until they were read, for a second after the start at most.
+    ///
+    /// Requests reach a program that has just started before it is ready. One that
+    /// ended servers before met it with an empty list, 5 ms after its start.
+    pub async fn wait_listed(&self) {
+        let mut listed = self.listed.subscribe();
+        let read = listed.wait_for(|listed| *listed);
+        // Without the store a program knows no configuration and calls nobody.
+        let _ = tokio::time::timeout_at(self.listed_until, read).await;
+    }
+
+    /// The trial of `request` came to nothing before it reached a server.
+    pub fn release_trial(&self, request: Fingerprint) {
+        self.write(trial_key(request, self.ended(request)), false);
     }
 
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
@@ -244,7 +269,9 @@
                     for change in changes {
                         crashes.take(change);
                     }
-                    crashes.listed.fetch_or(listed, Ordering::Relaxed);
+                    if listed {
+                        crashes.listed.send_replace(true);
+                    }
                 }
             }
             _ = sweep.tick() => {
