--- a/standins/tests/integration/crashes.rs
+++ b/standins/tests/integration/crashes.rs
@@ -6,6 +6,7 @@
     Engine,
     EngineFaults,
     Outage,
+    Plain,
     Scene,
     Shape,
     StoreFaults,
@@ -32,6 +33,32 @@
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
 
+/// A site with so many gateways and plain servers, and the servers' lives.
+async fn open_plain(gateways: usize, plain: usize) -> (Scene, Vec<String>) {
+    let shape = Shape {
+        engines: 1,
+        gateways,
+        plain,
+        ..Shape::default()
+    };
+    let scene = Scene::open(shape).await.unwrap();
+    let lives = scene.plain.iter().map(|plain| plain.id.clone());
+    let lives = lives.collect();
+    (scene, lives)
+}
+
+/// The first lives of a site's engines.
+fn engine_lives(scene: &Scene) -> Vec<String> {
+    let engines = scene.engines.iter();
+    engines.map(|engine| engine.id.clone()).collect()
+}
+
+/// Runs of the requests called `ids` at all plain servers.
+fn plain_runs(scene: &Scene, ids: &[String]) -> usize {
+    let at = |plain: &Plain| ids.iter().map(|id| plain.runs_of(id)).sum::<usize>();
+    scene.plain.iter().map(at).sum()
+}
+
 /// Starts each plain server that has ended again, as another life at its address.
 fn revive_plain(scene: &Scene, lives: &mut [String]) {
     for (plain, life) in scene.plain.iter().zip(lives) {
@@ -78,14 +105,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_ends_its_servers_is_given_up() {
     for path in ["/safe/x", "/once/x"] {
-        let shape = Shape {
-            engines: 1,
-            gateways: 3,
-            plain: 4,
-            ..Shape::default()
-        };
-        let scene = Scene::open(shape).await.unwrap();
-        let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+        let (scene, mut lives) = open_plain(3, 4).await;
         for plain in &scene.plain {
             plain.set_fatal("fatal");
         }
@@ -100,10 +120,7 @@
             revive_plain(&scene, &mut lives);
             sleep(DOWN).await;
         }
-        let runs = scene.plain.iter();
-        let ended: usize = runs
-            .map(|plain| ids.iter().map(|id| plain.runs_of(id)).sum::<usize>())
-            .sum();
+        let ended = plain_runs(&scene, &ids);
         assert!(ended <= ENDED_MOST, "{path}: {ended} servers ended");
         for gateway in 0..3 {
             let id = format!("other-{gateway}");
@@ -139,14 +156,7 @@
             within: Duration::from_millis(30),
         },
     ] {
-        let shape = Shape {
-            engines: 1,
-            gateways: 2,
-            plain: 3,
-            ..Shape::default()
-        };
-        let scene = Scene::open(shape).await.unwrap();
-        let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+        let (scene, mut lives) = open_plain(2, 3).await;
         for plain in &scene.plain {
             plain.set_fatal("fatal");
             plain.set_work(Millis(80));
@@ -173,11 +183,7 @@
             revive_plain(&scene, &mut lives);
             sleep(2 * DOWN).await;
         }
-        let ended: usize = scene
-            .plain
-            .iter()
-            .map(|plain| ids.iter().map(|id| plain.runs_of(id)).sum::<usize>())
-            .sum();
+        let ended = plain_runs(&scene, &ids);
         assert!(
             ended <= ENDED_WITH_TRIAL,
             "{}: {ended} servers ended",
@@ -190,14 +196,7 @@
 /// others answer: nobody is refused for it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_is_answered_is_acquitted() {
-    let shape = Shape {
-        engines: 1,
-        gateways: 2,
-        plain: 3,
-        ..Shape::default()
-    };
-    let scene = Scene::open(shape).await.unwrap();
-    let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+    let (scene, mut lives) = open_plain(2, 3).await;
     for round in 0..6 {
         for plain in &scene.plain {
             plain.set_work(Millis(80));
@@ -228,14 +227,7 @@
 /// call was in quarantine after `no-connection` at three servers.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_to_a_server_that_is_gone_is_no_crash() {
-    let shape = Shape {
-        engines: 1,
-        gateways: 1,
-        plain: 3,
-        ..Shape::default()
-    };
-    let scene = Scene::open(shape).await.unwrap();
-    let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+    let (scene, mut lives) = open_plain(1, 3).await;
     for round in 0..6 {
         for plain in &scene.plain {
             plain.end();
@@ -257,14 +249,7 @@
 /// later before it is ready.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashes_in_an_outage_are_known_after_it() {
-    let shape = Shape {
-        engines: 1,
-        gateways: 2,
-        plain: 4,
-        ..Shape::default()
-    };
-    let mut scene = Scene::open(shape).await.unwrap();
-    let mut lives: Vec<String> = scene.plain.iter().map(|plain| plain.id.clone()).collect();
+    let (mut scene, mut lives) = open_plain(2, 4).await;
     for plain in &scene.plain {
         plain.set_fatal("fatal");
     }
@@ -306,11 +291,7 @@
         "service": "engines",
     }]));
     sleep(DOWN).await;
-    let mut lives: Vec<String> = scene
-        .engines
-        .iter()
-        .map(|engine| engine.id.clone())
-        .collect();
+    let mut lives = engine_lives(&scene);
     for engine in &scene.engines {
         engine.set_event(Millis(20));
         engine.set_faults(EngineFaults {
@@ -348,11 +329,7 @@
         ..Shape::default()
     };
     let scene = Scene::open(shape).await.unwrap();
-    let mut lives: Vec<String> = scene
-        .engines
-        .iter()
-        .map(|engine| engine.id.clone())
-        .collect();
+    let mut lives = engine_lives(&scene);
     for engine in &scene.engines {
         engine.set_event(Millis(20));
         engine.set_faults(EngineFaults {
