--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -5,8 +5,9 @@
     CallEnd,
     StreamEnd,
     Watched,
-    attempt::{Attempt, End, is_refusal},
+    attempt::{Attempt, is_refusal},
     book::Book,
+    look::{QUARANTINE, WAIT_QUARANTINE},
     run::Run, //
 };
 use crate::{
@@ -14,7 +15,6 @@
     net::{Answer, CallError, Peer},
     platform,
     policy::{
-        quarantine::Verdict,
         retry_budget::RetryBudget,
         server_choice::{Candidate, choose},
         typical::Typical, //
@@ -30,7 +30,6 @@
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError, Weak}, //
 };
-use tokio::runtime::Handle;
 
 /// Sends calls to backend servers and keeps what it learns of them.
 pub struct Caller {
@@ -38,7 +37,7 @@
     home: String,
     pub(crate) crashes: Arc<Crashes>,
     /// For the looks that outlast their call.
-    me: Weak<Self>,
+    pub(super) me: Weak<Self>,
     pub(super) site: Arc<Site>,
     state: Mutex<State>,
 }
@@ -74,21 +73,6 @@
 /// takes, so that a slot is likely to be free.
 pub(super) const WAIT_FULL: Millis = Millis(60);
 
-/// When to look whether a server has ended under a request for which nobody waits
-/// any more: longer than calls run as a rule, and sooner than a server is back, which
-/// takes a second at least.
-const LOOK_LATER: Millis = Millis(500);
-
-/// Why a call in quarantine is refused.
-pub(super) const QUARANTINE: &str = "quarantine";
-
-/// When a call in quarantine is worth asking again: once people have looked at it.
-pub(super) const WAIT_QUARANTINE: Millis = Millis(60_000);
-
-/// How long the look whether a server has ended may take: some round trips between
-/// data centres. The call waits for it before it is sent on.
-const LOOK_WITHIN: Millis = Millis(50);
-
 /// When a call for which no server is known is worth asking again: servers
 /// announce themselves within a second or two.
 pub(super) const WAIT_NO_SERVER: Millis = Millis(300);
@@ -133,12 +117,7 @@
         let trial = self.take_trial(call).await;
         for _ in 0..=REFUSALS_MOST {
             // Its caller opens a stream anew after each end of a server.
-            let barred = match self.crashes.judge(call.fingerprint) {
-                Verdict::Clear | Verdict::Suspect => false,
-                Verdict::Trial => !trial || !tried.is_empty(),
-                Verdict::Barred => true,
-            };
-            if barred {
+            if self.is_barred(call, trial && tried.is_empty()) {
                 return StreamEnd::NotRun {
                     reason: QUARANTINE.to_owned(),
                     wait: WAIT_QUARANTINE,
@@ -250,7 +229,7 @@
         Some(server)
     }
 
-    fn peer(&self, address: SocketAddr) -> Peer {
+    pub(super) fn peer(&self, address: SocketAddr) -> Peer {
         let mut state = self.state();
         let clock = self.site.clock;
         let peer = state.peers.entry(address);
@@ -326,58 +305,6 @@
         }
     }
 
-    /// Whether `call` is in quarantine, and this attempt of it is its trial.
-    pub(super) async fn take_trial(&self, call: &Call) -> bool {
-        let request = call.fingerprint;
-        self.crashes.wait_listed().await;
-        self.crashes.judge(request) == Verdict::Trial && self.crashes.claim_trial(request).await
-    }
-
-    /// Looks after a while whether `server` has ended, if by then nothing has shown
-    /// what became of `request`, for whose answer nobody waits any more. Without it
-    /// a request whose caller leaves before its server ends counts for nothing.
-    pub(super) fn look_later(&self, server: &Arc<Server>, request: Fingerprint) {
-        let (Some(caller), Ok(runtime)) = (self.me.upgrade(), Handle::try_current()) else {
-            return;
-        };
-        let server = server.clone();
-        runtime.spawn(async move {
-            tokio::time::sleep(LOOK_LATER.as_duration()).await;
-            if caller.state().book.is_open(&server.life, request) {
-                caller.look_after(&server, End::Broke).await;
-            }
-        });
-    }
-
-    /// Finds out whether `server` has ended, by what an attempt told of it. If so,
-    /// its end counts against the requests that it was working on. A server that
-    /// leaves ends as planned.
-    pub(super) async fn look_after(&self, server: &Server, end: End) {
-        let has_ended = match end {
-            End::Broke => {
-                let peer = self.peer(server.address);
-                self.is_replaced(server) || peer.is_gone(LOOK_WITHIN).await
-            }
-            End::Gone => true,
-            End::Lives | End::Unknown => false,
-        };
-        if !has_ended {
-            return;
-        }
-        let now = self.site.now();
-        let requests = self.state().book.end_life(&server.life, now);
-        let known = self.site.directory().get(&server.life.id).cloned();
-        if known.is_some_and(|known| known.life == server.life && !known.draining) {
-            self.crashes.note(&server.life, &requests);
-        }
-    }
-
-    /// Whether another life of the service is announced at the server's address.
-    fn is_replaced(&self, server: &Server) -> bool {
-        let now = self.site.server_at(server.address, &server.service);
-        now.is_some_and(|now| now.life != server.life)
-    }
-
     pub(super) fn typical(&self, service: &str) -> f64 {
         let state = self.state();
         state
--- /dev/null
+++ b/src/calls/look.rs
@@ -0,0 +1,93 @@
+//! Looks whether servers have ended under calls, and holds calls in quarantine back.
+
+use super::{
+    Call,
+    Caller,
+    attempt::End, //
+};
+use crate::{
+    base::{Fingerprint, Millis},
+    policy::quarantine::Verdict,
+    routing::Server, //
+};
+use std::sync::Arc;
+use tokio::runtime::Handle;
+
+/// When to look whether a server has ended under a request for which nobody waits
+/// any more: longer than calls run as a rule, and sooner than a server is back, which
+/// takes a second at least.
+const LOOK_LATER: Millis = Millis(500);
+
+/// How long the look whether a server has ended may take: some round trips between
+/// data centres. The call waits for it before it is sent on.
+const LOOK_WITHIN: Millis = Millis(50);
+
+/// Why a call in quarantine is refused.
+pub(super) const QUARANTINE: &str = "quarantine";
+
+/// When a call in quarantine is worth asking again: once people have looked at it.
+pub(super) const WAIT_QUARANTINE: Millis = Millis(60_000);
+
+impl Caller {
+    /// Whether `call` is in quarantine, and this attempt of it is its trial.
+    pub(super) async fn take_trial(&self, call: &Call) -> bool {
+        let request = call.fingerprint;
+        self.crashes.wait_listed().await;
+        self.crashes.judge(request) == Verdict::Trial && self.crashes.claim_trial(request).await
+    }
+
+    /// Whether `call` may not be sent: it is in quarantine, and this is not the one
+    /// attempt of its `trial`.
+    pub(super) fn is_barred(&self, call: &Call, trial: bool) -> bool {
+        match self.crashes.judge(call.fingerprint) {
+            Verdict::Clear | Verdict::Suspect => false,
+            Verdict::Trial => !trial,
+            Verdict::Barred => true,
+        }
+    }
+
+    /// Looks after a while whether `server` has ended, if by then nothing has shown
+    /// what became of `request`, for whose answer nobody waits any more. Without it
+    /// a request whose caller leaves before its server ends counts for nothing.
+    pub(super) fn look_later(&self, server: &Arc<Server>, request: Fingerprint) {
+        let (Some(caller), Ok(runtime)) = (self.me.upgrade(), Handle::try_current()) else {
+            return;
+        };
+        let server = server.clone();
+        runtime.spawn(async move {
+            tokio::time::sleep(LOOK_LATER.as_duration()).await;
+            if caller.state().book.is_open(&server.life, request) {
+                caller.look_after(&server, End::Broke).await;
+            }
+        });
+    }
+
+    /// Finds out whether `server` has ended, by what an attempt told of it. If so,
+    /// its end counts against the requests that it was working on. A server that
+    /// leaves ends as planned.
+    pub(super) async fn look_after(&self, server: &Server, end: End) {
+        let has_ended = match end {
+            End::Broke => {
+                let peer = self.peer(server.address);
+                self.is_replaced(server) || peer.is_gone(LOOK_WITHIN).await
+            }
+            End::Gone => true,
+            End::Lives | End::Unknown => false,
+        };
+        if !has_ended {
+            return;
+        }
+        let now = self.site.now();
+        let requests = self.state().book.end_life(&server.life, now);
+        let known = self.site.directory().get(&server.life.id).cloned();
+        if known.is_some_and(|known| known.life == server.life && !known.draining) {
+            self.crashes.note(&server.life, &requests);
+        }
+    }
+
+    /// Whether another life of the service is announced at the server's address.
+    fn is_replaced(&self, server: &Server) -> bool {
+        let now = self.site.server_at(server.address, &server.service);
+        now.is_some_and(|now| now.life != server.life)
+    }
+}
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -4,6 +4,7 @@
 mod book;
 mod call;
 mod caller;
+mod look;
 mod run;
 mod watched;
 
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -5,12 +5,13 @@
     CallEnd,
     Caller,
     attempt::{Attempt, judge},
-    caller::{QUARANTINE, REFUSALS_MOST, Sent, WAIT_FULL, WAIT_NO_SERVER, WAIT_QUARANTINE}, //
+    caller::{REFUSALS_MOST, Sent, WAIT_FULL, WAIT_NO_SERVER},
+    look::{QUARANTINE, WAIT_QUARANTINE}, //
 };
 use crate::{
-    base::{self, Millis},
+    base::{Millis, Verdict},
     net::Answer,
-    policy::{quarantine::Verdict, server_choice::hedge_after},
+    policy::server_choice::hedge_after,
     routing::{Kind, Life}, //
 };
 use futures_util::{
@@ -63,9 +64,6 @@
         loop {
             if under_way.is_empty() {
                 let Some(sent) = self.next() else {
-                    if self.trial && self.ran == 0 {
-                        caller.crashes.release_trial(call.fingerprint);
-                    }
                     return self.end(kept);
                 };
                 under_way.push(caller.send(call, sent));
@@ -101,28 +99,27 @@
                     ..
                 } => {
                     caller.look_after(&sent.server, end).await;
-                    self.last = reason;
-                    match verdict {
-                        base::Verdict::NotRun => self.refusals += 1,
-                        base::Verdict::MayHaveRun | base::Verdict::Ran => self.ran += 1,
-                    }
+                    self.fail(reason, verdict);
                 }
             }
         }
     }
 
+    fn fail(&mut self, reason: &'static str, verdict: Verdict) {
+        self.last = reason;
+        match verdict {
+            Verdict::NotRun => self.refusals += 1,
+            Verdict::MayHaveRun | Verdict::Ran => self.ran += 1,
+        }
+    }
+
     /// The server for another attempt, if the call may have one.
     fn next(&mut self) -> Option<Sent> {
         // A call that ends each server that runs it would end all of them: its
         // attempts here and its caller's returns elsewhere are one request, whose
         // crashes all instances count together.
-        let verdict = self.caller.crashes.judge(self.call.fingerprint);
-        let barred = match verdict {
-            Verdict::Clear | Verdict::Suspect => false,
-            Verdict::Trial => !(self.trial && self.tried.is_empty()),
-            Verdict::Barred => true,
-        };
-        if barred {
+        let trial = self.trial && self.tried.is_empty();
+        if self.caller.is_barred(self.call, trial) {
             self.last = QUARANTINE;
             return None;
         }
@@ -183,6 +180,9 @@
     }
 
     fn end(&self, kept: Option<Answer>) -> CallEnd {
+        if self.trial && self.ran == 0 {
+            self.caller.crashes.release_trial(self.call.fingerprint);
+        }
         let failures = self.failures;
         if let Some(answer) = kept {
             return CallEnd::Answered { answer, failures };
