Look again where a connection to a server that ends fails while it is set up

The new connection had been taken by a listener about to close and failed in its set-up, which counted as a server that lives. Whether the server was leaving is now judged when the attempt fails, not when the look ends: its announcement may be gone by then.

--- a/src/calls/look.rs
+++ b/src/calls/look.rs
@@ -20,7 +20,7 @@
 
 /// How long the look whether a server has ended may take: some round trips between
 /// data centres. The call waits for it before it is sent on.
-const LOOK_WITHIN: Millis = Millis(50);
+const LOOK_WITHIN: Millis = Millis(100);
 
 /// Why a call in quarantine is refused.
 pub(super) const QUARANTINE: &str = "quarantine";
@@ -54,18 +54,25 @@
             return;
         };
         let server = server.clone();
+        let announced = self.is_announced(&server);
         runtime.spawn(async move {
             tokio::time::sleep(LOOK_LATER.as_duration()).await;
             if caller.state().book.is_open(&server.life, request) {
-                caller.look_after(&server, End::Broke).await;
+                caller.look(&server, End::Broke, announced).await;
             }
         });
     }
 
     /// Finds out whether `server` has ended, by what an attempt told of it. If so,
-    /// its end counts against the requests that it was working on. A server that
-    /// leaves ends as planned.
+    /// its end counts against the requests that it was working on.
     pub(super) async fn look_after(&self, server: &Server, end: End) {
+        let announced = self.is_announced(server);
+        self.look(server, end, announced).await;
+    }
+
+    /// A server that was not `announced` any more when the attempt failed was leaving,
+    /// and has ended as planned.
+    async fn look(&self, server: &Server, end: End, announced: bool) {
         let has_ended = match end {
             End::Broke => {
                 let peer = self.peer(server.address);
@@ -79,12 +86,18 @@
         }
         let now = self.site.now();
         let requests = self.state().book.end_life(&server.life, now);
-        let known = self.site.directory().get(&server.life.id).cloned();
-        if known.is_some_and(|known| known.life == server.life && !known.draining) {
+        if announced {
             self.crashes.note(&server.life, &requests);
         }
     }
 
+    /// Whether `server` is announced and takes work.
+    fn is_announced(&self, server: &Server) -> bool {
+        let directory = self.site.directory();
+        let known = directory.get(&server.life.id);
+        known.is_some_and(|known| known.life == server.life && !known.draining)
+    }
+
     /// Whether another life of the service is announced at the server's address.
     fn is_replaced(&self, server: &Server) -> bool {
         let now = self.site.server_at(server.address, &server.service);
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -181,29 +181,29 @@
     }
 
     /// Whether nothing listens at the peer's address any more, found out within
-    /// `within` by a new connection, which is kept for the next request.
+    /// `within` by new connections, of which one that stands is kept.
     ///
     /// A process that ends closes its connections and its listener one after the
-    /// other. A connection that comes about in between is closed at once, so it is
-    /// looked at again a moment later.
+    /// other. A connection that comes about in between is closed at once, or fails
+    /// while it is set up: then it is looked at again a moment later.
     pub async fn is_gone(&self, within: Millis) -> bool {
         let look = async {
-            let line = self.connect().await?;
-            tokio::time::sleep(CLOSING.as_duration()).await;
-            match line.is_closed() {
-                true => self.connect().await,
-                false => Ok(line),
+            loop {
+                let line = match self.connect().await {
+                    Ok(line) => Some(line),
+                    Err(error) if error.is_refused() => return true,
+                    Err(_) => None,
+                };
+                tokio::time::sleep(CLOSING.as_duration()).await;
+                if let Some(line) = line.filter(|line| !line.is_closed()) {
+                    let until = usable_until(self.lines.clock.now(), &HeaderMap::new());
+                    self.lines.put(line, until);
+                    return false;
+                }
             }
         };
-        match tokio::time::timeout(within.as_duration(), look).await {
-            Ok(Ok(line)) => {
-                let until = usable_until(self.lines.clock.now(), &HeaderMap::new());
-                self.lines.put(line, until);
-                false
-            }
-            Ok(Err(error)) => error.is_refused(),
-            Err(_) => false,
-        }
+        let looked = tokio::time::timeout(within.as_duration(), look);
+        looked.await.unwrap_or(false)
     }
 
     async fn whole(
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -29,7 +29,7 @@
 const LOOK_AGAIN: Millis = Millis(500);
 
 /// How long the look whether the engine beside this runner listens may take.
-const LOOK_WITHIN: Millis = Millis(50);
+const LOOK_WITHIN: Millis = Millis(100);
 
 impl Engine {
     /// Waits until `task` may run; `None` when its time is over before.
