Give back what is left of a bundle after each of its runs

Its run was given back after its engine's end while another item of the bundle was still running; the runner looked for idle bundles only when a run was dropped, so this one stayed taken. It looks after every run now; what is made and not yet listed counts as made. A trial that falls due between two looks also waits for its turn.

--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -220,12 +220,14 @@
         let running = &self.running;
         let head = &self.head;
         let log = &self.log;
+        let results = &self.results;
+        let is_made = |index: &u16| log.has(*index) || results.iter().any(|(of, _)| of == index);
         self.mine.retain(|bundle, state| {
             let waits = !matches!(state, Mine::Running);
             let items = head.bundles.get(usize::from(*bundle));
             let items = items.map_or(&[][..], |bundle| &bundle.items);
             let runs = items.iter().any(|index| running.contains_key(index));
-            let open = items.iter().any(|index| !log.has(*index));
+            let open = items.iter().any(|index| !is_made(index));
             waits || runs || !open
         });
     }
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -38,9 +38,11 @@
                     index,
                     "run dropped: the engine takes no work"
                 );
-                batch.release_idle();
             }
         }
+        // Also after a whole run: items of the bundle that were dropped before it
+        // ended stayed taken here and ran nowhere until they were given up.
+        batch.release_idle();
     }
 
     /// Sends the results of each batch to the store, one transaction at a time.
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -54,9 +54,11 @@
             // Whoever ran before may have shown what this one is.
             match self.crashes.judge(request) {
                 Verdict::Clear => return Some(None),
-                Verdict::Suspect => return Some(apart),
-                Verdict::Trial if self.crashes.claim_trial(request).await => return Some(apart),
-                Verdict::Trial | Verdict::Barred => drop(apart),
+                Verdict::Suspect if apart.is_some() => return Some(apart),
+                Verdict::Trial if apart.is_some() && self.crashes.claim_trial(request).await => {
+                    return Some(apart);
+                }
+                Verdict::Suspect | Verdict::Trial | Verdict::Barred => drop(apart),
             }
             if !told {
                 let item = &task.item.id;
