--- a/standins/tests/integration/crashes.rs
+++ b/standins/tests/integration/crashes.rs
@@ -356,3 +356,106 @@
     let whole = results.iter().filter(|reply| reply.state == "succeeded");
     assert_eq!(whole.count(), batch.items().len() - 1, "items beside it");
 }
+
+/// Several items end engines at the same time, each in a batch of its own. The items
+/// beside them did nothing wrong, and share engine after engine with one or another
+/// of those: they must all become whole, and an item that ends engines must not end
+/// more of them than it would alone.
+/// A runner ran items beside each other until it had heard of two ends under them, and
+/// a suspect beside others that were not suspected yet: one such neighbour after
+/// another brought items that had done nothing to their third end, and to their
+/// trial's, and they were given up.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_beside_several_that_end_engines_are_whole() {
+    let cases = [
+        Crowd {
+            batches: 2,
+            engines: 4,
+            event: 20,
+        },
+        Crowd {
+            batches: 4,
+            engines: 3,
+            event: 5,
+        },
+        Crowd {
+            batches: 6,
+            engines: 3,
+            event: 10,
+        },
+        Crowd {
+            batches: 6,
+            engines: 3,
+            event: 20,
+        },
+        Crowd {
+            batches: 8,
+            engines: 4,
+            event: 10,
+        },
+    ];
+    let broken = futures_util::future::join_all(cases.map(Crowd::run)).await;
+    assert_eq!(broken.concat(), Vec::<String>::new());
+}
+
+/// Batches with an item each that ends its engines.
+struct Crowd {
+    batches: usize,
+    engines: usize,
+    event: u64,
+}
+
+impl Crowd {
+    /// What was broken.
+    async fn run(self) -> Vec<String> {
+        let shape = Shape {
+            engines: self.engines,
+            ..Shape::default()
+        };
+        let scene = Scene::open(shape).await.unwrap();
+        let mut lives = engine_lives(&scene);
+        for engine in &scene.engines {
+            engine.set_event(Millis(self.event));
+            engine.set_faults(EngineFaults {
+                fatal: Some("7".to_owned()),
+                ..EngineFaults::default()
+            });
+        }
+        let mut batches = Vec::new();
+        for number in 0..self.batches {
+            let mut batch = Batch::new(&format!("fatal{number}"), 2, 3, 12);
+            batch.groups[0][1] = 7;
+            assert_eq!(scene.submit(0, &batch).await, Some(202));
+            batches.push((batch, Vec::new()));
+        }
+
+        // An item in quarantine may be tried after 5 s, and has 20 s in all.
+        let until = scene.clock.now() + Millis(6 * KNOWN_WITHIN);
+        while scene.clock.now() < until {
+            sleep(DOWN).await;
+            revive_engines(&scene, &mut lives);
+            for (batch, results) in &mut batches {
+                let page = scene.page(0, batch, results.len()).await;
+                results.extend(page.map(|page| page.results).unwrap_or_default());
+            }
+        }
+        let mut broken = Vec::new();
+        for (batch, results) in &batches {
+            let fatal = batch.item(0, 1);
+            let runs = scene.engines.iter().flat_map(Engine::runs);
+            let ended = runs.filter(|run| run.item == fatal).count();
+            if ended > ENDED_WITH_TRIAL {
+                broken.push(format!("{fatal}: {ended} engines ended"));
+            }
+            let whole = results.iter().filter(|reply| reply.state == "succeeded");
+            let (whole, others) = (whole.count(), batch.items().len() - 1);
+            if whole != others {
+                let crowd = self.batches;
+                broken.push(format!(
+                    "{fatal} of {crowd}: {whole} of {others} beside it are whole"
+                ));
+            }
+        }
+        broken
+    }
+}
