Run a suspected item alone on its engine

Cause, by the logs of the new test: a suspect ran beside items that were not suspected yet, and shared the ends of their engines, up to its own quarantine and its trial; a runner that took over a bundle had not heard of the last end; and items in quarantine took the places of their engines (8 of them kept the bundles of two batches from being taken for 10 s). Ruled out: more trials (the tests allow one in 10 minutes).

Changed: a suspect has its engine to itself; who takes a bundle over reads the crashes of its items first, and a heartbeat that says that the engine is gone waits 0.6 s at most until its ends are in the store; a trial that broke off on a living engine is given back; items in quarantine take no place.

--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -15,6 +15,7 @@
     },
     store::{Key, Outcome, StoreError, Transaction}, //
 };
+use std::sync::atomic::Ordering;
 
 /// The wait after a claim that the store did not take. Without it a store that
 /// refuses at once was asked 35,000 times in 16 s of outage by nine runners.
@@ -27,11 +28,18 @@
         if !self.is_working() || self.leaving {
             return;
         }
+        // What is taken now would wait until a suspect has run alone.
+        if self.engine.is_isolating() {
+            return;
+        }
         let ids: Vec<String> = self.batches.keys().cloned().collect();
         for id in &ids {
             self.start_fetching(id);
         }
-        let load: usize = self.batches.values().map(OpenBatch::load).sum();
+        let taken: usize = self.batches.values().map(OpenBatch::load).sum();
+        // Items in quarantine take no place of the engine. Counted in, those of some
+        // batches kept all others from running until they were given up.
+        let load = taken.saturating_sub(self.engine.waiting.load(Ordering::Relaxed));
         let mut room = capacity(self.slots, self.pace, usual).saturating_sub(load as u32);
         if room == 0 {
             return;
@@ -163,7 +171,10 @@
                 let begun = batch.claims.contains_key(&bundle);
                 batch.set_claim(bundle, claim, revision, now);
                 match begun {
-                    true => self.resume(&id, bundle),
+                    true => {
+                        batch.reclaimed.insert(bundle);
+                        self.resume(&id, bundle);
+                    }
                     false => {
                         batch.mine.insert(bundle, Mine::Fetching);
                         self.start(&id, bundle);
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -14,6 +14,10 @@
 /// The time between heartbeats.
 const HEARTBEAT_EVERY: Millis = Millis(1_000);
 
+/// How long a heartbeat may wait for the crashes of its engine to be shared: some
+/// tries of a write, and less than makes others take this runner for gone.
+const SHARED_WITHIN: Millis = Millis(600);
+
 /// The wait before the first heartbeat is tried again.
 const FIRST_AGAIN: Millis = Millis(80);
 
@@ -53,7 +57,7 @@
         };
         let changed = told != *last;
         let due = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY || changed;
-        if self.heartbeat.sending || !due {
+        if self.heartbeat.sending || !due || self.holds_back(now) {
             return;
         }
         next.sequence += 1;
@@ -70,6 +74,17 @@
     }
 }
 
+impl Work {
+    /// Whether the word that the engine is gone waits until its end is known under
+    /// the items that ran there: those who take them over would run them beside
+    /// others, as if nothing had happened.
+    fn holds_back(&self, now: Millis) -> bool {
+        let ends = self.heartbeat.last.working && !self.is_working();
+        let late = now.since(self.heartbeat.sent) >= HEARTBEAT_EVERY + SHARED_WITHIN;
+        ends && !late && !self.engine.crashes.are_shared()
+    }
+}
+
 fn heartbeat_write(instance: &str, heartbeat: &Heartbeat) -> Transaction {
     Transaction {
         expect: Vec::new(),
--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -176,6 +176,7 @@
                 item,
                 least_version: head.least_version,
                 most_failures: route.attempts,
+                reclaimed: batch.reclaimed.contains(&bundle),
                 single_version: route.single_version,
                 until: now + RUN_MOST.min(route.item_ttl),
             };
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -6,7 +6,7 @@
     policy::{liveness::Sign, model_share::Asked, step_order::Turn}, //
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc, //
 };
 use tokio::task::AbortHandle;
@@ -51,6 +51,8 @@
     pub(super) mine: BTreeMap<u16, Mine>,
     /// Each bundle's place in the order in which bundles should begin.
     places: Vec<u16>,
+    /// Bundles that this runner took and that a runner had before.
+    pub(super) reclaimed: BTreeSet<u16>,
     /// Results that are not listed yet.
     pub(super) results: Vec<(u16, Sample)>,
     pub(super) running: HashMap<u16, AbortHandle>,
@@ -82,6 +84,7 @@
             partials: HashMap::new(),
             mine: BTreeMap::new(),
             places,
+            reclaimed: BTreeSet::new(),
             results: Vec::new(),
             running: HashMap::new(),
             seen: now,
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -21,10 +21,10 @@
 };
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize}, //
 };
 use tokio::sync::{
-    Semaphore,
+    RwLock,
     watch, //
 };
 
@@ -40,8 +40,6 @@
 /// What the runs of all items on one engine share.
 #[derive(Clone)]
 pub(super) struct Engine {
-    /// Held by the one suspect that runs here.
-    pub(super) apart: Arc<Semaphore>,
     pub(super) clock: Clock,
     pub(super) crashes: Arc<Crashes>,
     /// The life whose end a run saw last.
@@ -51,12 +49,16 @@
     /// What all runs tell of its pace.
     pub(super) pace: Arc<Mutex<Pace>>,
     pub(super) peer: Peer,
+    /// Shared by the runs here, but for a suspect's, which has it alone.
+    pub(super) places: Arc<RwLock<()>>,
     /// What its places take for an expected token.
     pub(super) rate: Arc<Mutex<Rate>>,
     /// The engine's present life while it takes work.
     pub(super) server: watch::Receiver<Option<Life>>,
     pub(super) scorers: Arc<Scorers>,
     pub(super) store: Store,
+    /// Items that wait here in quarantine.
+    pub(super) waiting: Arc<AtomicUsize>,
 }
 
 impl Engine {
@@ -122,6 +124,8 @@
     pub(super) least_version: u64,
     /// The engine's own failures after which the item is given up.
     pub(super) most_failures: u32,
+    /// Whether a runner had its bundle before; engines may have ended there.
+    pub(super) reclaimed: bool,
     pub(super) single_version: bool,
     pub(super) until: Millis,
 }
@@ -255,7 +259,7 @@
     loop {
         // An item that ends each engine that runs it goes from runner to runner,
         // which count its engines' ends together.
-        let Some(apart) = engine.admit(&task).await else {
+        let Some(place) = engine.admit(&task).await else {
             return ItemEnd::Dropped;
         };
         let now = engine.clock.now();
@@ -274,7 +278,7 @@
             run = run_once(&engine, &task, &server, &mut text) => run,
             () = engine.next_life(&server) => Run::Outlived,
         };
-        if engine.settle(&server, &task, &run, apart).await == Settled::GivenBack {
+        if engine.settle(&server, &task, &run, place).await == Settled::GivenBack {
             return ItemEnd::Dropped;
         }
         match run {
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -18,10 +18,7 @@
     net::SocketAddr,
     sync::Arc, //
 };
-use tokio::sync::{
-    Semaphore,
-    watch, //
-};
+use tokio::sync::watch;
 
 /// A running `redwing-runner`; dropping it ends it.
 pub struct Runner {
@@ -56,17 +53,18 @@
         let seed = Seed {
             clock,
             engine: Engine {
-                apart: Arc::new(Semaphore::new(1)),
                 clock,
                 crashes: crashes.clone(),
                 lost: watch::Sender::new(None),
                 met: watch::Sender::new(None),
                 pace: Arc::default(),
                 peer: Peer::open(settings.engine, clock),
+                places: Arc::default(),
                 rate: Arc::default(),
                 scorers: Arc::new(scorers),
                 server: life,
                 store: store.clone(),
+                waiting: Arc::default(),
             },
             engine_address: settings.engine,
             instance: common.instance,
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -11,7 +11,41 @@
     policy::quarantine::Verdict,
     routing::Life, //
 };
-use tokio::sync::SemaphorePermit;
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
+use tokio::sync::{
+    RwLockReadGuard,
+    RwLockWriteGuard, //
+};
+
+/// A run's place on its engine, free again when this is dropped.
+pub(super) enum Place<'a> {
+    /// Nothing else of this runner runs there.
+    Alone {
+        _guard: RwLockWriteGuard<'a, ()>,
+    },
+    Shared {
+        _guard: RwLockReadGuard<'a, ()>,
+    },
+}
+
+/// Counts an item as waiting in quarantine until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn begin(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
 
 /// What becomes of an item after a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,36 +68,49 @@
 impl Engine {
     /// Waits until `task` may run; `None` when its time is over before.
     ///
-    /// A suspect runs alone among its like, so that the next end of an engine
-    /// tells which of them it was: the items beside the one that ends engines
-    /// shared its engines twice, as bundles go from runner to runner whole.
-    pub(super) async fn admit(&self, task: &Task) -> Option<Option<SemaphorePermit<'_>>> {
+    /// A suspect has the engine to itself, so that the engine's next end tells of it
+    /// alone. Beside an item that ends engines and isn't suspected yet, items that did
+    /// nothing wrong had their third end, and then their trial's; they were given up.
+    pub(super) async fn admit(&self, task: &Task) -> Option<Place<'_>> {
         let end = self.end_of(task);
         let request = task.fingerprint;
-        let mut told = false;
+        let mut waiting = None;
         self.crashes.wait_listed().await;
+        if task.reclaimed {
+            self.crashes.refresh(request).await;
+        }
         loop {
-            let apart = match self.crashes.judge(request) {
-                Verdict::Clear => return Some(None),
+            let place = match self.crashes.judge(request) {
+                Verdict::Clear => {
+                    let shared = tokio::time::timeout_at(end, self.places.read()).await;
+                    Some(Place::Shared {
+                        _guard: shared.ok()?,
+                    })
+                }
                 Verdict::Suspect | Verdict::Trial => {
-                    let turn = tokio::time::timeout_at(end, self.apart.acquire()).await;
-                    turn.ok()?.ok()
+                    let alone = tokio::time::timeout_at(end, self.places.write()).await;
+                    Some(Place::Alone {
+                        _guard: alone.ok()?,
+                    })
                 }
                 Verdict::Barred => None,
             };
             // Whoever ran before may have shown what this one is.
-            match self.crashes.judge(request) {
-                Verdict::Clear => return Some(None),
-                Verdict::Suspect if apart.is_some() => return Some(apart),
-                Verdict::Trial if apart.is_some() && self.crashes.claim_trial(request).await => {
-                    return Some(apart);
+            match (self.crashes.judge(request), place) {
+                (Verdict::Clear, Some(place)) => return Some(place),
+                (Verdict::Suspect, Some(place @ Place::Alone { .. })) => return Some(place),
+                (Verdict::Trial, Some(place @ Place::Alone { .. })) => {
+                    if self.crashes.claim_trial(request).await {
+                        return Some(place);
+                    }
                 }
-                Verdict::Suspect | Verdict::Trial | Verdict::Barred => drop(apart),
+                (Verdict::Suspect | Verdict::Trial, Some(Place::Shared { .. })) => continue,
+                (_, None) | (Verdict::Barred, Some(_)) => {}
             }
-            if !told {
+            if waiting.is_none() {
                 let item = &task.item.id;
                 tracing::warn!(item, %request, "in quarantine: the item waits");
-                told = true;
+                waiting = Some(Waiting::begin(&self.waiting));
             }
             // It keeps its bundle, which would be offered and taken again and again.
             let again = tokio::time::sleep(LOOK_AGAIN.as_duration());
@@ -71,6 +118,11 @@
         }
     }
 
+    /// Whether a suspect has the engine to itself, or waits for that.
+    pub(super) fn is_isolating(&self) -> bool {
+        self.places.try_read().is_err()
+    }
+
     fn end_of(&self, task: &Task) -> tokio::time::Instant {
         let left = task.until.since(self.clock.now());
         tokio::time::Instant::now() + left.as_duration()
@@ -111,22 +163,23 @@
         let _ = tokio::time::timeout(NOTICED_WITHIN.as_duration(), other).await;
     }
 
-    /// Takes what a run, which held `apart` if it had to, tells of its item.
+    /// Takes what a run at `place` tells of its item.
     pub(super) async fn settle(
         &self,
         server: &Life,
         task: &Task,
         run: &Run,
-        apart: Option<SemaphorePermit<'_>>,
+        place: Place<'_>,
     ) -> Settled {
         let request = task.fingerprint;
         let ended = self.look_after(server, task, run).await;
-        drop(apart);
+        drop(place);
         if matches!(run, Run::Whole | Run::Failed | Run::Impossible) {
             self.crashes.survived(request);
         }
         let verdict = self.crashes.judge(request);
-        if verdict == Verdict::Trial && matches!(run, Run::Refused) {
+        // The run broke off or did not begin, and its engine lives.
+        if verdict == Verdict::Trial && !ended {
             self.crashes.release_trial(request);
         }
         if !ended || verdict == Verdict::Clear {
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -21,7 +21,8 @@
         Arc,
         Mutex,
         MutexGuard,
-        PoisonError, //
+        PoisonError,
+        atomic::{AtomicUsize, Ordering}, //
     },
 };
 use tokio::{
@@ -40,6 +41,8 @@
     listed_until: Instant,
     quarantine: Mutex<Quarantine>,
     store: Store,
+    /// Changes that are not in the store yet.
+    unshared: AtomicUsize,
     writes: mpsc::Sender<Write>,
 }
 
@@ -93,6 +96,7 @@
             listed_until: Instant::now() + LISTED_WITHIN.as_duration(),
             quarantine: Mutex::default(),
             store,
+            unshared: AtomicUsize::new(0),
             writes,
         };
         (Arc::new(crashes), CrashWrites(pending))
@@ -191,6 +195,34 @@
         *self.listed.borrow()
     }
 
+    /// Whether all that this program saw is in the store.
+    pub fn are_shared(&self) -> bool {
+        self.unshared.load(Ordering::Relaxed) == 0
+    }
+
+    /// Reads what others saw under `request`, for a program that can't wait for the
+    /// feed: the request comes from the one that has just lost its server.
+    pub async fn refresh(&self, request: Fingerprint) {
+        let prefix = format!("{request}/");
+        match self.store.rows(CRASHES, "", &prefix, ROWS_MOST).await {
+            Ok(listing) => {
+                let rows = listing.rows.into_iter();
+                for row in rows.take_while(|row| row.key.starts_with(&prefix)) {
+                    if let Some(value) = row.value {
+                        let (key, revision) = (row.key, row.revision);
+                        self.take(Change::Put {
+                            key,
+                            part: row.part,
+                            revision,
+                            value,
+                        });
+                    }
+                }
+            }
+            Err(error) => tracing::info!(%request, %error, "crashes under it were not read"),
+        }
+    }
+
     /// Waits until they were read, for a second after the start at most.
     ///
     /// Requests reach a program that has just started before it is ready. One that
@@ -215,7 +247,9 @@
 
     fn write(&self, key: Key, counts: bool) {
         let write = Write { counts, key };
+        self.unshared.fetch_add(1, Ordering::Relaxed);
         if let Err(error) = self.writes.try_send(write) {
+            self.unshared.fetch_sub(1, Ordering::Relaxed);
             metrics::counter!("redwing_crashes_unshared_total").increment(1);
             tracing::warn!(%error, "a crash is known here only");
         }
@@ -260,7 +294,7 @@
         table: CRASHES,
     };
     tokio::spawn(follow(store.clone(), following, sender));
-    tokio::spawn(write_all(writes, store.clone()));
+    tokio::spawn(write_all(writes, crashes.clone()));
     let mut sweep = tokio::time::interval(SWEEP.as_duration());
     loop {
         tokio::select! {
@@ -290,14 +324,17 @@
 
 /// Writes changes in their order. A write whose outcome is unknown is written
 /// again: it says the same.
-async fn write_all(writes: CrashWrites, store: Store) {
+async fn write_all(writes: CrashWrites, crashes: Arc<Crashes>) {
     let CrashWrites(mut writes) = writes;
+    let store = &crashes.store;
     while let Some(first) = writes.recv().await {
         let mut last = BTreeMap::from([(first.key, first.counts)]);
+        let mut taken = 1;
         while last.len() < ROWS_MOST
             && let Ok(next) = writes.try_recv()
         {
             last.insert(next.key, next.counts);
+            taken += 1;
         }
         let at = value_at(store.now());
         let (set, remove): (Vec<_>, Vec<_>) = last.into_iter().partition(|(_, counts)| *counts);
@@ -310,5 +347,6 @@
             tracing::debug!(%error, "crashes wait for the store");
             tokio::time::sleep(WRITE_AGAIN.as_duration()).await;
         }
+        crashes.unshared.fetch_sub(taken, Ordering::Relaxed);
     }
 }
