--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -36,10 +36,10 @@
         for id in &ids {
             self.start_fetching(id);
         }
-        let taken: usize = self.batches.values().map(OpenBatch::load).sum();
+        let held: usize = self.batches.values().map(OpenBatch::load).sum();
         // Items in quarantine take no place of the engine. Counted in, those of some
         // batches kept all others from running until they were given up.
-        let load = taken.saturating_sub(self.engine.waiting.load(Ordering::Relaxed));
+        let load = held.saturating_sub(self.engine.waiting.load(Ordering::Relaxed));
         let mut room = capacity(self.slots, self.pace, usual).saturating_sub(load as u32);
         if room == 0 {
             return;
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -97,8 +97,8 @@
             };
             // Whoever ran before may have shown what this one is.
             match (self.crashes.judge(request), place) {
-                (Verdict::Clear, Some(place)) => return Some(place),
-                (Verdict::Suspect, Some(place @ Place::Alone { .. })) => return Some(place),
+                (Verdict::Clear, Some(place))
+                | (Verdict::Suspect, Some(place @ Place::Alone { .. })) => return Some(place),
                 (Verdict::Trial, Some(place @ Place::Alone { .. })) => {
                     if self.crashes.claim_trial(request).await {
                         return Some(place);
