--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -1,6 +1,10 @@
 //! The one place where time is read.
 
 use super::Millis;
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
 use std::time::{
     Instant,
     SystemTime,
@@ -30,6 +34,13 @@
         }
     }
 
+    /// The time since the machine's start, which runs on while it is suspended: for
+    /// the age of what must not be used when it is old.
+    pub fn boottime(&self) -> Millis {
+        let time = clock_gettime(ClockId::Boottime);
+        Millis(time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000)
+    }
+
     /// Microseconds since this clock was opened, for measuring.
     pub fn micros(&self) -> u64 {
         self.origin.elapsed().as_micros() as u64
--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -43,7 +43,11 @@
     /// The groups that its trainer waits for; 0 for all.
     pub needed: u16,
     pub path: String,
+    /// How urgent its items are; 0 is the most urgent.
+    pub priority: Option<u32>,
     pub step: u64,
+    /// The workspace that it belongs to; a key that is taken away changes nothing.
+    pub workspace: Option<String>,
 }
 
 /// The most bytes of items in one row: the store takes 64 KiB, and the encoding
@@ -82,7 +86,9 @@
             model: submission.model.clone(),
             needed: submission.needed,
             path: submission.path.clone(),
+            priority: submission.priority,
             step: submission.step,
+            workspace: submission.workspace.clone(),
         };
         (head, chunks)
     }
--- a/src/batch/item.rs
+++ b/src/batch/item.rs
@@ -42,5 +42,9 @@
     pub needed: u16,
     /// The path it was submitted under.
     pub path: String,
+    /// How urgent its items are; 0 is the most urgent.
+    pub priority: Option<u32>,
     pub step: u64,
+    /// The workspace that it belongs to.
+    pub workspace: Option<String>,
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -11,6 +11,7 @@
 mod item;
 mod layout;
 mod log;
+mod name;
 mod page;
 mod partial;
 mod sample;
@@ -22,6 +23,7 @@
     item::{Item, Scorer, Submission},
     layout::{BODIES, HEARTBEATS, PARTIALS, RESULTS, WORK, WorkKey, part_of, partial_key},
     log::Log,
+    name::name_of,
     page::{Page, page_of},
     partial::Partial,
     sample::{Sample, State},
--- a/src/calls/call.rs
+++ b/src/calls/call.rs
@@ -4,7 +4,7 @@
 use crate::{
     base::{Fingerprint, Millis},
     net::{Answer, Opened},
-    routing::Route, //
+    routing::{Route, Workspace}, //
 };
 use bytes::Bytes;
 use hyper::{
@@ -28,6 +28,17 @@
     pub route: Arc<Route>,
     /// When its caller or its route gives it up.
     pub until: Millis,
+    /// The workspace that asks; it goes by the key that the caller showed.
+    pub workspace: Option<Arc<Workspace>>,
+}
+
+impl Call {
+    /// How urgent it is: as its workspace is, or else as its route is.
+    pub fn priority(&self) -> Option<u32> {
+        let workspace = self.workspace.as_ref();
+        let own = workspace.and_then(|workspace| workspace.priority);
+        own.or(self.route.priority)
+    }
 }
 
 /// How a call ended.
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -69,6 +69,12 @@
 /// first then: it is no failure of a server that was given too little time.
 const AFTER_END: Millis = Millis(250);
 
+/// Why a call is refused whose key may have been taken away.
+pub(super) const STALE: &str = "configuration-not-confirmed";
+
+/// When such a call is worth asking again: another gateway may reach the store.
+pub(super) const WAIT_STALE: Millis = Millis(200);
+
 /// When a call that no server took is worth asking again: about what one call
 /// takes, so that a slot is likely to be free.
 pub(super) const WAIT_FULL: Millis = Millis(60);
@@ -123,6 +129,12 @@
                     wait: WAIT_QUARANTINE,
                 };
             }
+            if self.is_stale(call) {
+                return StreamEnd::NotRun {
+                    reason: STALE.to_owned(),
+                    wait: WAIT_STALE,
+                };
+            }
             let Some(server) = self.pick(call, &tried) else {
                 break;
             };
@@ -163,6 +175,13 @@
         StreamEnd::NotRun { reason, wait }
     }
 
+    /// Whether `call` shows a key of which the store has not told for too long
+    /// whether it still holds. Looked at before each attempt: the call may have
+    /// waited, or this process have been frozen, since it came.
+    pub(super) fn is_stale(&self, call: &Call) -> bool {
+        call.workspace.is_some() && !self.site.is_fresh()
+    }
+
     /// The clock that calls are measured by.
     pub fn clock(&self) -> Clock {
         self.site.clock
@@ -178,6 +197,10 @@
         *request.headers_mut() = call.headers.clone();
         platform::set_deadline(request.headers_mut(), left);
         platform::set_instance(request.headers_mut(), &server.life.id);
+        platform::set_priority(request.headers_mut(), call.priority());
+        let workspace = call.workspace.as_ref();
+        let workspace = workspace.map(|workspace| workspace.name.as_str());
+        platform::set_workspace(request.headers_mut(), workspace);
         request
     }
 
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -5,7 +5,7 @@
     CallEnd,
     Caller,
     attempt::{Attempt, judge},
-    caller::{REFUSALS_MOST, Sent, WAIT_FULL, WAIT_NO_SERVER},
+    caller::{REFUSALS_MOST, STALE, Sent, WAIT_FULL, WAIT_NO_SERVER, WAIT_STALE},
     look::{QUARANTINE, WAIT_QUARANTINE}, //
 };
 use crate::{
@@ -123,6 +123,10 @@
             self.last = QUARANTINE;
             return None;
         }
+        if self.caller.is_stale(self.call) {
+            self.last = STALE;
+            return None;
+        }
         let repeatable = self.is_idempotent() || self.ran == 0;
         let allowed = repeatable
             && self.refusals < REFUSALS_MOST
@@ -193,6 +197,10 @@
                 reason,
                 wait: WAIT_QUARANTINE,
             },
+            (0, _) if self.last == STALE => CallEnd::NotRun {
+                reason,
+                wait: WAIT_STALE,
+            },
             (0, true) => CallEnd::NotRun {
                 reason,
                 wait: WAIT_NO_SERVER,
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -9,12 +9,14 @@
         Item,
         Log,
         RESULTS,
+        Submission,
         WORK,
         WorkKey,
         accept,
         chunk_of,
         decode,
         encode,
+        name_of,
         page_of,
         part_of, //
     },
@@ -70,18 +72,53 @@
 const READ_AWAY: Millis = Millis(400);
 const AWAY_KNOWN: Millis = Millis(300);
 
+/// Where a batch comes from.
+#[derive(Clone, Copy)]
+pub(super) struct Submitter<'a> {
+    pub(super) host: &'a str,
+    pub(super) path: &'a str,
+    /// The workspace's own.
+    pub(super) priority: Option<u32>,
+    pub(super) workspace: Option<&'a str>,
+}
+
 impl Batches {
+    /// The name of the batch that the callers of `workspace` call `id`: its own, or
+    /// one that belongs to nobody; `None` when there is none.
+    pub(super) async fn find(
+        &self,
+        workspace: Option<&str>,
+        id: &str,
+    ) -> Result<Option<String>, Answer> {
+        let own = workspace.and_then(|workspace| name_of(Some(workspace), id));
+        let names = own.into_iter().chain(name_of(None, id));
+        for name in names {
+            match self.head(&name).await {
+                Ok(Some(_)) => return Ok(Some(name)),
+                Ok(None) => {}
+                Err(error) => return Err(store_away(id, &error)),
+            }
+        }
+        Ok(None)
+    }
+
     /// Takes a batch: it is in the store, whole, before the answer says so.
     pub(super) async fn submit(
         &self,
         id: &str,
-        host: &str,
-        path: &str,
+        from: Submitter<'_>,
         body: &[u8],
         until: Millis,
     ) -> Answer {
-        let submission = match read_submission(id, host, path, body) {
-            Ok(submission) => submission,
+        let Some(id) = &name_of(from.workspace, id) else {
+            return reply::status(StatusCode::BAD_REQUEST, "not an id of a batch");
+        };
+        let submission = match read_submission(id, from.host, from.path, body) {
+            Ok(submission) => Submission {
+                priority: from.priority,
+                workspace: from.workspace.map(str::to_owned),
+                ..submission
+            },
             Err(error) => {
                 tracing::warn!(batch = id, %error, "batch not understood");
                 return reply::status(StatusCode::BAD_REQUEST, &error.to_string());
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,7 +1,8 @@
 //! From a caller's request to its answer.
 
 use super::{
-    batches::Batches,
+    batches::{Batches, Submitter},
+    door::{self, Admitted, Door, Reader},
     plain,
     reply,
     streams, //
@@ -10,9 +11,8 @@
     base::{Asked, Clock, Fingerprint, Millis},
     calls::{Call, Caller},
     duty::{Answer, Context, Phase},
-    platform::{self, Ingress},
-    routing::{Config, Kind, Route},
-    view::Site, //
+    platform::{self, BatchCall, Ingress},
+    routing::{Credential, Kind, Route}, //
 };
 use bytes::Bytes;
 use http_body_util::{
@@ -34,13 +34,9 @@
     pub(super) batches: Batches,
     pub(super) caller: Arc<Caller>,
     pub(super) clock: Clock,
-    pub(super) site: Arc<Site>,
+    pub(super) door: Door,
 }
 
-/// When a caller is asked to come back while no configuration is known yet:
-/// the store answers in milliseconds once it is reached.
-const WAIT_CONFIG: Millis = Millis(300);
-
 impl Front {
     /// Answers one request. While the program drains, the caller is told to
     /// use another connection for the next.
@@ -61,36 +57,58 @@
     async fn dispatch(&self, request: Request<Incoming>) -> Answer {
         let arrived = self.clock.now();
         let (head, body) = request.into_parts();
-        let Some(config) = self.site.config() else {
-            tracing::info!(path = head.uri.path(), "refused: no configuration yet");
-            return reply::refusal(WAIT_CONFIG, "no configuration yet");
-        };
         match platform::classify(&head.method, &head.uri, &head.headers) {
-            Ingress::End { batch } => self.batches.end(&batch).await,
-            Ingress::ItemBody { batch, item } => self.batches.item_body(&batch, &item).await,
-            Ingress::Results { batch, from, wait } => {
-                self.batches.results(&batch, from, wait).await
-            }
-            Ingress::Routed => self.routed(arrived, &config, head, body).await,
+            Ingress::Batch { batch, call } => self.batch_call(&head, &batch, call).await,
+            Ingress::Routed => self.routed(arrived, head, body).await,
             Ingress::Unknown => reply::status(StatusCode::BAD_REQUEST, "no such call"),
         }
     }
 
-    async fn routed(
-        &self,
-        arrived: Millis,
-        config: &Config,
-        head: Parts,
-        body: Incoming,
-    ) -> Answer {
-        let host = head.headers.get("host").and_then(|host| host.to_str().ok());
-        let host = host.unwrap_or_default();
-        let path = head.uri.path();
-        let Some(route) = config.route(host, path).cloned() else {
-            let version = config.version;
-            tracing::info!(host, path, version, "no route");
-            return reply::status(StatusCode::NOT_FOUND, "no route");
+    /// Answers a call about a batch. Its workspace's callers alone see it; others
+    /// don't learn whether it exists.
+    async fn batch_call(&self, head: &Parts, id: &str, call: BatchCall) -> Answer {
+        let reader = match self.door.reader(head).await {
+            Ok(reader) => reader,
+            Err(refusal) => return refusal,
+        };
+        let (workspace, denial) = match &reader {
+            Reader::Anybody { denial } => (None, *denial),
+            Reader::Of(workspace) => (Some(workspace.name.as_str()), None),
         };
+        let name = match self.batches.find(workspace, id).await {
+            Ok(Some(name)) => name,
+            Ok(None) => {
+                tracing::info!(
+                    batch = id,
+                    workspace,
+                    ?denial,
+                    "no such batch for this caller"
+                );
+                return match denial {
+                    Some(denial) => door::denied(denial),
+                    None => reply::status(StatusCode::NOT_FOUND, "no such batch"),
+                };
+            }
+            Err(refusal) => return refusal,
+        };
+        match call {
+            BatchCall::End => self.batches.end(&name).await,
+            BatchCall::ItemBody { item } => self.batches.item_body(&name, &item).await,
+            BatchCall::Results { from, wait } => self.batches.results(&name, from, wait).await,
+        }
+    }
+
+    async fn routed(&self, arrived: Millis, head: Parts, body: Incoming) -> Answer {
+        let Admitted {
+            config,
+            route,
+            workspace,
+        } = match self.door.admit(&head).await {
+            Ok(admitted) => admitted,
+            Err(refusal) => return refusal,
+        };
+        let host = door::host(&head);
+        let path = head.uri.path();
         let until = until(arrived, &route, &head);
         let left = until.since(self.clock.now());
         let read = read_body(body, config.limits.body_bytes);
@@ -106,14 +124,20 @@
             return reply::status(StatusCode::BAD_REQUEST, "the request's id is not text");
         };
         if route.kind == Kind::Batch && head.method == hyper::Method::POST {
-            return self.batches.submit(id, host, path, &body, until).await;
+            let from = Submitter {
+                host,
+                path,
+                priority: workspace.as_ref().and_then(|workspace| workspace.priority),
+                workspace: workspace.as_ref().map(|workspace| workspace.name.as_str()),
+            };
+            return self.batches.submit(id, from, &body, until).await;
         }
 
         let target = head.uri.path_and_query();
         let target = target.map_or_else(|| path.to_owned(), ToString::to_string);
         let fingerprint = Fingerprint::of(Asked {
             body: &body,
-            credential: platform::credential(&head.headers),
+            credential: &credential(&head),
             host,
             id: "",
             method: head.method.as_str(),
@@ -128,6 +152,7 @@
             path: target,
             route,
             until,
+            workspace,
         };
         match call.route.kind {
             Kind::Stream { .. } => streams::answer(&self.caller, call).await,
@@ -138,6 +163,16 @@
     }
 }
 
+/// What tells this caller from others that ask the same.
+fn credential(head: &Parts) -> Vec<u8> {
+    match platform::credential(&head.headers) {
+        Credential::Key(key) => key.as_bytes().to_vec(),
+        Credential::Absent | Credential::Malformed => {
+            platform::authorization(&head.headers).to_vec()
+        }
+    }
+}
+
 /// When the request is given up: at its caller's deadline or its route's
 /// timeout, whichever comes first.
 fn until(arrived: Millis, route: &Route, head: &Parts) -> Millis {
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -2,6 +2,7 @@
 
 use super::{
     batches::Batches,
+    door::Door,
     front::Front,
     readiness::is_ready, //
 };
@@ -11,7 +12,7 @@
     duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
     platform::Store,
     settings::GatewaySettings,
-    view::{Crashes, Site, keep, keep_crashes}, //
+    view::{Crashes, Site, confirm, keep, keep_crashes}, //
 };
 use std::{
     collections::HashMap,
@@ -62,7 +63,7 @@
         );
 
         let clock = Clock::open();
-        let site = Arc::new(Site::new(clock));
+        let site = Arc::new(Site::new(clock, settings.revocation));
         let store = Store::open(common.store, clock);
         let (crashes, writes) = Crashes::open(store.clone());
         let front = Arc::new(Front {
@@ -74,7 +75,7 @@
             },
             caller: Caller::new(site.clone(), crashes.clone(), &common.data_centre),
             clock,
-            site: site.clone(),
+            door: Door { site: site.clone() },
         });
 
         let supervisor = handle.supervisor().clone();
@@ -82,6 +83,9 @@
         let seen = site.clone();
         let shared = crashes.clone();
         let serve = move |context: duty::Context| async move {
+            if seen.is_bounded() {
+                tokio::spawn(confirm(seen.clone(), store.clone()));
+            }
             tokio::spawn(keep(seen, store));
             tokio::spawn(keep_crashes(shared, writes));
             let answering = context.clone();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! operators' routes, takes batches into the store and reads their results.
 
 mod batches;
+mod door;
 mod front;
 mod gateway_handle;
 mod plain;
--- a/src/platform/batch_calls.rs
+++ b/src/platform/batch_calls.rs
@@ -114,7 +114,9 @@
         model: wire.model,
         needed: u16::try_from(wire.group_target).unwrap_or(0),
         path: path.to_owned(),
+        priority: None,
         step: wire.step,
+        workspace: None,
     })
 }
 
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     base::Millis,
-    routing::{Config, EngineModel, Kind, Limits, Route, Service, Target}, //
+    routing::{
+        Config, EngineModel, KeyDigest, Kind, Limits, Route, Service, Target, Workspace, Workspaces,
+    }, //
 };
 use serde::Deserialize;
 use snafu::{
@@ -24,9 +26,22 @@
     limits: WireLimits,
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
+    /// The workspaces; left out where callers need no key.
+    #[serde(default)]
+    tenants: Option<Vec<WireTenant>>,
     version: u64,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTenant {
+    #[serde(default)]
+    api_keys: Vec<String>,
+    name: String,
+    #[serde(default)]
+    priority: Option<u32>,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireLimits {
@@ -39,6 +54,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireRoute {
+    #[serde(default)]
+    allow_anonymous: bool,
     host: String,
     /// Seconds.
     #[serde(default)]
@@ -48,6 +65,8 @@
     name: String,
     path_prefix: String,
     #[serde(default)]
+    priority: Option<u32>,
+    #[serde(default)]
     resumable: bool,
     #[serde(default)]
     result_deadline_ms: f64,
@@ -108,7 +127,23 @@
         head_time: millis(wire.limits.header_timeout_ms),
         idle_time: millis(wire.limits.idle_timeout_ms),
     };
-    Ok(Config::new(wire.version, routes?, services, limits))
+    let mut config = Config::new(wire.version, routes?, services, limits);
+    config.workspaces = wire.tenants.map(workspaces);
+    Ok(config)
+}
+
+fn workspaces(wire: Vec<WireTenant>) -> Workspaces {
+    let mut all = Workspaces::default();
+    for tenant in wire {
+        let keys = tenant.api_keys;
+        let workspace = Workspace {
+            name: tenant.name,
+            priority: tenant.priority,
+        };
+        let digests = keys.iter().map(|key| KeyDigest::of(key.as_bytes()));
+        all.insert(workspace, digests);
+    }
+    all
 }
 
 fn route(wire: WireRoute) -> Result<Route, ConfigError> {
@@ -141,7 +176,9 @@
         item_ttl: millis(wire.item_ttl_s * 1_000.0),
         kind,
         name: wire.name,
+        open: wire.allow_anonymous,
         prefix: wire.path_prefix,
+        priority: wire.priority,
         results_due: millis(wire.result_deadline_ms),
         single_version: wire.single_version,
         targets,
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -171,8 +171,12 @@
     pub host: &'a str,
     pub item: &'a Item,
     pub left: Millis,
+    /// How urgent it is; 0 is the most urgent.
+    pub priority: Option<u32>,
     /// The engine's life.
     pub server: &'a str,
+    /// The workspace whose batch it belongs to.
+    pub workspace: Option<&'a str>,
 }
 
 impl EngineRequest<'_> {
@@ -190,6 +194,8 @@
         }
         names::set_instance(headers, self.server);
         names::set_deadline(headers, self.left);
+        names::set_priority(headers, self.priority);
+        names::set_workspace(headers, self.workspace);
         request
     }
 }
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -10,22 +10,25 @@
 /// A caller's call, by method and path.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Ingress {
-    /// Ends a batch.
-    End { batch: String },
-    /// The body of an item that is not listed yet.
-    ItemBody { batch: String, item: String },
-    /// Results of a batch from a position on, waited for at most `wait`.
-    Results {
-        batch: String,
-        from: usize,
-        wait: Millis,
-    },
+    /// It is about a batch that was submitted before.
+    Batch { batch: String, call: BatchCall },
     /// Anything else goes by the operators' routes.
     Routed,
     /// A call of ours that is malformed.
     Unknown,
 }
 
+/// What is asked about a batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BatchCall {
+    /// To end it.
+    End,
+    /// The body of an item that is not listed yet.
+    ItemBody { item: String },
+    /// Results from a position on, waited for at most `wait`.
+    Results { from: usize, wait: Millis },
+}
+
 const BATCHES: &str = "/redwingpond/lots/";
 const ITEMS: &str = "/redwingpond/items/";
 const OWN: &str = "/redwingpond/";
@@ -39,9 +42,11 @@
     if let Some(batch) = path.strip_prefix(ITEMS) {
         let item = parameter(uri.query().unwrap_or_default(), "id");
         return match (method, item) {
-            (&Method::GET, Some(item)) => Ingress::ItemBody {
+            (&Method::GET, Some(item)) => Ingress::Batch {
                 batch: batch.to_owned(),
-                item: item.to_owned(),
+                call: BatchCall::ItemBody {
+                    item: item.to_owned(),
+                },
             },
             _ => Ingress::Unknown,
         };
@@ -55,16 +60,21 @@
 fn batch_call(method: &Method, batch: &str, query: &str, headers: &HeaderMap) -> Ingress {
     let batch = batch.to_owned();
     match *method {
-        Method::DELETE => Ingress::End { batch },
+        Method::DELETE => Ingress::Batch {
+            batch,
+            call: BatchCall::End,
+        },
         Method::GET => {
             let from = parameter(query, "startAfter").unwrap_or("0");
             let wait = headers.get("x-wait-ms").and_then(|v| v.to_str().ok());
             let wait = wait.and_then(|wait| wait.trim().parse().ok());
             match from.parse() {
-                Ok(from) => Ingress::Results {
+                Ok(from) => Ingress::Batch {
                     batch,
-                    from,
-                    wait: Millis(wait.unwrap_or(0)),
+                    call: BatchCall::Results {
+                        from,
+                        wait: Millis(wait.unwrap_or(0)),
+                    },
                 },
                 Err(_) => Ingress::Unknown,
             }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -27,7 +27,7 @@
         report_request,
         version_of_head, //
     },
-    ingress::{Ingress, classify},
+    ingress::{BatchCall, Ingress, classify},
     names::{
         ATTEMPT_ID,
         CONFIG_KEY,
@@ -36,6 +36,7 @@
         SERVERS_TABLE,
         SETTINGS_VARIABLE,
         answered,
+        authorization,
         caller_deadline,
         credential,
         forwarded,
@@ -45,6 +46,8 @@
         set_deadline,
         set_header,
         set_instance,
+        set_priority,
+        set_workspace,
         signature, //
     },
     server_entry::{EntryError, read_server},
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -1,6 +1,9 @@
 //! Header names, and what they hold.
 
-use crate::base::Millis;
+use crate::{
+    base::Millis,
+    routing::{Credential, KeyDigest}, //
+};
 use hyper::{
     HeaderMap,
     header::{HeaderName, HeaderValue}, //
@@ -9,6 +12,9 @@
 /// The caller's id of one attempt; servers echo it in their answers.
 pub const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-attempt-id");
 
+/// The caller's key.
+const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
+
 /// How long the sender waits for the answer, in ms.
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 
@@ -21,12 +27,21 @@
 /// Present when the server says that it did not run the request.
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 
+/// How urgent a request is to a server, from 0 to 9; 5 where it is not set.
+const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
+
+/// The least urgent priority that servers know.
+const PRIORITY_LEAST: u32 = 9;
+
 /// The server's seal on its answer.
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 
 /// A server's running requests, waiting requests and slots.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
 
+/// The name of the workspace that asks.
+const WORKSPACE: HeaderName = HeaderName::from_static("x-tenant");
+
 /// The table that the operators write.
 pub const OPERATOR_TABLE: &str = "op";
 
@@ -43,7 +58,7 @@
 pub const SERVERS_TABLE: &str = "servers";
 
 /// Headers that concern one connection only, and those that this program sets.
-const OWN: [&str; 11] = [
+const OWN: [&str; 14] = [
     "connection",
     "content-length",
     "expect",
@@ -53,8 +68,11 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+    "x-api-key",
     "x-deadline-ms",
     "x-expect-instance",
+    "x-request-priority",
+    "x-tenant",
 ];
 
 /// How long the caller says it waits.
@@ -62,8 +80,19 @@
     number(headers, &DEADLINE).map(Millis)
 }
 
-/// What the caller proves its identity with; empty where it has none.
-pub fn credential(headers: &HeaderMap) -> &[u8] {
+/// The key with which the caller proves who it is. Two keys are none: a proxy on the
+/// way might go by the other one.
+pub fn credential(headers: &HeaderMap) -> Credential {
+    let mut keys = headers.get_all(API_KEY).iter();
+    match (keys.next(), keys.next()) {
+        (None, _) => Credential::Absent,
+        (Some(key), None) if !key.is_empty() => Credential::Key(KeyDigest::of(key.as_bytes())),
+        _ => Credential::Malformed,
+    }
+}
+
+/// What tells callers of the same apart, beside their keys.
+pub fn authorization(headers: &HeaderMap) -> &[u8] {
     let value = headers.get(hyper::header::AUTHORIZATION);
     value.map_or(&[], HeaderValue::as_bytes)
 }
@@ -120,6 +149,27 @@
     headers.insert(DEADLINE, HeaderValue::from(left.0));
 }
 
+/// Tells the server which workspace asks; whatever the caller said of that is gone.
+pub fn set_workspace(headers: &mut HeaderMap, workspace: Option<&str>) {
+    headers.remove(WORKSPACE);
+    let Some(workspace) = workspace else {
+        return;
+    };
+    match HeaderValue::from_str(workspace) {
+        Ok(value) => {
+            headers.insert(WORKSPACE, value);
+        }
+        Err(error) => tracing::error!(workspace, %error, "not a name for a header"),
+    }
+}
+
+/// Tells the server how urgent a request is, where that is known.
+pub fn set_priority(headers: &mut HeaderMap, priority: Option<u32>) {
+    if let Some(priority) = priority {
+        headers.insert(PRIORITY, HeaderValue::from(priority.min(PRIORITY_LEAST)));
+    }
+}
+
 /// Lets only the server's life called `id` run the request.
 pub fn set_instance(headers: &mut HeaderMap, id: &str) {
     match HeaderValue::from_str(id) {
@@ -149,11 +199,15 @@
 }
 
 /// Sets a header whose name and value come from a trainer; one that is none is
-/// logged and left out.
+/// logged and left out, and so is one that this program sets: a trainer could ask
+/// in another workspace's name.
 pub fn set_header(headers: &mut HeaderMap, name: &str, value: &str) {
     let name = HeaderName::try_from(name);
     let value = HeaderValue::try_from(value);
     match (name, value) {
+        (Ok(name), _) if OWN.contains(&name.as_str()) => {
+            tracing::warn!(%name, "a trainer's header is not its own to set");
+        }
         (Ok(name), Ok(value)) => {
             headers.insert(name, value);
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O, takes a lock, starts a thread or reads a clock.
 
+pub mod access;
 pub mod admission;
 pub mod agent_queue;
 pub mod batch_age;
@@ -14,6 +15,7 @@
 pub mod explanation;
 pub mod fair_line;
 pub mod fences;
+pub mod freshness;
 pub mod health;
 pub mod latency;
 pub mod lease;
--- a/src/routing/config.rs
+++ b/src/routing/config.rs
@@ -1,6 +1,9 @@
 //! The operators' configuration in force.
 
-use super::Route;
+use super::{
+    Route,
+    Workspaces, //
+};
 use crate::base::Millis;
 use std::{
     collections::HashMap,
@@ -38,10 +41,12 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
     pub services: Vec<Service>,
     pub version: u64,
+    /// `None` where callers need no key.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl Config {
-    /// A configuration of these parts.
+    /// A configuration of these parts, for which callers need no key.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
@@ -56,6 +61,7 @@
             routes: hosts,
             services,
             version,
+            workspaces: None,
         }
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,10 +5,12 @@
 mod directory;
 mod route;
 mod server;
+mod workspace;
 
 pub use self::{
     config::{Config, EngineModel, Limits, Service},
     directory::Directory,
     route::{Kind, Route, Target},
-    server::{Life, Server, Weights}, //
+    server::{Life, Server, Weights},
+    workspace::{Credential, KeyDigest, Workspace, Workspaces}, //
 };
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -35,7 +35,11 @@
     pub item_ttl: Millis,
     pub kind: Kind,
     pub name: String,
+    /// Whether its requests need no key.
+    pub open: bool,
     pub prefix: String,
+    /// How urgent its requests are; 0 is the most urgent.
+    pub priority: Option<u32>,
     /// How long after its submission a batch's results are due.
     pub results_due: Millis,
     /// Whether a sample's tokens must all come from one weight version.
--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -176,9 +176,11 @@
                 item,
                 least_version: head.least_version,
                 most_failures: route.attempts,
+                priority: head.priority.or(route.priority),
                 reclaimed: batch.reclaimed.contains(&bundle),
                 single_version: route.single_version,
                 until: now + RUN_MOST.min(route.item_ttl),
+                workspace: head.workspace.clone(),
             };
             let (engine, events, batch_id) =
                 (self.engine.clone(), self.events.clone(), id.to_owned());
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -127,7 +127,11 @@
     /// Whether a runner had its bundle before; engines may have ended there.
     pub(super) reclaimed: bool,
     pub(super) single_version: bool,
+    /// How urgent it is; 0 is the most urgent.
+    pub(super) priority: Option<u32>,
     pub(super) until: Millis,
+    /// The workspace whose batch it belongs to.
+    pub(super) workspace: Option<String>,
 }
 
 /// How long the engine may take to begin: a request can wait behind others for
@@ -369,7 +373,9 @@
         host: &task.host,
         item: &task.item,
         left: task.until.since(engine.clock.now()),
+        priority: task.priority,
         server: &server.id,
+        workspace: task.workspace.as_deref(),
     };
     let opened = match engine.peer.open_stream(request.build(), HEAD_WITHIN).await {
         Ok(opened) => opened,
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -42,7 +42,7 @@
         );
 
         let clock = Clock::open();
-        let site = Arc::new(Site::new(clock));
+        let site = Arc::new(Site::new(clock, None));
         let store = Store::open(common.store, clock);
         let (server, life) = watch::channel(None);
         let (crashes, writes) = Crashes::open(store.clone());
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -71,6 +71,7 @@
                 path: scorer.path.clone(),
                 until: until.min(now + route.timeout),
                 route,
+                workspace: None,
             };
             match self.caller.run(&call).await {
                 CallEnd::Answered { answer, .. } if answer.status.is_success() => {
--- a/src/settings/site_settings.rs
+++ b/src/settings/site_settings.rs
@@ -31,6 +31,9 @@
 pub struct GatewaySettings {
     pub callers: SocketAddr,
     pub common: SiteCommon,
+    /// Within which time of its removal a key must stop working, also on a gateway
+    /// that doesn't reach the store; `None` for as soon as it hears of it.
+    pub revocation: Option<Millis>,
     /// Where the balancer asks whether this gateway is ready.
     pub ready: SocketAddr,
 }
@@ -80,6 +83,7 @@
             callers: address(&listen, "callers", None),
             common: SiteCommon::read(reader, &listen),
             ready: address(&listen, "ready", None),
+            revocation: revocation(reader),
         };
         listen.finish();
         settings
@@ -107,6 +111,15 @@
     }
 }
 
+/// The shortest revocation that can be kept: some questions to the store must fit.
+const REVOCATION_LEAST: u64 = 1_500;
+
+fn revocation(reader: &Reader<'_>) -> Option<Millis> {
+    let set = reader.has("revocation_ms");
+    let within = reader.number("revocation_ms", REVOCATION_LEAST..=600_000, Some(0));
+    set.then_some(Millis(within))
+}
+
 fn seconds(reader: &Reader<'_>, key: &str, default: f64) -> Millis {
     let value: f64 = reader.value(key, "a number of seconds", Some(default));
     Millis((value.max(0.0) * 1_000.0) as u64)
--- a/src/view/site.rs
+++ b/src/view/site.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     base::{Clock, Millis},
+    policy::freshness::Freshness,
     routing::{Config, Directory, Server}, //
 };
 use std::{
@@ -15,7 +16,10 @@
         atomic::{AtomicBool, Ordering}, //
     },
 };
-use tokio::sync::watch;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
 
 /// Shared by all tasks of a program; [`super::keep`] writes it.
 ///
@@ -25,18 +29,27 @@
 pub struct Site {
     pub clock: Clock,
     config: watch::Sender<Option<Arc<Config>>>,
+    /// Told when the store has confirmed the configuration.
+    confirmed: Notify,
     directory: Mutex<Directory>,
+    freshness: Mutex<Freshness>,
     listed: AtomicBool,
     /// The version that a trainer named last, by model, and when it was seen.
     named: Mutex<HashMap<String, (u64, Millis)>>,
+    /// Told when somebody wants the configuration confirmed.
+    wanted: Notify,
 }
 
 impl Site {
-    /// A site of which nothing is known.
-    pub fn new(clock: Clock) -> Self {
+    /// A site of which nothing is known, where a key must stop working within
+    /// `revocation` of its removal.
+    pub fn new(clock: Clock, revocation: Option<Millis>) -> Self {
         Self {
             clock,
             config: watch::Sender::new(None),
+            confirmed: Notify::new(),
+            freshness: Mutex::new(Freshness::new(revocation)),
+            wanted: Notify::new(),
             directory: Mutex::default(),
             listed: AtomicBool::new(false),
             named: Mutex::default(),
@@ -52,6 +65,9 @@
     pub(super) fn offer(&self, config: Config) {
         self.config.send_if_modified(|current| {
             let in_force = current.as_ref().map(|config| config.version);
+            if in_force == Some(config.version) {
+                return false;
+            }
             let newer = in_force.is_none_or(|version| version < config.version);
             match newer {
                 true => {
@@ -68,6 +84,52 @@
         });
     }
 
+    /// Whether the configuration is new enough to go by for requests with keys.
+    pub fn is_fresh(&self) -> bool {
+        self.freshness().is_fresh(self.clock.boottime())
+    }
+
+    /// Whether a key must stop working within a bounded time of its removal.
+    pub fn is_bounded(&self) -> bool {
+        self.freshness().is_bounded()
+    }
+
+    /// The store named the configuration in force when it was asked at `asked`, by
+    /// the clock that runs on while the process is suspended.
+    pub(super) fn confirm(&self, asked: Millis) {
+        self.freshness().confirm(asked);
+        self.confirmed.notify_waiters();
+    }
+
+    /// Waits until somebody wants the configuration confirmed.
+    pub(super) async fn confirmation_wanted(&self) {
+        self.wanted.notified().await;
+    }
+
+    /// Has the store asked anew for the newest configuration, and waits for that;
+    /// false when it has not answered `within` that time.
+    pub async fn confirm_anew(&self, within: Millis) -> bool {
+        let at = self.clock.boottime();
+        let confirmed = async {
+            loop {
+                let next = self.confirmed.notified();
+                if self.freshness().is_confirmed_since(at) {
+                    return;
+                }
+                self.wanted.notify_one();
+                next.await;
+            }
+        };
+        let confirmed = tokio::time::timeout(within.as_duration(), confirmed);
+        confirmed.await.is_ok()
+    }
+
+    fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The servers; held only for a moment.
     pub fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -1,5 +1,6 @@
 //! An engine that takes items, orders and questions as the users' engines do.
 
+use super::Asker;
 use crate::server::Server;
 use bytes::Bytes;
 use futures_util::stream;
@@ -46,6 +47,8 @@
 /// One run of an item.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// Who asked for it.
+    pub asker: Asker,
     /// When it reached the engine, by the engine's clock.
     pub at: Millis,
     /// The event after which it was asked to go on.
@@ -267,6 +270,7 @@
         }
         let version = state.version;
         state.runs.push(Run {
+            asker: Asker::of(&item, headers),
             after,
             at: now,
             item: item.clone(),
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -13,7 +13,7 @@
 pub use self::{
     engine::{Engine, EngineFaults, Run},
     faults::{Outage, StoreFaults},
-    plain::{Plain, PlainFault},
+    plain::{Asker, Plain, PlainFault},
     rows::Rows,
     scene::{Scene, Shape, announce_engine, put_config, server_entry},
     store::Store,
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
+    HeaderMap,
     Request,
     StatusCode,
     body::Incoming,
@@ -45,6 +46,29 @@
     TimesOut,
 }
 
+/// What a server is told of who asks.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Asker {
+    /// The caller's key; no server may see it.
+    pub key: Option<String>,
+    pub request: String,
+    pub workspace: Option<String>,
+}
+
+impl Asker {
+    pub(super) fn of(request: &str, headers: &HeaderMap) -> Self {
+        let value = |name: &str| {
+            let value = headers.get(name)?;
+            Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
+        };
+        Self {
+            key: value("x-api-key"),
+            request: request.to_owned(),
+            workspace: value("x-tenant"),
+        }
+    }
+}
+
 /// A running server; dropping it ends it.
 pub struct Plain {
     pub address: SocketAddr,
@@ -64,6 +88,8 @@
     open: AtomicU32,
     /// The ids of the requests that it ran, and when.
     runs: Mutex<Vec<(String, Millis)>>,
+    /// Who asked for each of them.
+    askers: Mutex<Vec<Asker>>,
     /// Brings it down and up; set once it listens.
     switch: OnceLock<Arc<watch::Sender<bool>>>,
     work: Mutex<Millis>,
@@ -79,6 +105,7 @@
             life: Mutex::new(id.to_owned()),
             open: AtomicU32::new(0),
             runs: Mutex::default(),
+            askers: Mutex::default(),
             switch: OnceLock::new(),
             work: Mutex::new(Millis(5)),
         });
@@ -145,6 +172,11 @@
             .count()
     }
 
+    /// Who asked for the requests that it ran.
+    pub fn askers(&self) -> Vec<Asker> {
+        lock(&self.inner.askers).clone()
+    }
+
     /// All requests that it ran.
     pub fn runs(&self) -> usize {
         lock(&self.inner.runs).len()
@@ -194,6 +226,7 @@
         let id = id.unwrap_or_else(|| HeaderValue::from_static(""));
         let name = id.to_str().unwrap_or_default().to_owned();
         lock(&self.runs).push((name.clone(), self.clock.now()));
+        lock(&self.askers).push(Asker::of(&name, &head.headers));
         self.open.fetch_add(1, Ordering::Relaxed);
         let _open = Open(&self.open);
         let work = *lock(&self.work);
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -33,6 +33,8 @@
     pub plain: usize,
     /// How long a batch can be read.
     pub retention: Millis,
+    /// Within which time of its removal a key must stop working.
+    pub revocation: Option<Millis>,
 }
 
 impl Default for Shape {
@@ -42,6 +44,7 @@
             gateways: 2,
             plain: 2,
             retention: Millis(60_000),
+            revocation: None,
         }
     }
 }
@@ -56,8 +59,11 @@
     /// One for each engine; `None` while it is stopped.
     pub runners: Vec<Option<Runner>>,
     retention: Millis,
+    revocation: Option<Millis>,
     pub store: Store,
     version: u64,
+    /// The workspaces and their keys; null where callers need none.
+    workspaces: serde_json::Value,
 }
 
 /// How long the site may take to come up.
@@ -94,8 +100,10 @@
             plain,
             runners: Vec::new(),
             retention: shape.retention,
+            revocation: shape.revocation,
             store,
             version: 0,
+            workspaces: serde_json::Value::Null,
         };
         scene.announce_all();
         for number in 0..shape.gateways {
@@ -154,7 +162,16 @@
     /// that every scene has, and `more`.
     pub fn put_config(&mut self, more: serde_json::Value) {
         self.version += 3;
-        put_config(&self.store, self.version, &more);
+        put_config(&self.store, self.version, &more, &self.workspaces);
+    }
+
+    /// Writes a newer configuration with these workspaces: names and keys.
+    pub fn put_workspaces(&mut self, workspaces: &[(&str, &[&str])]) {
+        let each = workspaces
+            .iter()
+            .map(|(name, keys)| serde_json::json!({"name": name, "apiKeys": keys, "priority": 1}));
+        self.workspaces = each.collect();
+        self.put_config(serde_json::json!([]));
     }
 
     /// Names a weight version as a trainer does.
@@ -243,6 +260,7 @@
             callers: any_port(),
             common: self.common(&format!("gateway-{number}")),
             ready: any_port(),
+            revocation: self.revocation,
         }
     }
 
@@ -285,8 +303,13 @@
 }
 
 /// Writes the configuration `version`: the routes that every site of the tests
-/// has, and `more`.
-pub fn put_config(store: &Store, version: u64, more: &serde_json::Value) {
+/// has, and `more`. Only scorers' requests need no key where there are `workspaces`.
+pub fn put_config(
+    store: &Store,
+    version: u64,
+    more: &serde_json::Value,
+    workspaces: &serde_json::Value,
+) {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         serde_json::json!({
             "name": name,
@@ -300,6 +323,7 @@
             "priority": 1,
             "maxAttempts": 3,
             "service": service,
+            "allowAnonymous": name == "score",
         })
     };
     let mut routes = vec![
@@ -309,7 +333,7 @@
         route("score", "/score/", "safe", "plain"),
     ];
     routes.extend(more.as_array().cloned().unwrap_or_default());
-    let config = serde_json::json!({
+    let mut config = serde_json::json!({
         "version": version,
         "routes": routes,
         "services": [
@@ -320,5 +344,8 @@
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
                    "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
     });
+    if !workspaces.is_null() {
+        config["tenants"] = workspaces.clone();
+    }
     store.put("op", "config", Some(&config));
 }
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -172,7 +172,7 @@
             let entry = server_entry("plain", server.address, "ready");
             store.put("servers", &server.id, Some(&entry));
         }
-        put_config(&store, 1, &serde_json::json!([]));
+        put_config(&store, 1, &serde_json::json!([]), &serde_json::Value::Null);
         Ok(Self {
             broken: Vec::new(),
             lives: plain.iter().map(|server| server.id.clone()).collect(),
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -6,4 +6,5 @@
     mod scenarios;
     mod site;
     mod stage;
+    mod workspaces;
 }
--- /dev/null
+++ b/standins/tests/integration/workspaces.rs
@@ -0,0 +1,271 @@
+//! Keys and workspaces on the users' platform: who is served, in whose name, and by
+//! how old a configuration.
+
+use hyper::Method;
+use redwing_standins::site::{
+    Batch,
+    Engine,
+    Outage,
+    Plain,
+    Scene,
+    Shape,
+    StoreFaults, //
+};
+use redwingpond::base::Millis;
+use std::time::Duration;
+
+/// Within which time of its removal a key must stop working here.
+const REVOCATION: u64 = 2_000;
+
+const FOAM: &str = "foam-key-one";
+const FOAM_NEXT: &str = "foam-key-two";
+const SPRINGS: &str = "springs-key";
+
+async fn sleep(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+async fn open() -> Scene {
+    let shape = Shape {
+        revocation: Some(Millis(REVOCATION)),
+        ..Shape::default()
+    };
+    let mut scene = Scene::open(shape).await.unwrap();
+    scene.put_workspaces(&[("foam", &[FOAM]), ("springs", &[SPRINGS])]);
+    // In force within the time that the users allow; less here.
+    sleep(500).await;
+    scene
+}
+
+async fn call(scene: &Scene, gateway: usize, id: &str, headers: &[(&str, &str)]) -> Option<u16> {
+    let mut all = vec![("x-attempt-id", id), ("x-deadline-ms", "1500")];
+    all.extend_from_slice(headers);
+    let answer = scene.send(gateway, Method::POST, "/safe/x", &all, id.to_owned());
+    Some(answer.await?.status.as_u16())
+}
+
+fn runs_of(scene: &Scene, id: &str) -> usize {
+    scene.plain.iter().map(|plain| plain.runs_of(id)).sum()
+}
+
+/// A clerk's call shows a key and runs in its workspace's name. Servers were sent the
+/// key itself, and believed whatever the caller said of its workspace; calls without a
+/// key ran. Keys that nobody holds, doubled and empty ones are turned away, unrun.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_run_in_their_workspaces_name() {
+    struct Test {
+        headers: &'static [(&'static str, &'static str)],
+        id: &'static str,
+        status: u16,
+    }
+
+    let scene = open().await;
+    for test in [
+        Test {
+            headers: &[("x-api-key", FOAM)],
+            id: "own",
+            status: 200,
+        },
+        Test {
+            headers: &[("X-Api-Key", FOAM), ("X-Tenant", "springs")],
+            id: "claims",
+            status: 200,
+        },
+        Test {
+            headers: &[],
+            id: "none",
+            status: 401,
+        },
+        Test {
+            headers: &[("x-tenant", "foam")],
+            id: "only-claims",
+            status: 401,
+        },
+        Test {
+            headers: &[("x-api-key", "")],
+            id: "empty",
+            status: 401,
+        },
+        Test {
+            headers: &[("x-api-key", "foam-key-on")],
+            id: "shorter",
+            status: 401,
+        },
+        Test {
+            headers: &[("x-api-key", FOAM), ("x-api-key", SPRINGS)],
+            id: "doubled",
+            status: 401,
+        },
+    ] {
+        let status = call(&scene, 0, test.id, test.headers).await;
+        assert_eq!(status, Some(test.status), "{}", test.id);
+        let runs = usize::from(test.status == 200);
+        assert_eq!(runs_of(&scene, test.id), runs, "{}", test.id);
+    }
+    for asker in scene.plain.iter().flat_map(Plain::askers) {
+        assert_eq!(asker.key, None, "{}", asker.request);
+        assert_eq!(asker.workspace.as_deref(), Some("foam"));
+    }
+}
+
+/// A trainer's batch belongs to its workspace. Callers of another one can neither read
+/// nor end it, and are told the same as of a batch that never was; they may use its id
+/// for one of their own. The key with which it was submitted is taken away: the batch
+/// goes on, and its workspace's next key reads it.
+#[tokio::test(flavor = "multi_thread")]
+async fn batches_belong_to_their_workspace() {
+    let mut scene = open().await;
+    for engine in &scene.engines {
+        engine.set_event(Millis(40));
+    }
+    let batch = Batch::new("mine", 2, 3, 20);
+    let path = format!("/roll/{}", batch.id);
+    let submit = |key: &'static str| {
+        let headers = [("x-attempt-id", "mine"), ("x-api-key", key)];
+        let (scene, path, body) = (&scene, path.clone(), batch.body());
+        async move {
+            scene
+                .send(0, Method::POST, &path, &headers, body)
+                .await
+                .unwrap()
+                .status
+                .as_u16()
+        }
+    };
+    assert_eq!(submit("nobodys").await, 401);
+    assert_eq!(submit(FOAM).await, 202);
+    assert_eq!(submit(FOAM).await, 202);
+
+    let calls = [
+        (Method::GET, "/redwingpond/lots/mine?startAfter=0"),
+        (Method::GET, "/redwingpond/items/mine?id=minex0x0"),
+        (Method::DELETE, "/redwingpond/lots/mine"),
+    ];
+    for (method, path) in &calls {
+        for (key, wanted) in [(SPRINGS, 404), ("nobodys", 401)] {
+            let headers = [("x-api-key", key)];
+            let answer = scene
+                .send(1, method.clone(), path, &headers, "")
+                .await
+                .unwrap();
+            assert_eq!(answer.status.as_u16(), wanted, "{method} {path} with {key}");
+        }
+    }
+    let headers = [("x-api-key", FOAM)];
+    let body = scene
+        .send(1, Method::GET, calls[1].1, &headers, "")
+        .await
+        .unwrap();
+    assert_eq!(body.status, 200);
+
+    scene.put_workspaces(&[("foam", &[FOAM_NEXT]), ("springs", &[SPRINGS])]);
+    sleep(REVOCATION).await;
+    let read = |key: &'static str| {
+        let scene = &scene;
+        async move {
+            let headers = [("x-api-key", key), ("x-wait-ms", "200")];
+            let path = "/redwingpond/lots/mine?startAfter=0";
+            scene
+                .send(0, Method::GET, path, &headers, "")
+                .await
+                .unwrap()
+        }
+    };
+    assert_eq!(read(FOAM).await.status, 401);
+    let until = scene.clock.now() + Millis(15_000);
+    loop {
+        let answer = read(FOAM_NEXT).await;
+        assert_eq!(answer.status, 200);
+        let page: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        if page["results"].as_array().map_or(0, Vec::len) == 6 {
+            break;
+        }
+        assert!(scene.clock.now() < until, "{page}");
+        sleep(100).await;
+    }
+    for run in scene.engines.iter().flat_map(Engine::runs) {
+        assert_eq!(run.asker.workspace.as_deref(), Some("foam"));
+        assert_eq!(run.asker.key, None);
+    }
+    for asker in scene.plain.iter().flat_map(Plain::askers) {
+        assert_eq!(
+            (asker.workspace, asker.key),
+            (None, None),
+            "{}",
+            asker.request
+        );
+    }
+}
+
+/// The store is silent, and a key is taken away meanwhile. A gateway that heard nothing
+/// served the key for as long as the outage lasted. It now refuses requests with keys
+/// once the store has not confirmed its configuration for too long: none of them runs,
+/// and once the store is back the key is turned away and others are served.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_stops_working_without_the_store() {
+    for outage in [Outage::Silent, Outage::Busy, Outage::Reset] {
+        let mut scene = open().await;
+        assert_eq!(
+            call(&scene, 0, "before", &[("x-api-key", FOAM)]).await,
+            Some(200)
+        );
+        let faults = StoreFaults {
+            outage,
+            ..StoreFaults::default()
+        };
+        scene.store.set_faults(faults);
+        scene.put_workspaces(&[("foam", &[FOAM_NEXT]), ("springs", &[SPRINGS])]);
+        let revoked = scene.clock.now();
+        let mut refused = 0;
+        for round in 0..30 {
+            let id = format!("late-{round}");
+            let late = scene.clock.now().since(revoked) >= Millis(REVOCATION);
+            let status = call(&scene, round % 2, &id, &[("x-api-key", FOAM)]).await;
+            let runs = runs_of(&scene, &id);
+            if late {
+                assert_eq!((status, runs), (Some(503), 0), "{outage:?} {id}");
+                refused += 1;
+            }
+            if status == Some(503) {
+                assert_eq!(runs, 0, "{outage:?} {id}: a refusal has run");
+            }
+            sleep(100).await;
+        }
+        assert!(refused > 0, "{outage:?}");
+
+        scene.store.set_faults(StoreFaults::default());
+        sleep(1_500).await;
+        assert_eq!(
+            call(&scene, 0, "gone", &[("x-api-key", FOAM)]).await,
+            Some(401)
+        );
+        assert_eq!(runs_of(&scene, "gone"), 0);
+        for gateway in 0..2 {
+            let id = format!("after-{gateway}");
+            let status = call(&scene, gateway, &id, &[("x-api-key", SPRINGS)]).await;
+            assert_eq!(status, Some(200), "{outage:?} {id}");
+        }
+    }
+}
+
+/// An operator adds a key and its user calls at once. The gateway had not heard of it
+/// and turned the user away for good, as nobody retries a 401. It now has the store
+/// asked before it turns anybody away; without the store it says 503, and when to come
+/// again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_key_is_not_turned_away() {
+    let mut scene = open().await;
+    for round in 0..10 {
+        let key = format!("new-key-{round}");
+        scene.put_workspaces(&[("foam", &[FOAM, &key])]);
+        let id = format!("new-{round}");
+        let status = call(&scene, round % 2, &id, &[("x-api-key", &key)]).await;
+        assert_eq!(status, Some(200), "{id}");
+    }
+    scene.store.set_faults(StoreFaults {
+        outage: Outage::Silent,
+        ..StoreFaults::default()
+    });
+    let status = call(&scene, 0, "unknown", &[("x-api-key", "unknown")]).await;
+    assert_eq!((status, runs_of(&scene, "unknown")), (Some(503), 0));
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the product alone: decoders and settings.
 
 mod integration {
+    mod access;
     mod decisions;
     mod duties;
     mod kept_rows;
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -43,7 +43,9 @@
         model: "m".to_owned(),
         needed: 0,
         path: "/p/b".to_owned(),
+        priority: None,
         step: 0,
+        workspace: None,
     }
 }
 
--- a/tests/integration/platform_wire.rs
+++ b/tests/integration/platform_wire.rs
@@ -2,21 +2,26 @@
 
 use hyper::{
     HeaderMap,
-    Method, //
+    Method,
+    header::{HeaderName, HeaderValue}, //
 };
 use proptest::prelude::*;
 use redwingpond::{
     base::Millis,
+    batch::name_of,
     platform::{
+        BatchCall,
+        EngineRequest,
         EventReader,
         Ingress,
         classify,
+        credential,
         forwarded,
         read_config,
         read_server,
         read_submission, //
     },
-    routing::Kind,
+    routing::{Credential, KeyDigest, Kind}, //
 };
 
 /// Events are cut out of a stream however its bytes arrive; a torn one at the
@@ -50,19 +55,24 @@
         path: &'static str,
     }
 
-    let results = |from, wait| Ingress::Results {
+    let about = |call| Ingress::Batch {
         batch: "b1".to_owned(),
-        from,
-        wait: Millis(wait),
+        call,
+    };
+    let results = |from| {
+        about(BatchCall::Results {
+            from,
+            wait: Millis(900),
+        })
     };
     for test in [
         Test {
-            call: results(12, 900),
+            call: results(12),
             method: Method::GET,
             path: "/redwingpond/lots/b1?startAfter=12",
         },
         Test {
-            call: results(0, 900),
+            call: results(0),
             method: Method::GET,
             path: "/redwingpond/lots/b1",
         },
@@ -72,17 +82,14 @@
             path: "/redwingpond/lots/b1?startAfter=x",
         },
         Test {
-            call: Ingress::End {
-                batch: "b1".to_owned(),
-            },
+            call: about(BatchCall::End),
             method: Method::DELETE,
             path: "/redwingpond/lots/b1",
         },
         Test {
-            call: Ingress::ItemBody {
-                batch: "b1".to_owned(),
+            call: about(BatchCall::ItemBody {
                 item: "i2".to_owned(),
-            },
+            }),
             method: Method::GET,
             path: "/redwingpond/items/b1?id=i2",
         },
@@ -132,6 +139,81 @@
     assert_eq!(names, ["host", "x-attempt-id", "x-model"]);
 }
 
+proptest! {
+    /// Whatever a caller shows as its key, or claims to be, reaches no server: not
+    /// under names in any case, doubled, empty, long or of any bytes.
+    #[test]
+    fn no_key_goes_on(
+        key in proptest::collection::vec(33_u8..=255, 0..300),
+        claimed in "[a-z0-9]{8,40}",
+        upper in proptest::collection::vec(any::<bool>(), 16),
+        doubled in any::<bool>(),
+    ) {
+        let cased = |name: &str| -> String {
+            let letters = name.chars().zip(upper.iter().cycle());
+            letters.map(|(c, up)| if *up { c.to_ascii_uppercase() } else { c }).collect()
+        };
+        let name = |name: &str| HeaderName::try_from(cased(name)).unwrap();
+        let key: Vec<u8> = key.into_iter().filter(|byte| *byte != 127).collect();
+        let mut headers = HeaderMap::new();
+        headers.append(name("x-model"), "m".parse().unwrap());
+        for _ in 0..=usize::from(doubled) {
+            headers.append(name("x-api-key"), HeaderValue::from_bytes(&key).unwrap());
+            headers.append(name("x-tenant"), claimed.parse().unwrap());
+        }
+        let on = forwarded(&headers);
+        let sent: Vec<(&str, &[u8])> =
+            on.iter().map(|(name, value)| (name.as_str(), value.as_bytes())).collect();
+        prop_assert_eq!(sent, vec![("x-model", &b"m"[..])]);
+
+        let wanted = match (doubled, key.is_empty()) {
+            (false, false) => Credential::Key(KeyDigest::of(&key)),
+            _ => Credential::Malformed,
+        };
+        prop_assert_eq!(credential(&headers), wanted);
+    }
+}
+
+/// A trainer's items run in its workspace's name, whatever headers it gives them.
+#[test]
+fn an_item_runs_in_its_workspaces_name() {
+    let headers = r#"{"X-Tenant":"other","x-api-key":"secret","X-Model":"m"}"#;
+    let item = format!(r#"{{"items":[{{"id":"a","path":"/c/1","headers":{headers}}}]}}"#);
+    let batch = read_submission("b", "h", "/c/b", item.as_bytes()).unwrap();
+    for workspace in [None, Some("foam")] {
+        let request = EngineRequest {
+            after: None,
+            host: "h",
+            item: &batch.items[0],
+            left: Millis(5),
+            priority: Some(40),
+            server: "s",
+            workspace,
+        };
+        let request = request.build();
+        let value = |name: &str| {
+            request
+                .headers()
+                .get(name)
+                .map(|value| value.to_str().unwrap())
+        };
+        assert_eq!(value("x-tenant"), workspace);
+        assert_eq!(value("x-api-key"), None);
+        assert_eq!(value("x-model"), Some("m"));
+        assert_eq!(value("x-request-priority"), Some("9"));
+    }
+}
+
+/// Each workspace has ids of its own, and nobody can name another's batch.
+#[test]
+fn batches_have_names_by_workspace() {
+    let foam = name_of(Some("foam"), "b1").unwrap();
+    assert_ne!(name_of(Some("springs"), "b1"), Some(foam.clone()));
+    assert_eq!(name_of(None, "b1"), Some("b1".to_owned()));
+    assert_eq!(name_of(None, &foam), None);
+    assert_ne!(name_of(Some("springs"), &foam), Some(foam));
+}
+
 const CONFIG: &str = r#"{"version":7,"unknown":1,"routes":[
     {"name":"a","host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":1500,
      "trafficSplit":[{"service":"x","weight":90},{"service":"y","weight":10}],"maxAttempts":2},
@@ -139,6 +221,7 @@
     {"name":"c","host":"h","pathPrefix":"/c/","routeType":"rollout","service":"x","itemTtlS":40,
      "resultDeadlineMs":7500,"maxAttempts":3,"singleVersion":true}],
     "services":[{"name":"x","engine":{"models":[{"name":"m"}]}},{"name":"y"}],
+    "tenants":[{"name":"foam","apiKeys":["f-1","f-2"],"priority":3},{"name":"empty"}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
 #[test]
@@ -160,6 +243,13 @@
     assert!(batch.single_version);
     assert_eq!(config.service("x").unwrap().models.len(), 1);
 
+    let workspaces = config.workspaces.as_ref().unwrap();
+    let holder = |key: &str| workspaces.holder(&KeyDigest::of(key.as_bytes()));
+    assert_eq!(holder("f-2").unwrap().name, "foam");
+    assert_eq!(holder("f-2").unwrap().priority, Some(3));
+    assert!(holder("empty").is_none());
+    assert!(!batch.open);
+
     // A split gives each service its share, and one request always the same.
     let split = config.route("h", "/a/x").unwrap();
     let to_y = (0..10_000).filter(|n| split.service_of(&n.to_string()) == Some("y"));
