Report each workspace's use, window by window

Changed: gateways count what servers begin by workspace and window, in true time (the store's steady clock and the middle one of all gateways' offsets from it), and keep their counts in the store (policy/usage.rs, usage/). One of them holds a lease there, under a number that grows with each change of holder; it sums a window up once all gateways have closed it, or 6.5 s after its end, fixes that in the store and then sends it, so that every send of a window is the same. A send begins only if it ends within the lease, by a clock that runs on while the machine is suspended (policy/lease.rs, Held).

Ruled out: giving the lease back at a stop, as the one that starts again could take it a second later, which is A, B, A within a lease; counts by each gateway's own clock alone.

The property test of two and three contenders fails if a send may outlive the lease (a number falls from 3 to 2).

--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -25,11 +25,8 @@
 impl Clock {
     /// Opens a clock that starts at the present wall time.
     pub fn open() -> Self {
-        let wall = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Self {
-            base: Millis(wall.as_millis() as u64),
+            base: wall(),
             origin: Instant::now(),
         }
     }
@@ -46,8 +43,18 @@
         self.origin.elapsed().as_micros() as u64
     }
 
+    /// The instance's wall clock, which people and programs set.
+    pub fn wall(&self) -> Millis {
+        wall()
+    }
+
     /// The present point in time.
     pub fn now(&self) -> Millis {
         Millis(self.base.0 + self.origin.elapsed().as_millis() as u64)
     }
 }
+
+fn wall() -> Millis {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis(wall.unwrap_or_default().as_millis() as u64)
+}
--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -26,6 +26,16 @@
     },
 }
 
+impl Attempt {
+    /// Whether its server has begun to run the request, or may have.
+    pub(super) fn may_have_run(&self) -> bool {
+        match self {
+            Self::Answered(_) => true,
+            Self::Failed { verdict, .. } => verdict.may_have_run(),
+        }
+    }
+}
+
 /// What a failed attempt tells of its server's end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum End {
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -11,7 +11,7 @@
     run::Run, //
 };
 use crate::{
-    base::{Clock, Fingerprint, Millis, stable_hash},
+    base::{Clock, Millis, stable_hash},
     net::{Answer, CallError, Peer},
     platform,
     policy::{
@@ -20,6 +20,7 @@
         typical::Typical, //
     },
     routing::{Kind, Life, Server},
+    usage::Counter,
     view::{Crashes, Site}, //
 };
 use bytes::Bytes;
@@ -40,6 +41,8 @@
     pub(super) me: Weak<Self>,
     pub(super) site: Arc<Site>,
     state: Mutex<State>,
+    /// Counts what callers' requests begin; `None` where nobody asks for that.
+    usage: Option<Arc<Counter>>,
 }
 
 pub(super) struct State {
@@ -85,7 +88,12 @@
 
 impl Caller {
     /// A caller in the data centre `home`.
-    pub fn new(site: Arc<Site>, crashes: Arc<Crashes>, home: &str) -> Arc<Self> {
+    pub fn new(
+        site: Arc<Site>,
+        crashes: Arc<Crashes>,
+        home: &str,
+        usage: Option<Arc<Counter>>,
+    ) -> Arc<Self> {
         Arc::new_cyclic(|me| Self {
             crashes,
             home: home.to_owned(),
@@ -97,6 +105,7 @@
                 peers: HashMap::new(),
                 services: HashMap::new(),
             }),
+            usage,
         })
     }
 
@@ -155,7 +164,10 @@
                     reason = "server-full";
                     continue;
                 }
-                Ok(opened) => return StreamEnd::Opened(Box::new(opened), watched),
+                Ok(opened) => {
+                    self.count(call, at);
+                    return StreamEnd::Opened(Box::new(opened), watched);
+                }
                 Err(error) => error,
             };
             watched.failed(&error).await;
@@ -163,6 +175,7 @@
             tracing::info!(call = call.id, %request, server, %error, "stream not opened");
             reason = "no-connection";
             if error.verdict().may_have_run() {
+                self.count(call, at);
                 let reason = "connection-broke".to_owned();
                 return StreamEnd::Lost { reason };
             }
@@ -268,9 +281,9 @@
             state.book.ask(&sent.server.life, call.fingerprint);
         }
         let mut running = Running {
+            call,
             caller: self,
             done: false,
-            request: call.fingerprint,
             sent: &sent,
         };
         let within = left + AFTER_END;
@@ -286,8 +299,18 @@
         (sent, answer)
     }
 
+    /// Counts an attempt that a server has begun, or may have.
+    pub(super) fn count(&self, call: &Call, sent: Millis) {
+        if let (Some(usage), Some(workspace)) = (&self.usage, &call.workspace) {
+            usage.note(&workspace.name, sent);
+        }
+    }
+
     /// Notes what an attempt showed of its server.
     pub(super) fn learn(&self, call: &Call, sent: &Sent, attempt: &Attempt) {
+        if attempt.may_have_run() {
+            self.count(call, sent.at);
+        }
         let now = self.site.now();
         let taken = now.since(sent.at).0 as f64;
         let server = &sent.server.life;
@@ -341,10 +364,10 @@
 
 /// Counts an attempt as under way until it is dropped.
 struct Running<'a> {
+    call: &'a Call,
     caller: &'a Caller,
     /// Whether it ended by itself.
     done: bool,
-    request: Fingerprint,
     sent: &'a Sent,
 }
 
@@ -355,12 +378,14 @@
         let mut state = self.caller.state();
         state.book.end(server);
         if !self.done {
+            self.caller.count(self.call, self.sent.at);
             // Another server was faster, or the caller left: the time waited
             // says how slow this one is at least.
             let waited = now.since(self.sent.at).0 as f64;
             state.book.lag(server, now, waited);
-            if state.book.leave(server, self.request, now) {
-                self.caller.look_later(&self.sent.server, self.request);
+            if state.book.leave(server, self.call.fingerprint, now) {
+                self.caller
+                    .look_later(&self.sent.server, self.call.fingerprint);
             }
         }
     }
--- a/src/entry/ownership.rs
+++ b/src/entry/ownership.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::{Cause, Failure, Millis, stable_hash},
-    policy::lease::{Claimant, LEASES, Lease, Step, Watch}, //
+    policy::lease::{Claimant, LEASE, LEASES, Lease, Step, Watch}, //
     table::{Platform, StoreError, Transaction, Write, Written},
 };
 
@@ -169,7 +169,7 @@
         let lease = row.and_then(|row| serde_json::from_str::<Lease>(&row.value).ok());
         let now = self.clock.now();
         self.watch.see(now, lease.clone());
-        let Step::Write(next) = self.watch.decide(now, &self.me) else {
+        let Step::Write(next) = self.watch.decide(now, &self.me, LEASE) else {
             return Ok((lease, false));
         };
         let content = (next.epoch, next.renewals);
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -89,14 +89,12 @@
         &self,
         workspace: Option<&str>,
         id: &str,
-    ) -> Result<Option<String>, Answer> {
+    ) -> Result<Option<String>, StoreError> {
         let own = workspace.and_then(|workspace| name_of(Some(workspace), id));
         let names = own.into_iter().chain(name_of(None, id));
         for name in names {
-            match self.head(&name).await {
-                Ok(Some(_)) => return Ok(Some(name)),
-                Ok(None) => {}
-                Err(error) => return Err(store_away(id, &error)),
+            if self.head(&name).await?.is_some() {
+                return Ok(Some(name));
             }
         }
         Ok(None)
@@ -354,7 +352,8 @@
     }
 }
 
-fn store_away(id: &str, error: &StoreError) -> Answer {
+/// The answer while the store can't be asked about the batch called `id`.
+pub(super) fn store_away(id: &str, error: &StoreError) -> Answer {
     tracing::warn!(batch = id, %error, "refused: the store can't be asked");
     reply::refusal(WAIT_STORE, "the store can't be asked")
 }
--- a/src/gateway/door.rs
+++ b/src/gateway/door.rs
@@ -49,9 +49,31 @@
     Of(Arc<Workspace>),
 }
 
+/// Why a request is not let in.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Refusal {
+    Denied(Denial),
+    NoConfig,
+    NoRoute,
+    /// The key may have been taken away, or just have been given.
+    Stale,
+}
+
+impl Refusal {
+    /// What the caller is told.
+    pub(super) fn answer(self) -> Answer {
+        match self {
+            Self::Denied(denial) => denied(denial),
+            Self::NoConfig => reply::refusal(WAIT_CONFIG, "no configuration yet"),
+            Self::NoRoute => reply::status(StatusCode::NOT_FOUND, "no route"),
+            Self::Stale => reply::refusal(WAIT_STALE, "the configuration is not confirmed"),
+        }
+    }
+}
+
 impl Door {
     /// Finds the route of a request and the workspace that asks.
-    pub(super) async fn admit(&self, head: &Parts) -> Result<Admitted, Answer> {
+    pub(super) async fn admit(&self, head: &Parts) -> Result<Admitted, Refusal> {
         let mut confirmed = !self.site.is_bounded();
         loop {
             let config = self.config()?;
@@ -69,12 +91,14 @@
                 confirmed = true;
                 continue;
             }
-            return Err(refusal.answer(head, &config));
+            let (host, path, version) = (host(head), head.uri.path(), config.version);
+            tracing::info!(host, path, version, ?refusal, "turned away");
+            return Err(refusal);
         }
     }
 
     /// Finds out whose batches a caller may see.
-    pub(super) async fn reader(&self, head: &Parts) -> Result<Reader, Answer> {
+    pub(super) async fn reader(&self, head: &Parts) -> Result<Reader, Refusal> {
         let mut confirmed = !self.site.is_bounded();
         loop {
             let config = self.config()?;
@@ -96,16 +120,17 @@
         }
     }
 
-    fn config(&self) -> Result<Arc<Config>, Answer> {
-        self.site.config().ok_or_else(|| {
+    fn config(&self) -> Result<Arc<Config>, Refusal> {
+        let config = self.site.config();
+        if config.is_none() {
             tracing::info!("refused: no configuration yet");
-            reply::refusal(WAIT_CONFIG, "no configuration yet")
-        })
+        }
+        config.ok_or(Refusal::NoConfig)
     }
 
     /// Refuses a caller whose key may have been taken away: a gateway that was cut
     /// off from the store would go on serving it.
-    async fn check_fresh(&self, workspace: Option<&Arc<Workspace>>) -> Result<(), Answer> {
+    async fn check_fresh(&self, workspace: Option<&Arc<Workspace>>) -> Result<(), Refusal> {
         if workspace.is_none() || self.site.is_fresh() {
             return Ok(());
         }
@@ -114,7 +139,7 @@
 
     /// Has the store confirm the configuration; a caller isn't kept waiting for a
     /// store that is known to be away.
-    async fn confirm(&self) -> Result<(), Answer> {
+    async fn confirm(&self) -> Result<(), Refusal> {
         let away = self.site.store_away_since();
         if away.is_none() && self.site.confirm_anew(CONFIRMED_WITHIN).await {
             return Ok(());
@@ -122,33 +147,7 @@
         let away = away.map(|since| self.site.now().since(since).0);
         tracing::info!(?away, "refused: the configuration is not confirmed");
         metrics::counter!("redwing_stale_refusals_total").increment(1);
-        Err(reply::refusal(
-            WAIT_STALE,
-            "the configuration is not confirmed",
-        ))
-    }
-}
-
-/// Why a request is turned away for good.
-enum Refusal {
-    Denied(Denial),
-    NoRoute,
-}
-
-impl Refusal {
-    fn answer(&self, head: &Parts, config: &Config) -> Answer {
-        let (path, version) = (head.uri.path(), config.version);
-        match self {
-            Self::Denied(denial) => {
-                tracing::info!(path, version, %denial, "turned away");
-                denied(*denial)
-            }
-            Self::NoRoute => {
-                let host = host(head);
-                tracing::info!(host, path, version, "no route");
-                reply::status(StatusCode::NOT_FOUND, "no route")
-            }
-        }
+        Err(Refusal::Stale)
     }
 }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,7 +1,7 @@
 //! From a caller's request to its answer.
 
 use super::{
-    batches::{Batches, Submitter},
+    batches::{Batches, Submitter, store_away},
     door::{self, Admitted, Door, Reader},
     plain,
     reply,
@@ -69,7 +69,7 @@
     async fn batch_call(&self, head: &Parts, id: &str, call: BatchCall) -> Answer {
         let reader = match self.door.reader(head).await {
             Ok(reader) => reader,
-            Err(refusal) => return refusal,
+            Err(refusal) => return refusal.answer(),
         };
         let (workspace, denial) = match &reader {
             Reader::Anybody { denial } => (None, *denial),
@@ -89,7 +89,7 @@
                     None => reply::status(StatusCode::NOT_FOUND, "no such batch"),
                 };
             }
-            Err(refusal) => return refusal,
+            Err(error) => return store_away(id, &error),
         };
         match call {
             BatchCall::End => self.batches.end(&name).await,
@@ -105,7 +105,7 @@
             workspace,
         } = match self.door.admit(&head).await {
             Ok(admitted) => admitted,
-            Err(refusal) => return refusal,
+            Err(refusal) => return refusal.answer(),
         };
         let host = door::host(&head);
         let path = head.uri.path();
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -12,6 +12,7 @@
     duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
     platform::Store,
     settings::GatewaySettings,
+    usage::{Counter, report},
     view::{Crashes, Site, confirm, keep, keep_crashes}, //
 };
 use std::{
@@ -66,6 +67,17 @@
         let site = Arc::new(Site::new(clock, settings.revocation));
         let store = Store::open(common.store, clock);
         let (crashes, writes) = Crashes::open(store.clone());
+        let usage = settings.usage.map(|usage| {
+            let windows = usage.windows();
+            Counter::open(&common.instance, clock, store.clone(), windows)
+        });
+        let caller = Caller::new(
+            site.clone(),
+            crashes.clone(),
+            &common.data_centre,
+            usage.clone(),
+        );
+        let reporting = usage.zip(settings.usage);
         let front = Arc::new(Front {
             batches: Batches {
                 clock,
@@ -73,7 +85,7 @@
                 site: site.clone(),
                 store: store.clone(),
             },
-            caller: Caller::new(site.clone(), crashes.clone(), &common.data_centre),
+            caller,
             clock,
             door: Door { site: site.clone() },
         });
@@ -86,6 +98,11 @@
             if seen.is_bounded() {
                 tokio::spawn(confirm(seen.clone(), store.clone()));
             }
+            if let Some((counter, usage)) = reporting {
+                tokio::spawn(counter.clone().keep());
+                let reporting = usage.reporting();
+                tokio::spawn(report(counter, reporting, store.clone(), clock));
+            }
             tokio::spawn(keep(seen, store));
             tokio::spawn(keep_crashes(shared, writes));
             let answering = context.clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod settings;
 pub mod store;
 pub mod table;
+pub mod usage;
 pub mod view;
 pub mod wire;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod names;
 mod server_entry;
 mod store;
+mod usage;
 
 pub use self::{
     batch_calls::{SubmissionError, read_submission, write_page},
@@ -51,5 +52,6 @@
         signature, //
     },
     server_entry::{EntryError, read_server},
-    store::{ROWS_MOST, Store}, //
+    store::{ROWS_MOST, Store},
+    usage::UsageReport, //
 };
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -1,7 +1,7 @@
 //! Header names, and what they hold.
 
 use crate::{
-    base::Millis,
+    base::{Fence, Millis},
     routing::{Credential, KeyDigest}, //
 };
 use hyper::{
@@ -21,6 +21,12 @@
 /// The life of the server that alone may run the request.
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
 
+/// The number under which one acts for all.
+const FENCE: HeaderName = HeaderName::from_static("x-fencing-token");
+
+/// The instance that acts for all.
+const HOLDER: HeaderName = HeaderName::from_static("x-duty-holder");
+
 /// The life of the server that answers.
 const INSTANCE: HeaderName = HeaderName::from_static("x-instance-id");
 
@@ -170,6 +176,17 @@
     }
 }
 
+/// Tells the platform who acts for all, and under which number.
+pub(super) fn set_holder(headers: &mut HeaderMap, holder: &str, fence: Fence) {
+    match HeaderValue::from_str(holder) {
+        Ok(value) => {
+            headers.insert(HOLDER, value);
+        }
+        Err(error) => tracing::error!(holder, %error, "not a name for a header"),
+    }
+    headers.insert(FENCE, HeaderValue::from(fence));
+}
+
 /// Lets only the server's life called `id` run the request.
 pub fn set_instance(headers: &mut HeaderMap, id: &str) {
     match HeaderValue::from_str(id) {
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -42,6 +42,23 @@
     row: Option<Lease>,
 }
 
+/// A lease as its holder knows it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Held {
+    pub epoch: Fence,
+    /// When the write was begun that took or renewed it last.
+    pub since: Millis,
+}
+
+impl Held {
+    /// Whether something that takes up to `most` may begin at `now`, under a lease of
+    /// `length`. Others count from when they see the write, which is later: what
+    /// begins here is over before any of them acts.
+    pub fn allows(&self, now: Millis, most: Millis, length: Millis) -> bool {
+        now.since(self.since) + most < length
+    }
+}
+
 /// A process that wants a lease.
 #[derive(Clone, Debug)]
 pub struct Claimant {
@@ -79,8 +96,9 @@
 }
 
 impl Watch {
-    /// Decides for the process `me`, which wants the lease.
-    pub fn decide(&self, now: Millis, me: &Claimant) -> Step {
+    /// Decides for the process `me`, which wants the lease; others keep it for
+    /// `length` after the last sign of theirs.
+    pub fn decide(&self, now: Millis, me: &Claimant, length: Millis) -> Step {
         let Some(row) = &self.row else {
             return Step::Write(me.lease(1));
         };
@@ -98,7 +116,7 @@
         // An earlier life of this very instance is gone for certain, and its
         // steps with it; the new epoch fences off what it may have left.
         let gone = row.holder.is_empty() || row.holder == me.holder;
-        if idle < LEASE && !gone {
+        if idle < length && !gone {
             return Step::Defer(row.clone());
         }
         Step::Write(me.lease(row.epoch + 1))
@@ -140,7 +158,7 @@
                 holder: "me".into(),
                 incarnation: Incarnation(5),
             };
-            let step = watch.decide(Millis(100 + self.idle), &me);
+            let step = watch.decide(Millis(100 + self.idle), &me, LEASE);
             let epoch = match step {
                 Step::Write(lease) => Some(lease.epoch),
                 Step::Defer(_) | Step::Hold(_) => None,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -34,5 +34,6 @@
 pub mod step_spec;
 pub mod subset;
 pub mod typical;
+pub mod usage;
 pub mod version_plan;
 pub mod wave;
--- /dev/null
+++ b/src/policy/usage.rs
@@ -0,0 +1,145 @@
+//! The use of the site by workspace and window of time.
+//!
+//! Load pattern: few requests of many workspaces at many gateways, some of which are
+//! killed or cut off at any moment, while each window has to be reported once, soon
+//! and in full.
+
+use crate::base::Millis;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::collections::BTreeMap;
+
+/// Requests that began, by workspace.
+pub type Counts = BTreeMap<String, u64>;
+
+/// How time is cut into windows: window k begins at k times the length after the
+/// Unix epoch.
+#[derive(Clone, Copy, Debug)]
+pub struct Windows {
+    pub length: Millis,
+}
+
+impl Windows {
+    /// The window in which `time` lies.
+    pub fn at(self, time: Millis) -> u64 {
+        time.0 / self.length.0.max(1)
+    }
+
+    /// When `window` ends.
+    pub fn end(self, window: u64) -> Millis {
+        Millis((window + 1).saturating_mul(self.length.0))
+    }
+}
+
+/// What one gateway counted in one window.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Part {
+    /// Whether all requests of the window are in.
+    pub closed: bool,
+    pub counts: Counts,
+}
+
+/// What a gateway has counted, and what of that is in the store.
+#[derive(Debug)]
+pub struct Tally {
+    /// Windows before this one are closed here.
+    open: u64,
+    parts: BTreeMap<u64, Counted>,
+    windows: Windows,
+}
+
+#[derive(Debug, Default)]
+struct Counted {
+    part: Part,
+    /// Whether the store has it as it is.
+    written: bool,
+}
+
+/// How long after its end requests of a window may still be found to have begun in
+/// it: the longest that callers wait for a plain call, and a little more.
+const CLOSED_AFTER: Millis = Millis(1_800);
+
+/// Windows that are kept for the store to come back.
+const KEPT: usize = 120;
+
+impl Tally {
+    /// Nothing is counted yet at `now`.
+    pub fn new(windows: Windows, now: Millis) -> Self {
+        Self {
+            open: windows.at(now),
+            parts: BTreeMap::new(),
+            windows,
+        }
+    }
+
+    /// A request of `workspace` began at `began`. One that is noticed after its
+    /// window was closed counts in the oldest open one, so that it is not lost.
+    pub fn note(&mut self, workspace: &str, began: Millis) {
+        let window = self.windows.at(began).max(self.open);
+        let counted = self.parts.entry(window).or_default();
+        *counted.part.counts.entry(workspace.to_owned()).or_default() += 1;
+        counted.written = false;
+    }
+
+    /// Closes the windows that are over at `now`.
+    pub fn close(&mut self, now: Millis) {
+        while self.windows.end(self.open) + CLOSED_AFTER <= now {
+            let counted = self.parts.entry(self.open).or_default();
+            counted.part.closed = true;
+            counted.written = false;
+            self.open += 1;
+        }
+        while self.parts.len() > KEPT {
+            self.parts.pop_first();
+        }
+    }
+
+    /// What the store does not have yet, oldest window first.
+    pub fn unwritten(&self) -> Option<(u64, &Part)> {
+        let mut parts = self.parts.iter();
+        let (window, counted) = parts.find(|(_, counted)| !counted.written)?;
+        Some((*window, &counted.part))
+    }
+
+    /// The store has `part` of `window`.
+    pub fn set_written(&mut self, window: u64, part: &Part) {
+        let Some(counted) = self.parts.get_mut(&window) else {
+            return;
+        };
+        counted.written = counted.part == *part;
+        if counted.written && part.closed {
+            self.parts.remove(&window);
+        }
+    }
+}
+
+/// When a window may be summed up although a gateway has not closed it: it was killed
+/// or is cut off, and the report is due a few seconds later.
+const SUMMED_LATEST: Millis = Millis(6_500);
+
+/// Whether a window that ended at `end` may be summed up at `now`, when `missing`
+/// gateways that were heard of lately have not closed it.
+pub fn may_sum(end: Millis, missing: usize, now: Millis) -> bool {
+    let over = now.since(end);
+    (missing == 0 && over >= CLOSED_AFTER) || over >= SUMMED_LATEST
+}
+
+/// Adds up what the gateways counted.
+pub fn sum<'a>(parts: impl IntoIterator<Item = &'a Part>) -> Counts {
+    let mut all = Counts::new();
+    for part in parts {
+        for (workspace, count) in &part.counts {
+            *all.entry(workspace.clone()).or_default() += count;
+        }
+    }
+    all
+}
+
+/// The offset of true time from the store's clock, by what all gateways read: the
+/// middle one, so that a few whose clocks are wrong don't move it.
+pub fn middle(offsets: &mut [i64]) -> Option<i64> {
+    offsets.sort_unstable();
+    offsets.get(offsets.len() / 2).copied()
+}
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -47,7 +47,7 @@
         let (server, life) = watch::channel(None);
         let (crashes, writes) = Crashes::open(store.clone());
         let scorers = Scorers {
-            caller: Caller::new(site.clone(), crashes.clone(), &common.data_centre),
+            caller: Caller::new(site.clone(), crashes.clone(), &common.data_centre, None),
             site: site.clone(),
         };
         let seed = Seed {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -20,6 +20,6 @@
     pool_settings::PoolSettings,
     reader::Reader,
     shared::{POOLS, ROOT, Shared, TEAMS},
-    site_settings::{GatewaySettings, RunnerSettings, SiteCommon},
+    site_settings::{GatewaySettings, RunnerSettings, SiteCommon, UsageSettings},
     team_settings::{Caller, ClassSettings, RolloutSettings, TeamSettings, key_hash}, //
 };
--- a/src/settings/site_settings.rs
+++ b/src/settings/site_settings.rs
@@ -6,7 +6,11 @@
     common::address,
     file, //
 };
-use crate::base::Millis;
+use crate::{
+    base::Millis,
+    policy::usage::Windows,
+    usage::Reporting, //
+};
 use std::{
     net::SocketAddr,
     path::Path, //
@@ -36,8 +40,56 @@
     pub revocation: Option<Millis>,
     /// Where the balancer asks whether this gateway is ready.
     pub ready: SocketAddr,
+    /// Where use is reported; `None` where nobody asks for it.
+    pub usage: Option<UsageSettings>,
+}
+
+/// How use is reported.
+#[derive(Clone, Copy, Debug)]
+pub struct UsageSettings {
+    pub address: SocketAddr,
+    /// Nobody takes over from a holder that was heard of within this time.
+    pub lease: Millis,
+    /// What one report covers.
+    pub window: Millis,
+}
+
+impl UsageSettings {
+    /// How time is cut into windows.
+    pub fn windows(&self) -> Windows {
+        Windows {
+            length: self.window,
+        }
+    }
+
+    /// Where reports go, by whom.
+    pub fn reporting(&self) -> Reporting {
+        Reporting {
+            address: self.address,
+            lease: self.lease,
+        }
+    }
+
+    fn read(reader: &Reader<'_>) -> Self {
+        let settings = Self {
+            address: address(reader, "address", None),
+            lease: Millis(reader.number("lease_ms", LEASE_LEAST..=60_000, Some(4_000))),
+            window: seconds(reader, "window_s", 60.0),
+        };
+        if settings.window < WINDOW_LEAST {
+            reader.contradiction("window_s", "a second or more", "less");
+        }
+        reader.finish();
+        settings
+    }
 }
 
+/// The shortest lease that can be renewed in time.
+const LEASE_LEAST: u64 = 2_500;
+
+/// The shortest window that can be summed up.
+const WINDOW_LEAST: Millis = Millis(1_000);
+
 /// The settings of a `redwing-runner`.
 #[derive(Clone, Debug)]
 pub struct RunnerSettings {
@@ -84,6 +136,9 @@
             common: SiteCommon::read(reader, &listen),
             ready: address(&listen, "ready", None),
             revocation: revocation(reader),
+            usage: reader
+                .has("usage")
+                .then(|| UsageSettings::read(&reader.section("usage"))),
         };
         listen.finish();
         settings
--- /dev/null
+++ b/standins/src/site/cloud.rs
@@ -0,0 +1,137 @@
+//! The platform's side of duties that one instance does for all: it takes reports of use.
+
+use crate::server::Server;
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    StatusCode,
+    body::Incoming, //
+};
+use redwingpond::{
+    base::{Clock, Millis},
+    duty::{Answer, text}, //
+};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
+};
+
+/// How the platform behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CloudFault {
+    /// It turns calls away.
+    Busy,
+    /// It takes calls and does not answer.
+    Lost,
+    #[default]
+    None,
+    /// It cuts every connection and takes nothing.
+    Reset,
+}
+
+/// A report that the platform took.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UsageCall {
+    /// When it came, by the platform's clock.
+    pub at: Millis,
+    pub counts: BTreeMap<String, u64>,
+    pub fence: u64,
+    pub holder: String,
+    pub window: u64,
+}
+
+/// A running platform; dropping it ends it.
+pub struct Cloud {
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+    _server: Server,
+}
+
+struct Inner {
+    calls: Mutex<Vec<UsageCall>>,
+    clock: Clock,
+    fault: Mutex<CloudFault>,
+}
+
+impl Cloud {
+    /// Opens it on a free port.
+    pub async fn open() -> io::Result<Self> {
+        let inner = Arc::new(Inner {
+            calls: Mutex::default(),
+            clock: Clock::open(),
+            fault: Mutex::default(),
+        });
+        let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::open_shared(address, &inner, answer).await?;
+        Ok(Self {
+            address: server.address,
+            inner,
+            _server: server,
+        })
+    }
+
+    /// Sets how it behaves from now on.
+    pub fn set_fault(&self, fault: CloudFault) {
+        *lock(&self.inner.fault) = fault;
+    }
+
+    /// All that it took, in order.
+    pub fn calls(&self) -> Vec<UsageCall> {
+        lock(&self.inner.calls).clone()
+    }
+
+    /// What was reported of each window.
+    ///
+    /// # Panics
+    ///
+    /// Where a rule of the platform is broken: two reports of one window that differ, a
+    /// number that falls, or one that two holders use.
+    pub fn reported(&self) -> BTreeMap<u64, BTreeMap<String, u64>> {
+        let mut windows: BTreeMap<u64, BTreeMap<String, u64>> = BTreeMap::new();
+        let mut holders: BTreeMap<u64, String> = BTreeMap::new();
+        let mut highest = 0;
+        for call in self.calls() {
+            assert!(call.fence >= highest, "a number falls to {}", call.fence);
+            highest = call.fence;
+            let holder = holders.entry(call.fence).or_insert(call.holder.clone());
+            assert_eq!(*holder, call.holder, "two holders have {}", call.fence);
+            let counts = windows.entry(call.window).or_insert(call.counts.clone());
+            assert_eq!(*counts, call.counts, "window {}", call.window);
+        }
+        windows
+    }
+}
+
+impl Inner {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
+        let fault = *lock(&self.fault);
+        match fault {
+            CloudFault::Busy => return Ok(text(StatusCode::TOO_MANY_REQUESTS, "text/plain", "")),
+            CloudFault::Reset => return Err(io::Error::other("reset on command")),
+            CloudFault::Lost | CloudFault::None => {}
+        }
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let wire: serde_json::Value = serde_json::from_slice(&body).map_err(io::Error::other)?;
+        let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let counts = serde_json::from_value(wire["instanceCounts"].clone());
+        lock(&self.calls).push(UsageCall {
+            at: self.clock.now(),
+            counts: counts.map_err(io::Error::other)?,
+            fence: header("x-fencing-token").map_or(0, |fence| fence.parse().unwrap_or(0)),
+            holder: header("x-duty-holder").unwrap_or_default().to_owned(),
+            window: wire["windowId"].as_u64().unwrap_or(0),
+        });
+        match fault {
+            CloudFault::Lost => std::future::pending().await,
+            _ => Ok(text(StatusCode::OK, "text/plain", "")),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! servers that speak the published protocol and fail on command, and a scene
 //! that opens gateways and runners among them.
 
+mod cloud;
 mod engine;
 mod faults;
 mod plain;
@@ -11,6 +12,7 @@
 mod trainer;
 
 pub use self::{
+    cloud::{Cloud, CloudFault, UsageCall},
     engine::{Engine, EngineFaults, Run},
     faults::{Outage, StoreFaults},
     plain::{Asker, Plain, PlainFault},
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -17,7 +17,7 @@
     base::{Clock, Millis},
     gateway::Gateway,
     runner::Runner,
-    settings::{GatewaySettings, RunnerSettings, SiteCommon}, //
+    settings::{GatewaySettings, RunnerSettings, SiteCommon, UsageSettings}, //
 };
 use std::{
     io,
@@ -35,6 +35,8 @@
     pub retention: Millis,
     /// Within which time of its removal a key must stop working.
     pub revocation: Option<Millis>,
+    /// Where use is reported.
+    pub usage: Option<UsageSettings>,
 }
 
 impl Default for Shape {
@@ -45,6 +47,7 @@
             plain: 2,
             retention: Millis(60_000),
             revocation: None,
+            usage: None,
         }
     }
 }
@@ -60,6 +63,7 @@
     pub runners: Vec<Option<Runner>>,
     retention: Millis,
     revocation: Option<Millis>,
+    usage: Option<UsageSettings>,
     pub store: Store,
     version: u64,
     /// The workspaces and their keys; null where callers need none.
@@ -101,6 +105,7 @@
             runners: Vec::new(),
             retention: shape.retention,
             revocation: shape.revocation,
+            usage: shape.usage,
             store,
             version: 0,
             workspaces: serde_json::Value::Null,
@@ -261,6 +266,7 @@
             common: self.common(&format!("gateway-{number}")),
             ready: any_port(),
             revocation: self.revocation,
+            usage: self.usage,
         }
     }
 
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -6,5 +6,6 @@
     mod scenarios;
     mod site;
     mod stage;
+    mod usage;
     mod workspaces;
 }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -11,4 +11,5 @@
     mod quarantine;
     mod settings_faults;
     mod step_times;
+    mod use_counts;
 }
