Soak keys, workspaces and reports of use

The soak draws changes of keys and faults of the platform that takes reports, beside the plans that each seed had before. It checks that no server sees a key, that all runs in its workspace's name, that a key stops working 2 s after its removal and is not turned away while it is held, and that reports of a window never differ under numbers that never fall. A request's fingerprint goes by its workspace: a new key does not make it another caller.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -12,7 +12,7 @@
     calls::{Call, Caller},
     duty::{Answer, Context, Phase},
     platform::{self, BatchCall, Ingress},
-    routing::{Credential, Kind, Route}, //
+    routing::{Kind, Route, Workspace}, //
 };
 use bytes::Bytes;
 use http_body_util::{
@@ -137,7 +137,7 @@
         let target = target.map_or_else(|| path.to_owned(), ToString::to_string);
         let fingerprint = Fingerprint::of(Asked {
             body: &body,
-            credential: &credential(&head),
+            credential: credential(workspace.as_deref(), &head),
             host,
             id: "",
             method: head.method.as_str(),
@@ -163,13 +163,12 @@
     }
 }
 
-/// What tells this caller from others that ask the same.
-fn credential(head: &Parts) -> Vec<u8> {
-    match platform::credential(&head.headers) {
-        Credential::Key(key) => key.as_bytes().to_vec(),
-        Credential::Absent | Credential::Malformed => {
-            platform::authorization(&head.headers).to_vec()
-        }
+/// What tells this caller from others that ask the same; a new key doesn't make it
+/// another one.
+fn credential<'a>(workspace: Option<&'a Workspace>, head: &'a Parts) -> &'a [u8] {
+    match workspace {
+        Some(workspace) => workspace.name.as_bytes(),
+        None => platform::authorization(&head.headers),
     }
 }
 
--- a/src/routing/workspace.rs
+++ b/src/routing/workspace.rs
@@ -18,11 +18,6 @@
     pub fn of(key: &[u8]) -> Self {
         Self(blake3::hash(key))
     }
-
-    /// Its bytes, to tell callers apart by.
-    pub fn as_bytes(&self) -> &[u8] {
-        self.0.as_bytes()
-    }
 }
 
 impl fmt::Debug for KeyDigest {
--- a/standins/src/site/cloud.rs
+++ b/standins/src/site/cloud.rs
@@ -83,25 +83,36 @@
         lock(&self.inner.calls).clone()
     }
 
-    /// What was reported of each window.
-    ///
-    /// # Panics
-    ///
-    /// Where a rule of the platform is broken: two reports of one window that differ, a
-    /// number that falls, or one that two holders use.
+    /// What was reported of each window, at first.
     pub fn reported(&self) -> BTreeMap<u64, BTreeMap<String, u64>> {
-        let mut windows: BTreeMap<u64, BTreeMap<String, u64>> = BTreeMap::new();
+        let mut windows = BTreeMap::new();
+        for call in self.calls() {
+            windows.entry(call.window).or_insert(call.counts);
+        }
+        windows
+    }
+
+    /// Where a rule of the platform was broken: two reports of one window that differ, a
+    /// number that falls, or one that two holders use.
+    pub fn broken(&self) -> Vec<String> {
+        let windows = self.reported();
+        let mut broken = Vec::new();
         let mut holders: BTreeMap<u64, String> = BTreeMap::new();
         let mut highest = 0;
         for call in self.calls() {
-            assert!(call.fence >= highest, "a number falls to {}", call.fence);
-            highest = call.fence;
+            if call.fence < highest {
+                broken.push(format!("the number {highest} falls to {}", call.fence));
+            }
+            highest = highest.max(call.fence);
             let holder = holders.entry(call.fence).or_insert(call.holder.clone());
-            assert_eq!(*holder, call.holder, "two holders have {}", call.fence);
-            let counts = windows.entry(call.window).or_insert(call.counts.clone());
-            assert_eq!(*counts, call.counts, "window {}", call.window);
+            if *holder != call.holder {
+                broken.push(format!("two holders have the number {}", call.fence));
+            }
+            if windows.get(&call.window) != Some(&call.counts) {
+                broken.push(format!("two reports of window {} differ", call.window));
+            }
         }
-        windows
+        broken
     }
 }
 
--- a/standins/src/soak/fault.rs
+++ b/standins/src/soak/fault.rs
@@ -1,8 +1,9 @@
 //! What the soak does to the site, drawn from its seed.
 
+use super::keys::WORKSPACES;
 use crate::{
     relay::Silence,
-    site::{Outage, PlainFault, StoreFaults}, //
+    site::{CloudFault, Outage, PlainFault, StoreFaults}, //
 };
 use rand::Rng;
 use redwingpond::base::Millis;
@@ -15,6 +16,8 @@
 /// One fault. Processes are counted gateways first, then runners.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Fault {
+    /// The platform that takes reports of use misbehaves for a while.
+    Cloud { fault: CloudFault, length: Millis },
     /// The engine cuts its streams within events for a while.
     CutStreams { engine: usize, length: Millis },
     /// The engine is gone for a while.
@@ -26,6 +29,8 @@
     FatalItem,
     /// The store forgets its history.
     Forget,
+    /// The operators take a workspace's key away and give it another one.
+    Keys { workspace: usize },
     /// SIGHUP.
     Hangup { process: usize },
     /// The engine starts again under its id, at once; what it ran is silent.
@@ -66,6 +71,35 @@
     plan
 }
 
+/// Draws changes of keys and faults of the platform that takes reports. They come
+/// beside the others, whose plans stay what they were for each seed.
+pub(super) fn draw_duties(rng: &mut impl Rng, length: Millis) -> Vec<(Millis, Fault)> {
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(300..1_500);
+    while at < length.0 {
+        let fault = match rng.random_range(0..3) {
+            0 => Fault::Cloud {
+                fault: cloud(rng),
+                length: Millis(rng.random_range(200..2_500)),
+            },
+            _ => Fault::Keys {
+                workspace: rng.random_range(0..WORKSPACES.len()),
+            },
+        };
+        plan.push((Millis(at), fault));
+        at += rng.random_range(20..2_500);
+    }
+    plan
+}
+
+fn cloud(rng: &mut impl Rng) -> CloudFault {
+    match rng.random_range(0..3) {
+        0 => CloudFault::Busy,
+        1 => CloudFault::Lost,
+        _ => CloudFault::Reset,
+    }
+}
+
 fn one(rng: &mut impl Rng) -> Fault {
     let process = rng.random_range(0..GATEWAYS + ENGINES);
     let engine = rng.random_range(0..ENGINES);
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod command;
 mod fault;
+mod keys;
 mod process;
 mod run;
 mod trainer;
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -1,5 +1,6 @@
 //! One of the real programs as a process.
 
+use super::keys::REVOCATION;
 use crate::relay::Relay;
 use rustix::process::{
     Pid,
@@ -36,11 +37,16 @@
         folder: &Path,
         number: usize,
         store: SocketAddr,
+        cloud: SocketAddr,
     ) -> io::Result<Self> {
         let (callers, ready) = (free_port()?, free_port()?);
         let listen = format!("  callers: \"{callers}\"\n  ready: \"{ready}\"\n");
         let name = format!("gateway-{number}");
-        Self::new(folder, &name, store, &listen, "", Some(callers)).await
+        let more = format!(
+            "revocation_ms: {}\nusage:\n  address: \"{cloud}\"\n  lease_ms: 2500\n  window_s: 1\n",
+            REVOCATION.0
+        );
+        Self::new(folder, &name, store, &listen, &more, Some(callers)).await
     }
 
     /// Prepares a runner in `folder`.
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -1,8 +1,9 @@
 //! One soak from its start to its verdict.
 
 use super::{
-    callers::{Callers, FATAL},
-    fault::{ENGINES, Fault, GATEWAYS, PLAIN, draw},
+    callers::{Callers, FATAL, Identity},
+    fault::{ENGINES, Fault, GATEWAYS, PLAIN, draw, draw_duties},
+    keys::{Keys, WORKSPACES},
     process::Process,
     trainer::Submitted, //
 };
@@ -10,6 +11,8 @@
     client::Client,
     site::{
         Batch,
+        Cloud,
+        CloudFault,
         Engine,
         EngineFaults,
         Plain,
@@ -17,7 +20,6 @@
         Store,
         StoreFaults,
         announce_engine,
-        put_config,
         server_entry, //
     },
 };
@@ -61,9 +63,11 @@
     callers: Callers,
     client: Client,
     clock: Clock,
+    cloud: Cloud,
     engines: Vec<Engine>,
     /// Until when the fatal call is made, and how often it was.
     fatal: (Millis, usize),
+    keys: Keys,
     later: Vec<(Millis, Later)>,
     /// The present life of each plain server.
     lives: Vec<String>,
@@ -82,6 +86,9 @@
 const BATCH_STEPS: usize = 24;
 const VERSION_STEPS: usize = 90;
 
+/// Every so many steps a caller shows a key that was taken away.
+const REMOVED_STEPS: usize = 7;
+
 /// How long accepted batches may take once all faults are over.
 const FINISH: Millis = Millis(30_000);
 
@@ -91,7 +98,10 @@
 /// Runs the plan of `seed` for `length`, with its files in `folder`.
 pub(super) async fn run(seed: u64, length: Millis, folder: &Path) -> io::Result<Verdict> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let plan = draw(&mut rng, length);
+    let mut plan = draw(&mut rng, length);
+    let mut other = ChaCha8Rng::seed_from_u64(!seed);
+    plan.extend(draw_duties(&mut other, length));
+    plan.sort_by_key(|(at, _)| *at);
     let mut soak = Soak::open(rng, folder).await?;
     tokio::time::sleep(UP).await;
 
@@ -144,6 +154,7 @@
 impl Soak {
     async fn open(rng: ChaCha8Rng, folder: &Path) -> io::Result<Self> {
         let store = Store::open().await?;
+        let cloud = Cloud::open().await?;
         let (mut engines, mut plain, mut processes) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..ENGINES {
             let engine = Engine::open(&format!("engine-{number}"), "m0").await?;
@@ -156,7 +167,7 @@
             plain.push(server);
         }
         for number in 0..GATEWAYS {
-            processes.push(Process::gateway(folder, number, store.address).await?);
+            processes.push(Process::gateway(folder, number, store.address, cloud.address).await?);
         }
         for (number, engine) in engines.iter().enumerate() {
             let runner = Process::runner(folder, number, store.address, engine.address);
@@ -172,8 +183,10 @@
             let entry = server_entry("plain", server.address, "ready");
             store.put("servers", &server.id, Some(&entry));
         }
-        put_config(&store, 1, &serde_json::json!([]), &serde_json::Value::Null);
+        let keys = Keys::open(&store);
         Ok(Self {
+            cloud,
+            keys,
             broken: Vec::new(),
             lives: plain.iter().map(|server| server.id.clone()).collect(),
             callers: Callers::default(),
@@ -194,6 +207,14 @@
     fn strike(&mut self, fault: Fault) {
         let now = self.clock.now();
         match fault {
+            Fault::Cloud {
+                fault: cloud,
+                length,
+            } => {
+                self.cloud.set_fault(cloud);
+                self.later.push((now + length, Later::Heal(fault)));
+            }
+            Fault::Keys { workspace } => self.keys.change(&self.store, workspace, now),
             Fault::CutStreams { engine, length } => {
                 self.engines[engine].set_faults(EngineFaults {
                     cut_after: Some(3),
@@ -333,6 +354,7 @@
 
     fn heal(&mut self, fault: Fault) {
         match fault {
+            Fault::Cloud { .. } => self.cloud.set_fault(CloudFault::None),
             Fault::CutStreams { engine, .. } => {
                 self.engines[engine].set_faults(usual_engine());
             }
@@ -353,6 +375,7 @@
             | Fault::FatalItem
             | Fault::Forget
             | Fault::Hangup { .. }
+            | Fault::Keys { .. }
             | Fault::Kill { .. }
             | Fault::Silence { .. }
             | Fault::Stop { .. } => {}
@@ -380,27 +403,39 @@
             .rev()
             .find(|batch| !batch.accepted);
         let (client, again) = (&self.client, self.rng.random_bool(0.3));
+        let key = self.keys.current(0);
         let within = Duration::from_millis(300);
         if let Some(batch) = fresh.filter(|_| again || step.is_multiple_of(BATCH_STEPS)) {
-            let submitting = batch.submit(client, gateway);
+            let submitting = batch.submit(client, gateway, key);
             submitting.await;
         }
         let reader = self.rng.random_range(0..self.submitted.len());
         let back = self.rng.random_range(0..4);
-        let reading = self.submitted[reader].read(&self.client, gateway, back);
+        let reading = self.submitted[reader].read(&self.client, gateway, key, back);
         // A paused gateway answers nobody; the soak goes on meanwhile.
         let _ = tokio::time::timeout(within, reading).await;
         if self.clock.now() < self.fatal.0 {
             self.fatal.1 += 1;
-            let id = format!("fatal-{}", self.fatal.1);
-            let calling = Callers::call_fatal(&self.client, gateway, &id);
+            let identity = self.identity(format!("fatal-{}", self.fatal.1), 1);
+            let calling = Callers::call_fatal(&self.client, gateway, &identity);
             let _ = tokio::time::timeout(within, calling).await;
         }
-        let id = format!("c{seed}n{step}");
-        let calling = self.callers.call(&self.client, gateway, id);
+        let mut identity = self.identity(format!("c{seed}n{step}"), step % WORKSPACES.len());
+        let removed = self.keys.last_removed();
+        if let Some(removed) = removed.filter(|_| step.is_multiple_of(REMOVED_STEPS)) {
+            removed.clone_into(&mut identity.key);
+        }
+        let calling = self
+            .callers
+            .call(&self.client, gateway, identity, self.clock);
         let _ = tokio::time::timeout(within, calling).await;
     }
 
+    fn identity(&self, id: String, workspace: usize) -> Identity {
+        let key = self.keys.current(workspace).to_owned();
+        Identity { id, key }
+    }
+
     fn gateway(&mut self) -> SocketAddr {
         let number = self.rng.random_range(0..GATEWAYS);
         let callers = self.processes[number].callers;
@@ -423,13 +458,14 @@
             let Some(open) = open else {
                 break;
             };
-            open.read(&self.client, gateway, 2).await;
+            open.read(&self.client, gateway, self.keys.current(0), 2)
+                .await;
             tokio::time::sleep(STEP).await;
         }
         for number in 0..self.submitted.len() {
             let gateway = self.gateway();
             self.submitted[number]
-                .read(&self.client, gateway, 1_000)
+                .read(&self.client, gateway, self.keys.current(0), 1_000)
                 .await;
         }
         self.check_fatal().await
@@ -448,7 +484,8 @@
         for process in 0..GATEWAYS {
             let callers = self.processes[process].callers;
             let gateway = callers.unwrap_or(self.store.address);
-            Callers::call_fatal(&self.client, gateway, &format!("fatal-last-{process}")).await;
+            let identity = self.identity(format!("fatal-last-{process}"), 1);
+            Callers::call_fatal(&self.client, gateway, &identity).await;
         }
         let more = self.fatal_runs() - before;
         if more > TRIALS_MOST {
@@ -461,6 +498,13 @@
     fn verdict(&self, faults: usize) -> Verdict {
         let mut broken = self.callers.broken(&self.plain);
         broken.extend(self.broken.clone());
+        broken.extend(self.callers.broken_keys(&self.plain, &self.keys));
+        broken.extend(self.cloud.broken());
+        for run in self.engines.iter().flat_map(Engine::runs) {
+            if run.asker.key.is_some() || run.asker.workspace.as_deref() != Some(WORKSPACES[0]) {
+                broken.push(format!("item {} ran as {:?}", run.item, run.asker));
+            }
+        }
         for batch in &self.submitted {
             broken.extend(batch.final_faults());
         }
--- a/standins/src/soak/trainer.rs
+++ b/standins/src/soak/trainer.rs
@@ -40,11 +40,12 @@
     }
 
     /// Submits it through a gateway.
-    pub(super) async fn submit(&mut self, client: &Client, gateway: SocketAddr) {
+    pub(super) async fn submit(&mut self, client: &Client, gateway: SocketAddr, key: &str) {
         let path = format!("/roll/{}", self.batch.id);
         let headers = [
             ("host", "site.example"),
             ("x-attempt-id", self.batch.id.as_str()),
+            ("x-api-key", key),
         ];
         let body = self.batch.body();
         let answer = client.call(Method::POST, gateway, &path, &headers, body, WITHIN);
@@ -59,10 +60,20 @@
     }
 
     /// Reads on, from a position before the last one read.
-    pub(super) async fn read(&mut self, client: &Client, gateway: SocketAddr, back: usize) {
+    pub(super) async fn read(
+        &mut self,
+        client: &Client,
+        gateway: SocketAddr,
+        key: &str,
+        back: usize,
+    ) {
         let from = self.results.len().saturating_sub(back);
         let path = format!("/redwingpond/lots/{}?startAfter={from}", self.batch.id);
-        let headers = [("host", "site.example"), ("x-wait-ms", "100")];
+        let headers = [
+            ("host", "site.example"),
+            ("x-api-key", key),
+            ("x-wait-ms", "100"),
+        ];
         let answer = client.call(Method::GET, gateway, &path, &headers, "", WITHIN);
         let Ok(answer) = answer.await else {
             return;
--- a/standins/tests/integration/usage.rs
+++ b/standins/tests/integration/usage.rs
@@ -87,6 +87,7 @@
         assert!(scene.clock.now() < until, "window {last} was not reported");
         sleep(100).await;
     }
+    assert_eq!(cloud.broken(), Vec::<String>::new());
     let windows = cloud.reported();
     let numbers: Vec<u64> = windows.keys().copied().collect();
     for pair in numbers.windows(2) {
