Probe a store that is away, and let all calls go on at its answer

Hypothesis: one prober a process finds the return within some 100 ms. Ways compared: each call by itself (before), one probe each 120 ms over new connections (now). Calls from before the return are made again; the first call for changes after it isn't held; a reader that waits is kept for its wait.

--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -194,6 +194,9 @@
             let (total, page) = match self.page(id, from).await {
                 Ok(Some(found)) => found,
                 Ok(None) => return unknown_batch(id),
+                // A reader that waits anyway gets what comes with the store's return;
+                // one that is sent away asks again half a second later.
+                Err(_) if self.clock.now() < until => continue,
                 Err(error) => return store_away(id, &error),
             };
             let over = self.clock.now() + POLL > until;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -124,6 +124,11 @@
         Self { address, lines }
     }
 
+    /// Drops the kept connections: the peer was away, and they may be dead.
+    pub fn forget_connections(&self) {
+        self.lines.clear();
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.address
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     base::{Clock, Millis},
-    net::{Answer, Peer},
+    net::{Answer, CallError, Peer, Reach},
     policy::patience::Patience,
     store::{Key, Listing, Outcome, Row, StoreError, Transaction}, //
 };
@@ -11,6 +11,10 @@
     prelude::BASE64_STANDARD, //
 };
 use bytes::Bytes;
+use futures_util::{
+    StreamExt,
+    stream::FuturesUnordered, //
+};
 use http_body_util::Full;
 use hyper::{
     Method,
@@ -32,6 +36,7 @@
     clock: Clock,
     patience: Arc<Mutex<Patience>>,
     peer: Peer,
+    reach: Arc<Reach>,
     /// The store's clock as read last, and when that was.
     time: Arc<Mutex<Option<(Millis, Millis)>>>,
 }
@@ -39,6 +44,19 @@
 /// The most rows in one answer of the store.
 pub const ROWS_MOST: usize = 500;
 
+/// The question of a probe: the rows of a table that has none.
+const PROBE: &str = "/redwingpond/rows-get?table=probes&part=&limit=1";
+
+/// How often a store that is away is asked whether it is back. Results that are due
+/// wait for it, and trainers read them half a second later.
+const PROBE_EVERY: Millis = Millis(120);
+
+/// How long a probe may take: a slow store takes sixty times as long as usual.
+const PROBE_WITHIN: Millis = Millis(500);
+
+/// Probes under way at once.
+const PROBES_MOST: usize = 4;
+
 /// What a call for changes may take beyond the time that the store holds it.
 const FEED_SLACK: Millis = Millis(600);
 
@@ -99,6 +117,7 @@
             clock,
             patience: Arc::default(),
             peer: Peer::open(address, clock),
+            reach: Arc::default(),
             time: Arc::default(),
         }
     }
@@ -235,6 +254,13 @@
         after: u64,
         hold: Millis,
     ) -> Result<Listing, StoreError> {
+        // The first answer after an outage tells that it is over: it must not wait for
+        // a change.
+        let hold = match self.reach.is_away() {
+            true => Millis(0),
+            false => hold,
+        };
+        self.wait_back(FEED_SLACK).await?;
         let path = format!(
             "/redwingpond/rows-feed?table={table}&startAfter={after}&waitMs={}",
             hold.0
@@ -251,8 +277,9 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<Answer, StoreError> {
+        let within = self.patience().wait(self.clock.now());
+        self.wait_back(within).await?;
         let began = self.clock.now();
-        let within = self.patience().wait(began);
         let result = self.call(method, path, body, within).await;
         let now = self.clock.now();
         let taken = now.since(began);
@@ -285,7 +312,19 @@
             .map_err(|error| StoreError::Answer {
                 message: error.to_string(),
             })?;
-        let result = outcome(self.peer.call(request, within).await);
+        let returns = self.reach.returns();
+        let result = tokio::select! {
+            answer = self.peer.call(request, within) => {
+                let result = outcome(answer);
+                self.note(&result);
+                result
+            }
+            () = self.reach.returned_since(returns) => {
+                let address = self.peer.address();
+                let source = CallError::Timeout { address, within };
+                Err(StoreError::Unknown { source })
+            }
+        };
         let outcome = match &result {
             Ok(_) => "done",
             Err(StoreError::Unknown { .. }) => "unknown",
@@ -295,6 +334,60 @@
         result
     }
 
+    /// Takes what a call showed of the store, and has it probed once it is away.
+    fn note(&self, result: &Result<Answer, StoreError>) {
+        let silent = matches!(result, Err(StoreError::Unknown { .. }));
+        if !silent {
+            self.reach.answer();
+        } else if self.reach.miss() {
+            tracing::warn!("the store is away: it is probed");
+            tokio::spawn(self.clone().probe());
+        }
+    }
+
+    /// Waits at most `within` for a store that is away.
+    async fn wait_back(&self, within: Millis) -> Result<(), StoreError> {
+        let back = tokio::time::timeout(within.as_duration(), self.reach.back());
+        back.await.map_err(|_| StoreError::Away)
+    }
+
+    /// Asks the store over new connections, one soon after the other, until it answers.
+    async fn probe(self) {
+        let mut tick = tokio::time::interval(PROBE_EVERY.as_duration());
+        let mut probes = FuturesUnordered::new();
+        while self.reach.is_away() {
+            tokio::select! {
+                _ = tick.tick() => {
+                    if probes.len() < PROBES_MOST {
+                        probes.push(self.probe_once());
+                    }
+                }
+                Some(answered) = probes.next() => {
+                    if answered {
+                        self.peer.forget_connections();
+                        self.reach.answer();
+                    }
+                }
+            }
+        }
+        tracing::info!("the store answers again");
+    }
+
+    async fn probe_once(&self) -> bool {
+        let peer = Peer::open(self.peer.address(), self.clock);
+        let request = Request::builder()
+            .uri(PROBE)
+            .header("host", self.peer.address().to_string())
+            .body(Full::new(Bytes::new()));
+        match request {
+            Ok(request) => peer.call(request, PROBE_WITHIN).await.is_ok(),
+            Err(error) => {
+                tracing::error!(%error, "a probe can't be made");
+                false
+            }
+        }
+    }
+
     fn listing(&self, answer: &Answer) -> Result<Listing, StoreError> {
         let wire: WireListing = self.read(answer)?;
         Ok(Listing {
--- a/src/store/follower.rs
+++ b/src/store/follower.rs
@@ -75,6 +75,8 @@
                 tracing::info!(table = following.table, "history lost, listing afresh");
                 after = None;
             }
+            // The call has waited for the store's return, and is made again at once.
+            Err(error @ StoreError::Away) => follower.fail(&error).await,
             Err(error) => {
                 follower.fail(&error).await;
                 tokio::time::sleep(backoff.as_duration()).await;
--- a/src/store/store_error.rs
+++ b/src/store/store_error.rs
@@ -7,6 +7,9 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StoreError {
+    /// The store is away: nothing was sent.
+    #[snafu(display("the store is away"))]
+    Away,
     /// The changes asked for are no longer kept: list the table afresh.
     #[snafu(display("the store no longer keeps the changes that were asked for"))]
     HistoryLost,
@@ -28,7 +31,7 @@
     /// Whether a write that failed so has certainly not been done and never will be.
     pub fn is_not_done(&self) -> bool {
         match self {
-            Self::NotDone { .. } | Self::Refused { .. } | Self::HistoryLost => true,
+            Self::Away | Self::HistoryLost | Self::NotDone { .. } | Self::Refused { .. } => true,
             Self::Unknown { source } => !source.verdict().may_have_run(),
             Self::Answer { .. } => false,
         }
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -935,3 +935,36 @@
     }
     check_whole(&batch, &scene.read(&batch, 2, SOON).await);
 }
+
+/// A step's last texts are whole while the store is silent, shortly before they are due.
+/// They were listed up to two seconds after its return: each process waited for an answer
+/// on a dead connection, or for a change that did not come, and a reader was sent away
+/// and asked again half a second later. Now all go on at the first answer to a probe.
+#[tokio::test(flavor = "multi_thread")]
+async fn results_are_read_at_the_stores_return() {
+    let scene = Scene::open(Shape::default()).await.unwrap();
+    for engine in &scene.engines {
+        engine.set_event(Millis(40));
+    }
+    for round in 0..5 {
+        let batch = Batch::new(&format!("due{round}"), 3, 2, 20);
+        submit_until_taken(&scene, &batch).await;
+        sleep(400).await;
+        scene.store.set_faults(StoreFaults {
+            outage: Outage::Silent,
+            ..StoreFaults::default()
+        });
+        // Not in step with anybody's tries.
+        sleep(3_000 + 170 * round).await;
+        scene.store.set_faults(StoreFaults::default());
+        let back = scene.clock.now();
+        let results = scene.read(&batch, 6, SOON).await;
+        let late = scene.clock.now().since(back);
+        check_whole(&batch, &results);
+        assert!(late <= SHORTLY, "round {round}: read after {late}");
+    }
+}
+
+/// How soon after the store's return a trainer has what was whole before: results count
+/// as in time for 0.7 s after they are due.
+const SHORTLY: Millis = Millis(700);
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -9,6 +9,7 @@
     mod overload;
     mod platform_wire;
     mod quarantine;
+    mod reach;
     mod settings_faults;
     mod step_times;
     mod use_counts;
