--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,8 @@
 mod names;
 mod server_entry;
 mod store;
+mod store_probe;
+mod store_wire;
 mod usage;
 
 pub use self::{
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,5 +1,12 @@
 //! The client of the platform's table.
 
+use super::store_wire::{
+    WireKey,
+    WireListing,
+    WireTransaction,
+    rows,
+    wire_key, //
+};
 use crate::{
     base::{Clock, Millis},
     net::{Answer, CallError, Peer, Reach},
@@ -11,20 +18,12 @@
     prelude::BASE64_STANDARD, //
 };
 use bytes::Bytes;
-use futures_util::{
-    StreamExt,
-    stream::FuturesUnordered, //
-};
 use http_body_util::Full;
 use hyper::{
     Method,
     Request,
     StatusCode, //
 };
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError}, //
@@ -33,10 +32,10 @@
 /// A client of the table; clones share their connections.
 #[derive(Clone)]
 pub struct Store {
-    clock: Clock,
+    pub(super) clock: Clock,
     patience: Arc<Mutex<Patience>>,
-    peer: Peer,
-    reach: Arc<Reach>,
+    pub(super) peer: Peer,
+    pub(super) reach: Arc<Reach>,
     /// The store's clock as read last, and when that was.
     time: Arc<Mutex<Option<(Millis, Millis)>>>,
 }
@@ -44,72 +43,9 @@
 /// The most rows in one answer of the store.
 pub const ROWS_MOST: usize = 500;
 
-/// The question of a probe: the rows of a table that has none.
-const PROBE: &str = "/redwingpond/rows-get?table=probes&part=&limit=1";
-
-/// How often a store that is away is asked whether it is back. Results that are due
-/// wait for it, and trainers read them half a second later.
-const PROBE_EVERY: Millis = Millis(120);
-
-/// How long a probe may take: a slow store takes sixty times as long as usual.
-const PROBE_WITHIN: Millis = Millis(500);
-
-/// Probes under way at once.
-const PROBES_MOST: usize = 4;
-
 /// What a call for changes may take beyond the time that the store holds it.
 const FEED_SLACK: Millis = Millis(600);
 
-#[derive(Serialize)]
-struct WireKey<'a> {
-    key: &'a str,
-    part: &'a str,
-    table: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    value: Option<String>,
-    /// The revision that the row must have.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    ver: Option<u64>,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-struct WireTransaction<'a> {
-    expected_rev: Vec<WireKey<'a>>,
-    remove: Vec<WireKey<'a>>,
-    set_keys: Vec<WireKey<'a>>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireRow {
-    #[serde(default)]
-    deleted: bool,
-    key: String,
-    #[serde(default)]
-    part: String,
-    /// Base64.
-    #[serde(default)]
-    value: String,
-    ver: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireListing {
-    #[serde(default)]
-    has_more: bool,
-    /// The store's steady clock.
-    #[serde(default)]
-    now_ms: f64,
-    #[serde(default)]
-    parts: Vec<String>,
-    #[serde(default)]
-    records: Vec<WireRow>,
-    #[serde(default)]
-    ver: u64,
-}
-
 impl Store {
     /// A client of the store at `address`.
     pub fn open(address: SocketAddr, clock: Clock) -> Self {
@@ -334,60 +270,6 @@
         result
     }
 
-    /// Takes what a call showed of the store, and has it probed once it is away.
-    fn note(&self, result: &Result<Answer, StoreError>) {
-        let silent = matches!(result, Err(StoreError::Unknown { .. }));
-        if !silent {
-            self.reach.answer();
-        } else if self.reach.miss() {
-            tracing::warn!("the store is away: it is probed");
-            tokio::spawn(self.clone().probe());
-        }
-    }
-
-    /// Waits at most `within` for a store that is away.
-    async fn wait_back(&self, within: Millis) -> Result<(), StoreError> {
-        let back = tokio::time::timeout(within.as_duration(), self.reach.back());
-        back.await.map_err(|_| StoreError::Away)
-    }
-
-    /// Asks the store over new connections, one soon after the other, until it answers.
-    async fn probe(self) {
-        let mut tick = tokio::time::interval(PROBE_EVERY.as_duration());
-        let mut probes = FuturesUnordered::new();
-        while self.reach.is_away() {
-            tokio::select! {
-                _ = tick.tick() => {
-                    if probes.len() < PROBES_MOST {
-                        probes.push(self.probe_once());
-                    }
-                }
-                Some(answered) = probes.next() => {
-                    if answered {
-                        self.peer.forget_connections();
-                        self.reach.answer();
-                    }
-                }
-            }
-        }
-        tracing::info!("the store answers again");
-    }
-
-    async fn probe_once(&self) -> bool {
-        let peer = Peer::open(self.peer.address(), self.clock);
-        let request = Request::builder()
-            .uri(PROBE)
-            .header("host", self.peer.address().to_string())
-            .body(Full::new(Bytes::new()));
-        match request {
-            Ok(request) => peer.call(request, PROBE_WITHIN).await.is_ok(),
-            Err(error) => {
-                tracing::error!(%error, "a probe can't be made");
-                false
-            }
-        }
-    }
-
     fn listing(&self, answer: &Answer) -> Result<Listing, StoreError> {
         let wire: WireListing = self.read(answer)?;
         Ok(Listing {
@@ -409,43 +291,6 @@
     }
 }
 
-fn wire_key(key: &Key) -> WireKey<'_> {
-    WireKey {
-        key: &key.key,
-        part: &key.part,
-        table: key.table,
-        value: None,
-        ver: None,
-    }
-}
-
-fn rows(records: Vec<WireRow>) -> Vec<Row> {
-    records.into_iter().map(row).collect()
-}
-
-fn row(wire: WireRow) -> Row {
-    Row {
-        value: (!wire.deleted).then(|| value_of(&wire)),
-        part: wire.part,
-        key: wire.key,
-        revision: wire.ver,
-    }
-}
-
-/// The row's value; empty when it can't be read, which no reader of a row takes
-/// for one of its own. One such row by another writer must not hide all others
-/// of a listing.
-fn value_of(wire: &WireRow) -> Bytes {
-    match BASE64_STANDARD.decode(&wire.value) {
-        Ok(value) => value.into(),
-        Err(error) => {
-            metrics::counter!("redwing_values_unreadable_total").increment(1);
-            tracing::debug!(key = wire.key, %error, "a row's value can't be read");
-            Bytes::new()
-        }
-    }
-}
-
 fn outcome(answer: Result<Answer, crate::net::CallError>) -> Result<Answer, StoreError> {
     let answer = answer.map_err(|source| StoreError::Unknown { source })?;
     let status = answer.status.as_u16();
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -67,8 +67,7 @@
 /// from a report that lags: it fades over a few times the latency, because
 /// after that long other requests have taken their place. Were it believed in
 /// full, all entries would run to the server that looked idle half a second
-/// ago (measured: a p99 worse than round robin's). What others do there now
-/// shows in the latency.
+/// ago. What others do there now shows in the latency.
 pub fn cost<K>(candidate: &Candidate<K>) -> f64 {
     let fade = 1.0 + candidate.report_age.0 as f64 / (FADE * candidate.latency);
     let others = f64::from(candidate.others) / fade;
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -19,6 +19,7 @@
 mod score;
 mod suspects;
 mod sweep;
+mod text;
 mod work;
 
 pub use runner_handle::Runner;
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -2,16 +2,16 @@
 
 use super::{
     score::{Score, Scorers},
-    suspects::Settled, //
+    suspects::Settled,
+    text::Text, //
 };
 use crate::{
     base::{Asked, Clock, Fingerprint, Millis},
-    batch::{Item, PARTIALS, Partial, Sample, State, encode, part_of, partial_key},
+    batch::{Item, Partial, Sample, State},
     net::{CallError, Opened, Peer},
     platform::{EngineRequest, EventReader, Store, instance_of, not_executed, version_of_head},
     policy::{engine_life::Met, pace::Pace, step_order::Rate},
     routing::Life,
-    store::{Key, Transaction},
     view::Crashes, //
 };
 use hyper::{
@@ -19,9 +19,12 @@
     Method,
     StatusCode, //
 };
-use std::{
-    collections::BTreeSet,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize}, //
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError,
+    atomic::AtomicUsize, //
 };
 use tokio::sync::{
     RwLock,
@@ -152,18 +155,6 @@
 /// 6,200 on a day of 950 items.
 const REFUSAL_WITHIN: Millis = Millis(100);
 
-/// Long texts are kept this often while they grow, so that another engine goes
-/// on instead of beginning anew. Most items end before the first time; the
-/// longest run for five seconds, and steps waited for them twice over when
-/// their engine crashed or left.
-const KEEP_EVERY: Millis = Millis(700);
-
-/// The least new events for which a text is kept again.
-const KEEP_EVENTS: usize = 6;
-
-/// The most bytes of a kept text: one row of the store.
-const KEEP_BYTES: usize = 44 * 1024;
-
 /// What came of one run.
 pub(super) enum Run {
     /// The stream ended as a whole.
@@ -180,68 +171,6 @@
     Outlived,
 }
 
-/// What has been generated so far.
-#[derive(Default)]
-struct Text {
-    events: Vec<String>,
-    /// When the last run's first and newest events came.
-    first: Option<Millis>,
-    newest: Millis,
-    last: Option<u64>,
-    /// When it was last kept, and how many events it had.
-    kept: Millis,
-    kept_events: usize,
-    versions: BTreeSet<u64>,
-}
-
-impl Text {
-    /// The text that an earlier run has left.
-    fn resume(begun: Option<Partial>, now: Millis) -> Self {
-        let begun = begun.unwrap_or_default();
-        Self {
-            kept: now,
-            kept_events: begun.events.len(),
-            last: (!begun.events.is_empty()).then_some(begun.last),
-            versions: begun.versions.into_iter().collect(),
-            events: begun.events,
-            ..Self::default()
-        }
-    }
-
-    /// Keeps what there is in the store if that is due. Nobody waits for it,
-    /// and losing it costs time only.
-    fn keep(&mut self, engine: &Engine, task: &Task) {
-        let due = self.newest.since(self.kept) >= KEEP_EVERY;
-        let grown = self.events.len() >= self.kept_events + KEEP_EVENTS;
-        let Some(last) = self.last.filter(|_| due && grown) else {
-            return;
-        };
-        self.kept = self.newest;
-        self.kept_events = self.events.len();
-        let partial = Partial {
-            events: self.events.clone(),
-            last,
-            versions: self.versions.iter().copied().collect(),
-        };
-        let value = encode(&partial);
-        if value.len() > KEEP_BYTES {
-            return;
-        }
-        let key = Key::new(PARTIALS, part_of(&task.batch), partial_key(task.index));
-        let transaction = Transaction {
-            set: vec![(key, value)],
-            ..Transaction::default()
-        };
-        let store = engine.store.clone();
-        let item = task.item.id.clone();
-        tokio::spawn(async move {
-            if let Err(error) = store.transact(&transaction).await {
-                tracing::debug!(item, %error, "a partial text was not kept");
-            }
-        });
-    }
-}
-
 /// Names what `item` of a batch of `host` asks of its engine.
 pub(super) fn fingerprint(host: &str, item: &Item) -> Fingerprint {
     Fingerprint::of(Asked {
