Ask again sooner for the operators' table, and hold other feeds longer

Cause: the held calls for changes are 5 a second and process, 1,500 of the 2,000 calls that the store takes, before any work; calls beyond that are turned away, and each time the follower of the operators' table waited up to 400 ms.

Changed: the operators' table is asked again after 100 ms at most; the feed of servers is held for 1 s, that of crashes for 1.5 s.

--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -14,7 +14,7 @@
     platform::{EngineReport, Store},
     policy::pace::Kind,
     routing::Life,
-    store::{Followed, Following, HOLD, Row, follow},
+    store::{BACKOFF_MOST, Followed, Following, HOLD, Row, follow},
     view::Site, //
 };
 use std::{
@@ -244,6 +244,7 @@
 async fn follow_work(store: Store, events: mpsc::Sender<Event>) {
     let (sender, mut feed) = mpsc::channel(RING);
     let following = Following {
+        backoff: BACKOFF_MOST,
         hold: HOLD,
         pace: PACE,
         parts: true,
--- a/src/store/follower.rs
+++ b/src/store/follower.rs
@@ -26,6 +26,8 @@
 /// How a table is read.
 #[derive(Clone, Copy, Debug)]
 pub struct Following {
+    /// The longest wait after a call that failed.
+    pub backoff: Millis,
     /// How long the store holds a call for changes when there are none.
     pub hold: Millis,
     /// Whether its rows lie in several parts.
@@ -42,9 +44,12 @@
 /// of the 2 s that the users allow.
 pub const HOLD: Millis = Millis(500);
 
-/// The first wait after a failed call, and the longest.
+/// The first wait after a failed call.
 const BACKOFF: Millis = Millis(50);
-const BACKOFF_MOST: Millis = Millis(400);
+
+/// The longest for tables that bear it: a store that turns calls away is not asked for
+/// all of them at once.
+pub const BACKOFF_MOST: Millis = Millis(400);
 
 /// The parts that are listed at once.
 const LISTED_AT_ONCE: usize = 8;
@@ -80,7 +85,7 @@
             Err(error) => {
                 follower.fail(&error).await;
                 tokio::time::sleep(backoff.as_duration()).await;
-                backoff = Millis((backoff.0 * 2).min(BACKOFF_MOST.0));
+                backoff = Millis((backoff.0 * 2).min(following.backoff.0));
             }
         }
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     change::Change,
-    follower::{Followed, Following, HOLD, follow},
+    follower::{BACKOFF_MOST, Followed, Following, HOLD, follow},
     row::{Key, Listing, Row},
     store_error::StoreError,
     table_view::TableView,
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -13,7 +13,7 @@
     platform::Store,
     policy::quarantine::{ENDED_MOST, Quarantine, Verdict},
     routing::Life,
-    store::{Change, Followed, Following, Key, Outcome, Transaction, follow}, //
+    store::{BACKOFF_MOST, Change, Followed, Following, Key, Outcome, Transaction, follow}, //
 };
 use std::{
     collections::BTreeMap,
@@ -78,7 +78,7 @@
 
 /// How long the store holds a call for changes. A silent feed is noticed after
 /// this and half a second: within the 3 s that the users allow for all to know.
-const HOLD: Millis = Millis(1_000);
+const HOLD: Millis = Millis(1_500);
 
 /// The wait after changes, in which those of one crash gather.
 const PACE: Millis = Millis(10);
@@ -303,6 +303,7 @@
     let store = &crashes.store;
     let (sender, mut feed) = mpsc::channel(RING);
     let following = Following {
+        backoff: BACKOFF_MOST,
         hold: HOLD,
         pace: PACE,
         parts: false,
--- a/src/view/keeper.rs
+++ b/src/view/keeper.rs
@@ -14,7 +14,7 @@
         read_named,
         read_server, //
     },
-    store::{Change, Followed, Following, HOLD, follow}, //
+    store::{BACKOFF_MOST, Change, Followed, Following, HOLD, follow}, //
 };
 use std::{
     collections::HashSet,
@@ -31,6 +31,15 @@
 /// The operators' table changes seldom and has to be in force within seconds.
 const OPERATOR_PACE: Millis = Millis(5);
 
+/// The longest wait after a call for the operators' table that failed. Hundreds of
+/// processes together can ask for more than the store takes; a configuration that is
+/// turned away some times in a row was in force two seconds late.
+const OPERATOR_BACKOFF: Millis = Millis(100);
+
+/// How long the store holds a call for the servers' changes. A feed that fell silent is
+/// noticed after this and 0.6 s; a server that leaves takes requests for 2 s.
+const SERVERS_HOLD: Millis = Millis(1_000);
+
 /// Servers announce changes of state and weights; a moment's delay gathers
 /// those of a release or of a step's weights into one call.
 const SERVERS_PACE: Millis = Millis(100);
@@ -39,19 +48,22 @@
 pub async fn keep(site: Arc<Site>, store: Store) {
     let (operators, mut operator_feed) = mpsc::channel(RING);
     let (servers, mut server_feed) = mpsc::channel(RING);
-    let following = |table, pace| Following {
+    let operator_table = Following {
+        backoff: OPERATOR_BACKOFF,
         hold: HOLD,
-        pace,
+        pace: OPERATOR_PACE,
+        parts: false,
+        table: OPERATOR_TABLE,
+    };
+    let server_table = Following {
+        backoff: BACKOFF_MOST,
+        hold: SERVERS_HOLD,
+        pace: SERVERS_PACE,
         parts: false,
-        table,
+        table: SERVERS_TABLE,
     };
-    let operator_table = following(OPERATOR_TABLE, OPERATOR_PACE);
     tokio::spawn(follow(store.clone(), operator_table, operators));
-    tokio::spawn(follow(
-        store,
-        following(SERVERS_TABLE, SERVERS_PACE),
-        servers,
-    ));
+    tokio::spawn(follow(store, server_table, servers));
 
     let mut strangers = Strangers::default();
     let mut settle = tokio::time::interval(SETTLE.as_duration());
