Give a suspect's attempt back when it does not begin

Cause: a suspect claims its attempt in the store and then finds its engine gone; the claim stayed, and whoever had the item next, the same runner too, waited 3 s until it was free by itself; it also kept its place on the engine while it waited for the engine's end to be known.

Changed: an attempt that does not begin is given back, and its place with it.

--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -201,9 +201,12 @@
         let now = engine.clock.now();
         let server = engine.server.borrow().clone();
         let Some(server) = server.filter(|_| now < task.until) else {
+            engine.let_go(&task);
             return ItemEnd::Dropped;
         };
         if engine.lost.borrow().as_ref() == Some(&server) {
+            engine.let_go(&task);
+            drop(place);
             // The work loop does not know yet. A run that begins now finds an
             // engine that is closing down, whose end would count against it.
             engine.noticed(&server).await;
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -166,6 +166,15 @@
         }
     }
 
+    /// Gives back the attempt of a suspect that did not begin: whoever runs it next
+    /// would wait for it until it is free by itself, and the item would lie.
+    pub(super) fn let_go(&self, task: &Task) {
+        let verdict = self.crashes.judge(task.fingerprint);
+        if matches!(verdict, Verdict::Suspect | Verdict::Trial) {
+            self.crashes.release_trial(task.fingerprint);
+        }
+    }
+
     /// Whether a suspect has the engine to itself, or waits for that.
     pub(super) fn is_isolating(&self) -> bool {
         self.places.try_read().is_err()
@@ -227,8 +236,8 @@
         }
         let verdict = self.crashes.judge(request);
         // The run broke off or did not begin, and its engine lives.
-        if matches!(verdict, Verdict::Suspect | Verdict::Trial) && !ended {
-            self.crashes.release_trial(request);
+        if !ended {
+            self.let_go(task);
         }
         if !ended || verdict == Verdict::Clear {
             return Settled::Kept;
