--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -273,6 +273,11 @@
         wait = Millis((wait.0 * 2).min(AGAIN_MOST.0));
     }
 
+    finish(&engine, task, text).await
+}
+
+/// Has a whole text scored; its result is complete then.
+async fn finish(engine: &Engine, task: Task, text: Text) -> ItemEnd {
     let score = match &task.item.scorer {
         None => None,
         Some(scorer) => match engine.scorers.score(scorer, task.until).await {
