--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -36,14 +36,14 @@
 
 /// How long a suspect has its engine to itself: a request that ends its engine does so
 /// within some tenths of a second of its begin.
-const ALONE_MOST: Millis = Millis(800);
+const ALONE_MOST: Millis = Millis(600);
 
 /// How long it waits for the runs before it to end. Texts take seconds: whoever waited
 /// for them, or for suspects with such texts, would lie for longer than a step bears.
-const DRAIN_MOST: Millis = Millis(500);
+const DRAIN_MOST: Millis = Millis(300);
 
 /// How long it waits for other suspects, of which a bundle has a few.
-const TURN_MOST: Millis = Millis(3_000);
+const TURN_MOST: Millis = Millis(1_600);
 
 impl Place<'_> {
     /// Waits for `run`, which holds this place: a suspect's for a while only.
