A test of a key that is gone, as the store comes back

Found by reading the change: a gateway may judge a key by the configuration of before, have the newest one confirmed, and go by its first judgement.

--- a/standins/tests/integration/workspaces.rs
+++ b/standins/tests/integration/workspaces.rs
@@ -269,3 +269,34 @@
     let status = call(&scene, 0, "unknown", &[("x-api-key", "unknown")]).await;
     assert_eq!((status, runs_of(&scene, "unknown")), (Some(503), 0));
 }
+
+/// A key is taken away while the store is silent, and its caller asks again and again as
+/// the store comes back. A gateway judged the key by the configuration of before, had the
+/// store confirm the newest one, and then let the caller in by its first judgement: the
+/// key worked once more, long after its time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_stays_gone_at_the_stores_return() {
+    for round in 0..4 {
+        let mut scene = open().await;
+        scene.store.set_faults(StoreFaults {
+            outage: Outage::Silent,
+            ..StoreFaults::default()
+        });
+        scene.put_workspaces(&[("springs", &[SPRINGS])]);
+        sleep(REVOCATION + 500 + 90 * round).await;
+        scene.store.set_faults(StoreFaults::default());
+
+        let asking = (0..400).map(|number| {
+            let (scene, id) = (&scene, format!("gone-{round}-{number}"));
+            async move {
+                sleep(2 * number).await;
+                let status = call(scene, number as usize % 2, &id, &[("x-api-key", FOAM)]).await;
+                (status, runs_of(scene, &id))
+            }
+        });
+        for (status, runs) in futures_util::future::join_all(asking).await {
+            assert_eq!(runs, 0, "a call with a key that is gone has run");
+            assert!(matches!(status, Some(401 | 503)), "{status:?}");
+        }
+    }
+}
