Judge a caller anew by the configuration that was confirmed for it

What callers saw: a key that was taken away 2.5 s before worked once more as the store came back (revocation in 2 s). Cause: the gateway judged the key by the configuration in force, found that too old, had the newest one confirmed, and went by its first judgement. Found by reading the change; ruled out that the check before each attempt helps: by then the configuration is fresh.

Changed: one loop judges callers of routes and of batches, which were near copies; it looks at the age first, takes the configuration then, and judges again after each confirmation. The wait that such callers are told stands once.

--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -15,6 +15,7 @@
     net::{Answer, CallError, Peer},
     platform,
     policy::{
+        freshness::WAIT_STALE,
         retry_budget::RetryBudget,
         server_choice::{Candidate, choose},
         typical::Typical, //
@@ -75,9 +76,6 @@
 /// Why a call is refused whose key may have been taken away.
 pub(super) const STALE: &str = "configuration-not-confirmed";
 
-/// When such a call is worth asking again: another gateway may reach the store.
-pub(super) const WAIT_STALE: Millis = Millis(200);
-
 /// When a call that no server took is worth asking again: about what one call
 /// takes, so that a slot is likely to be free.
 pub(super) const WAIT_FULL: Millis = Millis(60);
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -5,13 +5,13 @@
     CallEnd,
     Caller,
     attempt::{Attempt, judge},
-    caller::{REFUSALS_MOST, STALE, Sent, WAIT_FULL, WAIT_NO_SERVER, WAIT_STALE},
+    caller::{REFUSALS_MOST, STALE, Sent, WAIT_FULL, WAIT_NO_SERVER},
     look::{QUARANTINE, WAIT_QUARANTINE}, //
 };
 use crate::{
     base::{Millis, Verdict},
     net::Answer,
-    policy::server_choice::hedge_after,
+    policy::{freshness::WAIT_STALE, server_choice::hedge_after},
     routing::{Kind, Life}, //
 };
 use futures_util::{
--- a/src/gateway/door.rs
+++ b/src/gateway/door.rs
@@ -5,7 +5,10 @@
     base::Millis,
     duty::Answer,
     platform,
-    policy::access::{self, Denial},
+    policy::{
+        access::{self, Denial},
+        freshness::WAIT_STALE, //
+    },
     routing::{Config, Route, Workspace},
     view::Site, //
 };
@@ -20,10 +23,6 @@
 /// the store answers in milliseconds once it is reached.
 const WAIT_CONFIG: Millis = Millis(300);
 
-/// When a caller with a key is asked to come back while the configuration is too
-/// old to judge it by: another gateway may reach the store.
-const WAIT_STALE: Millis = Millis(200);
-
 /// How long the store has to confirm the configuration by which a caller would be
 /// turned away.
 const CONFIRMED_WITHIN: Millis = Millis(400);
@@ -74,46 +73,58 @@
 impl Door {
     /// Finds the route of a request and the workspace that asks.
     pub(super) async fn admit(&self, head: &Parts) -> Result<Admitted, Refusal> {
-        let mut confirmed = !self.site.is_bounded();
-        loop {
-            let config = self.config()?;
-            let refusal = match find(&config, head) {
-                Ok(admitted) => {
-                    self.check_fresh(admitted.workspace.as_ref()).await?;
-                    return Ok(admitted);
-                }
-                Err(refusal) => refusal,
-            };
-            // A gateway that has just started, woken up or come back from a partition
-            // would turn away what every configuration of now allows.
-            if !confirmed {
-                self.confirm().await?;
-                confirmed = true;
-                continue;
-            }
-            let (host, path, version) = (host(head), head.uri.path(), config.version);
+        let keyed = |admitted: &Admitted| admitted.workspace.is_some();
+        let judged = self.judge(|config| find(config, head), keyed).await;
+        if let Err(refusal @ (Refusal::Denied(_) | Refusal::NoRoute)) = &judged {
+            let (host, path) = (host(head), head.uri.path());
+            let version = self.site.config().map(|config| config.version);
             tracing::info!(host, path, version, ?refusal, "turned away");
-            return Err(refusal);
         }
+        judged
     }
 
     /// Finds out whose batches a caller may see.
     pub(super) async fn reader(&self, head: &Parts) -> Result<Reader, Refusal> {
+        let credential = platform::credential(&head.headers);
+        let reader = |config: &Arc<Config>| {
+            let judged = access::judge(config.workspaces.as_ref(), false, credential);
+            judged.map_err(Refusal::Denied)
+        };
+        match self.judge(reader, Option::is_some).await {
+            Ok(Some(workspace)) => Ok(Reader::Of(workspace)),
+            Ok(None) => Ok(Reader::Anybody { denial: None }),
+            Err(Refusal::Denied(denial)) => Ok(Reader::Anybody {
+                denial: Some(denial),
+            }),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    /// Judges a request by the configuration in force, and anew by the one that the
+    /// store confirms where that may say otherwise:
+    ///
+    /// - the configuration is too old, and the caller's key may have been taken away;
+    /// - the caller would be turned away, by a gateway that has just started, woken up
+    ///   or come back from a partition and has not heard of a new key or route.
+    ///
+    /// `keyed` tells whether a request was let in by a key.
+    async fn judge<T>(
+        &self,
+        judge: impl Fn(&Arc<Config>) -> Result<T, Refusal>,
+        keyed: impl Fn(&T) -> bool,
+    ) -> Result<T, Refusal> {
         let mut confirmed = !self.site.is_bounded();
         loop {
-            let config = self.config()?;
-            let credential = platform::credential(&head.headers);
-            let denial = match access::judge(config.workspaces.as_ref(), false, credential) {
-                Ok(Some(workspace)) => {
-                    self.check_fresh(Some(&workspace)).await?;
-                    return Ok(Reader::Of(workspace));
-                }
-                Ok(None) => return Ok(Reader::Anybody { denial: None }),
-                Err(denial) => denial,
+            // Looked at first: a configuration that is taken later is no older. A caller
+            // that was judged before a confirmation came in with a key that was gone.
+            let fresh = self.site.is_fresh();
+            let judged = judge(&self.config()?);
+            let holds = match &judged {
+                Ok(admitted) => fresh || !keyed(admitted),
+                Err(_) => confirmed,
             };
-            if confirmed {
-                let denial = Some(denial);
-                return Ok(Reader::Anybody { denial });
+            if holds {
+                return judged;
             }
             self.confirm().await?;
             confirmed = true;
@@ -128,15 +139,6 @@
         config.ok_or(Refusal::NoConfig)
     }
 
-    /// Refuses a caller whose key may have been taken away: a gateway that was cut
-    /// off from the store would go on serving it.
-    async fn check_fresh(&self, workspace: Option<&Arc<Workspace>>) -> Result<(), Refusal> {
-        if workspace.is_none() || self.site.is_fresh() {
-            return Ok(());
-        }
-        self.confirm().await
-    }
-
     /// Has the store confirm the configuration; a caller isn't kept waiting for a
     /// store that is known to be away.
     async fn confirm(&self) -> Result<(), Refusal> {
--- a/src/policy/freshness.rs
+++ b/src/policy/freshness.rs
@@ -19,6 +19,10 @@
 /// whole milliseconds, at two moments, on a machine that may be slow.
 const SLACK: Millis = Millis(500);
 
+/// When a caller with a key is worth asking again while the configuration is too old to
+/// judge it by: another gateway may reach the store.
+pub const WAIT_STALE: Millis = Millis(200);
+
 impl Freshness {
     /// Nothing is confirmed yet; a key must stop working within `revocation` of its
     /// removal.
