Read who was heard of without writing; share a lock and a set-up of tests

From reading the change once more; behaviour is the same but for one write less: while a window waited for a gateway, the reporter compared and wrote its clock each 250 ms to learn which gateways live; it only reads now. One name (attempt) for what is claimed and given back; the stand-ins' lock stands once, and the set-up of engines that end under a request.

--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -185,7 +185,7 @@
 
     fn end(&self, kept: Option<Answer>) -> CallEnd {
         if self.trial && self.ran == 0 {
-            self.caller.crashes.release_trial(self.call.fingerprint);
+            self.caller.crashes.release_attempt(self.call.fingerprint);
         }
         let failures = self.failures;
         if let Some(answer) = kept {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -291,7 +291,7 @@
     }
 }
 
-fn outcome(answer: Result<Answer, crate::net::CallError>) -> Result<Answer, StoreError> {
+fn outcome(answer: Result<Answer, CallError>) -> Result<Answer, StoreError> {
     let answer = answer.map_err(|source| StoreError::Unknown { source })?;
     let status = answer.status.as_u16();
     match status {
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -171,7 +171,7 @@
     pub(super) fn let_go(&self, task: &Task) {
         let verdict = self.crashes.judge(task.fingerprint);
         if matches!(verdict, Verdict::Suspect | Verdict::Trial) {
-            self.crashes.release_trial(task.fingerprint);
+            self.crashes.release_attempt(task.fingerprint);
         }
     }
 
--- a/src/usage/clocks.rs
+++ b/src/usage/clocks.rs
@@ -28,7 +28,7 @@
 }
 
 /// How long a gateway's row counts: three times the time between two of them.
-pub(super) const HEARD_WITHIN: Millis = Millis(15_000);
+const HEARD_WITHIN: Millis = Millis(15_000);
 
 impl Clocks {
     pub(super) fn new(clock: Clock, store: Store) -> Self {
@@ -47,24 +47,32 @@
         }
     }
 
-    /// Tells the others what this gateway's clock says, and takes the middle of what
-    /// all say. Returns the gateways that were heard of lately.
-    pub(super) async fn settle(&self, author: &Author) -> Result<Vec<String>, StoreError> {
+    /// The gateways that were heard of lately, beside that of `author`.
+    pub(super) async fn heard(&self, author: &Author) -> Result<Vec<String>, StoreError> {
+        let others = self.others(author).await?;
+        Ok(others.into_iter().map(|(instance, _)| instance).collect())
+    }
+
+    /// What the clocks of the others say that were heard of lately.
+    async fn others(&self, author: &Author) -> Result<Vec<(String, i64)>, StoreError> {
         let listing = self.store.whole_part(USAGE, CLOCKS).await?;
         let now = self.store.now();
+        let rows = listing.rows.into_iter().filter_map(|row| {
+            let clock = decode::<ClockRow>("clock", &row.value?)?;
+            let counts = now.since(clock.at) < HEARD_WITHIN && row.key != author.instance;
+            counts.then_some((row.key, clock.offset))
+        });
+        Ok(rows.collect())
+    }
+
+    /// Tells the others what this gateway's clock says, and takes the middle of what
+    /// all say.
+    pub(super) async fn settle(&self, author: &Author) -> Result<(), StoreError> {
+        let others = self.others(author).await?;
+        let now = self.store.now();
         let own = self.clock.wall().0.cast_signed() - now.0.cast_signed();
-        let mut offsets = vec![own];
-        let mut heard = vec![author.instance.clone()];
-        for row in listing.rows {
-            let value = row.value.unwrap_or_default();
-            let Some(clock) = decode::<ClockRow>("clock", &value) else {
-                continue;
-            };
-            if now.since(clock.at) < HEARD_WITHIN && row.key != author.instance {
-                offsets.push(clock.offset);
-                heard.push(row.key);
-            }
-        }
+        let mut offsets: Vec<i64> = others.into_iter().map(|(_, offset)| offset).collect();
+        offsets.push(own);
         if let Some(offset) = middle(&mut offsets) {
             let before = self.offset.swap(offset, Ordering::Relaxed);
             if before.abs_diff(offset) > TOLD_FROM {
@@ -87,7 +95,7 @@
             ..Transaction::default()
         };
         self.store.transact(&write).await?;
-        Ok(heard)
+        Ok(())
     }
 }
 
--- a/src/usage/counter.rs
+++ b/src/usage/counter.rs
@@ -84,9 +84,7 @@
             }
             self.tally().close(self.clocks.now());
             if self.write().await {
-                let gathered = PACE - GATHER;
-                let closing = tokio::time::sleep(gathered.as_duration());
-                closing.await;
+                tokio::time::sleep((PACE - GATHER).as_duration()).await;
             }
         }
     }
@@ -94,7 +92,7 @@
     async fn keep_clocks(self: Arc<Self>) {
         loop {
             let wait = match self.clocks.settle(&self.author).await {
-                Ok(_) => CLOCKS_EVERY,
+                Ok(()) => CLOCKS_EVERY,
                 Err(error) => {
                     tracing::debug!(%error, "clocks are not compared");
                     AGAIN
--- a/src/usage/reporter.rs
+++ b/src/usage/reporter.rs
@@ -222,7 +222,8 @@
         if !may_sum(end, 0, now) {
             return Ok(None);
         }
-        let gateways = self.counter.clocks.settle(&self.author).await?;
+        let mut gateways = self.counter.clocks.heard(&self.author).await?;
+        gateways.push(self.author.instance.clone());
         let counted = self.counted(window).await?;
         let closed = |(author, part): &(String, Part)| part.closed.then(|| author.clone());
         let closed: HashSet<String> = counted.iter().filter_map(closed).collect();
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -250,7 +250,7 @@
     }
 
     /// The attempt of `request` showed nothing: another may be made.
-    pub fn release_trial(&self, request: Fingerprint) {
+    pub fn release_attempt(&self, request: Fingerprint) {
         self.write(trial_key(request, self.ended(request)), false);
     }
 
--- a/standins/src/site/cloud.rs
+++ b/standins/src/site/cloud.rs
@@ -1,5 +1,6 @@
 //! The platform's side of duties that one instance does for all: it takes reports of use.
 
+use super::plain::lock;
 use crate::server::Server;
 use http_body_util::BodyExt;
 use hyper::{
@@ -15,7 +16,7 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
+    sync::{Arc, Mutex}, //
 };
 
 /// How the platform behaves.
@@ -142,7 +143,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -262,6 +262,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/standins/tests/integration/crashes.rs
+++ b/standins/tests/integration/crashes.rs
@@ -88,6 +88,17 @@
     }
 }
 
+/// Lets requests with seven events end the engines that run them, `event` each.
+fn set_fatal(scene: &Scene, event: Millis) {
+    for engine in &scene.engines {
+        engine.set_event(event);
+        engine.set_faults(EngineFaults {
+            fatal: Some("7".to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+}
+
 async fn call(scene: &Scene, gateway: usize, path: &str, id: &str, body: &str) -> Option<u16> {
     let headers = [("x-attempt-id", id), ("x-deadline-ms", "1500")];
     let answer = scene.send(gateway, Method::POST, path, &headers, body.to_owned());
@@ -292,13 +303,7 @@
     }]));
     sleep(DOWN).await;
     let mut lives = engine_lives(&scene);
-    for engine in &scene.engines {
-        engine.set_event(Millis(20));
-        engine.set_faults(EngineFaults {
-            fatal: Some("7".to_owned()),
-            ..EngineFaults::default()
-        });
-    }
+    set_fatal(&scene, Millis(20));
 
     for round in 0..8 {
         // A stream that breaks off has no whole answer.
@@ -330,13 +335,7 @@
     };
     let scene = Scene::open(shape).await.unwrap();
     let mut lives = engine_lives(&scene);
-    for engine in &scene.engines {
-        engine.set_event(Millis(20));
-        engine.set_faults(EngineFaults {
-            fatal: Some("7".to_owned()),
-            ..EngineFaults::default()
-        });
-    }
+    set_fatal(&scene, Millis(20));
     let mut batch = Batch::new("fatal", 4, 4, 20);
     batch.groups[1][2] = 7;
     let fatal = batch.item(1, 2);
@@ -414,13 +413,7 @@
         };
         let scene = Scene::open(shape).await.unwrap();
         let mut lives = engine_lives(&scene);
-        for engine in &scene.engines {
-            engine.set_event(Millis(self.event));
-            engine.set_faults(EngineFaults {
-                fatal: Some("7".to_owned()),
-                ..EngineFaults::default()
-            });
-        }
+        set_fatal(&scene, Millis(self.event));
         let mut batches = Vec::new();
         for number in 0..self.batches {
             let mut batch = Batch::new(&format!("fatal{number}"), 2, 3, 12);
