Items under which engines end: known-red tests traced and mended

suspects_keep_nobody_lying: a runner that gave a bundle back kept its claim. Its engine was back 300 ms later, before a heartbeat could say that it was gone, so the others took the bundle for held; it had filled its own places with another one, and the items lay until a join after 6 s. Ruled out: a third end counted against them (there were two). Now the claim is written as held by nobody.

items_beside_several_that_end_engines_are_whole (5 engines ended, 4 allowed): runs that broke off were not counted. (1) Where several runs lose an engine at once, one of them told the work loop, and the others then found no engine to look at. (2) An engine that was back within 100 ms looked as if it had not ended. (3) Items with one end ran at two runners at once. (4) The attempt of a run whose engine's fate was unknown was free at once. Now: one attempt at a time from the first end on, in a table of its own, freed only after what it showed is written, conditionally; broken runs are kept until a report shows which life the engine has.

A last look 1.5 s later goes by the announcements.

--- a/src/batch/claim.rs
+++ b/src/batch/claim.rs
@@ -17,6 +17,20 @@
 }
 
 impl Claim {
+    /// The word of a former holder that nobody runs the bundle.
+    pub fn free() -> Self {
+        Self {
+            holder: String::new(),
+            second: None,
+            token: 0,
+        }
+    }
+
+    /// Whether nobody runs the bundle, by its former holder's word.
+    pub fn is_free(&self) -> bool {
+        self.holder.is_empty()
+    }
+
     /// Whether `other` is the same claim, perhaps written by another try.
     pub fn is_same_run(&self, other: &Self) -> bool {
         let name = |claim: &Self| (claim.holder.clone(), claim.token, claim.second.clone());
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -130,7 +130,7 @@
         let trial = self.take_trial(call).await;
         for _ in 0..=REFUSALS_MOST {
             // Its caller opens a stream anew after each end of a server.
-            if self.is_barred(call, trial && tried.is_empty()) {
+            if self.is_barred(call, trial.is_some() && tried.is_empty()) {
                 return StreamEnd::NotRun {
                     reason: QUARANTINE.to_owned(),
                     wait: WAIT_QUARANTINE,
--- a/src/calls/look.rs
+++ b/src/calls/look.rs
@@ -8,7 +8,8 @@
 use crate::{
     base::{Fingerprint, Millis},
     policy::quarantine::Verdict,
-    routing::Server, //
+    routing::Server,
+    view::Attempt, //
 };
 use std::sync::Arc;
 use tokio::runtime::Handle;
@@ -18,6 +19,10 @@
 /// takes a second at least.
 const LOOK_LATER: Millis = Millis(500);
 
+/// When to look for the last time, after that: the announcement of a server's next life
+/// is known by then.
+const LOOK_LAST: Millis = Millis(1_500);
+
 /// How long the look whether a server has ended may take: some round trips between
 /// data centres. The call waits for it before it is sent on.
 const LOOK_WITHIN: Millis = Millis(100);
@@ -29,18 +34,21 @@
 pub(super) const WAIT_QUARANTINE: Millis = Millis(60_000);
 
 impl Caller {
-    /// Whether `call` is in quarantine, and this attempt of it is its trial.
-    pub(super) async fn take_trial(&self, call: &Call) -> bool {
+    /// The trial of `call`, if it is in quarantine and this is the one to try it.
+    pub(super) async fn take_trial(&self, call: &Call) -> Option<Attempt> {
         let request = call.fingerprint;
         self.crashes.wait_listed().await;
-        self.crashes.judge(request) == Verdict::Trial && self.crashes.claim_trial(request).await
+        match self.crashes.judge(request) {
+            Verdict::Trial => self.crashes.claim_trial(request).await,
+            _ => None,
+        }
     }
 
     /// Whether `call` may not be sent: it is in quarantine, and this is not the one
     /// attempt of its `trial`.
     pub(super) fn is_barred(&self, call: &Call, trial: bool) -> bool {
         match self.crashes.judge(call.fingerprint) {
-            Verdict::Clear | Verdict::Suspect => false,
+            Verdict::Clear | Verdict::Watched | Verdict::Suspect => false,
             Verdict::Trial => !trial,
             Verdict::Barred => true,
         }
@@ -56,10 +64,16 @@
         let server = server.clone();
         let announced = self.is_announced(&server);
         runtime.spawn(async move {
+            let is_open = || caller.state().book.is_open(&server.life, request);
             tokio::time::sleep(LOOK_LATER.as_duration()).await;
-            if caller.state().book.is_open(&server.life, request) {
+            if is_open() {
                 caller.look(&server, End::Broke, announced).await;
             }
+            // A server that was back before that look seemed to live.
+            tokio::time::sleep(LOOK_LAST.as_duration()).await;
+            if is_open() && caller.is_replaced(&server) {
+                caller.count_end(&server, announced);
+            }
         });
     }
 
@@ -81,9 +95,13 @@
             End::Gone => true,
             End::Lives | End::Unknown => false,
         };
-        if !has_ended {
-            return;
+        if has_ended {
+            self.count_end(server, announced);
         }
+    }
+
+    /// Counts the end of `server` against the requests that were given up there of late.
+    fn count_end(&self, server: &Server, announced: bool) {
         let now = self.site.now();
         let requests = self.state().book.end_life(&server.life, now);
         if announced {
--- a/src/calls/run.rs
+++ b/src/calls/run.rs
@@ -12,7 +12,8 @@
     base::{Millis, Verdict},
     net::Answer,
     policy::{freshness::WAIT_STALE, server_choice::hedge_after},
-    routing::{Kind, Life}, //
+    routing::{Kind, Life},
+    view, //
 };
 use futures_util::{
     StreamExt,
@@ -34,8 +35,8 @@
     ran: u32,
     /// Attempts that did not.
     refusals: u32,
-    /// Whether the call is in quarantine, and this is the trial of it.
-    trial: bool,
+    /// The call is in quarantine, and this is the trial of it.
+    trial: Option<view::Attempt>,
     tried: Vec<Life>,
 }
 
@@ -50,7 +51,7 @@
             last: "no-server",
             ran: 0,
             refusals: 0,
-            trial: false,
+            trial: None,
             tried: Vec::new(),
         }
     }
@@ -118,7 +119,7 @@
         // A call that ends each server that runs it would end all of them: its
         // attempts here and its caller's returns elsewhere are one request, whose
         // crashes all instances count together.
-        let trial = self.trial && self.tried.is_empty();
+        let trial = self.trial.is_some() && self.tried.is_empty();
         if self.caller.is_barred(self.call, trial) {
             self.last = QUARANTINE;
             return None;
@@ -184,8 +185,8 @@
     }
 
     fn end(&self, kept: Option<Answer>) -> CallEnd {
-        if self.trial && self.ran == 0 {
-            self.caller.crashes.release_attempt(self.call.fingerprint);
+        if let Some(trial) = self.trial.filter(|_| self.ran == 0) {
+            self.caller.crashes.release_attempt(trial);
         }
         let failures = self.failures;
         if let Some(answer) = kept {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Whether the store does not answer this process.
+    pub fn is_away(&self) -> bool {
+        self.reach.is_away()
+    }
+
     /// The store's clock, by the last answer; the local one before any.
     pub fn now(&self) -> Millis {
         let now = self.clock.now();
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -19,6 +19,8 @@
 pub enum Verdict {
     /// It runs as any other.
     Clear,
+    /// One server has ended under it: it runs at one instance at a time.
+    Watched,
     /// Two servers have ended under it: it runs apart from others like it.
     Suspect,
     /// It is in quarantine, and one attempt may show whether rightly.
@@ -103,7 +105,8 @@
         let ended = lives.len();
         if ended < ENDED_MOST {
             return match ended {
-                0 | 1 => Verdict::Clear,
+                0 => Verdict::Clear,
+                1 => Verdict::Watched,
                 _ => Verdict::Suspect,
             };
         }
--- a/src/runner/engine_state.rs
+++ b/src/runner/engine_state.rs
@@ -53,6 +53,9 @@
         if met.is_some_and(|met| is_settled(announced_id, &met)) {
             self.engine.met.send_replace(None);
         }
+        if let (Some(present), Some((_, seen))) = (&life, &self.report) {
+            self.engine.settle_broken(present, *seen);
+        }
         if life.is_some() && self.life != life {
             self.forget_engine();
             self.life.clone_from(&life);
--- /dev/null
+++ b/src/runner/give_back.rs
@@ -0,0 +1,47 @@
+//! Gives bundles back that this runner has taken and does not run.
+
+use super::work::Work;
+use crate::{
+    base::Millis,
+    batch::{Claim, WORK, WorkKey, encode, part_of},
+    store::{Key, Outcome, Transaction}, //
+};
+
+/// How long a bundle is kept for what its runs showed of their engine to be written:
+/// some tries of a write.
+const SHARED_WITHIN: Millis = Millis(600);
+
+impl Work {
+    /// Writes that nobody holds `bundle` any more, unless another runner runs it as well.
+    ///
+    /// An engine may be back before a heartbeat could say that it was gone: others took
+    /// the bundle for held, and its runner had no room left for it.
+    pub(super) fn give_back(&self, id: &str, bundle: u16) {
+        let Some(batch) = self.batches.get(id) else {
+            return;
+        };
+        let held = batch.claims.get(&bundle);
+        let Some(held) = held.filter(|held| held.claim.second.is_none()) else {
+            return;
+        };
+        if !batch.is_claimed_by(bundle, &self.instance, self.token) {
+            return;
+        }
+        let key = Key::new(WORK, part_of(id), WorkKey::Claim(bundle).to_string());
+        let transaction = Transaction {
+            expect: vec![(key.clone(), held.revision)],
+            remove: Vec::new(),
+            set: vec![(key, encode(&Claim::free()))],
+        };
+        let (store, crashes) = (self.store.clone(), self.engine.crashes.clone());
+        let id = id.to_owned();
+        tokio::spawn(async move {
+            crashes.wait_shared(SHARED_WITHIN).await;
+            match store.transact(&transaction).await {
+                Ok(Outcome::Done { .. }) => tracing::info!(batch = id, bundle, "bundle given back"),
+                Ok(Outcome::Conflict { .. }) => {}
+                Err(error) => tracing::info!(batch = id, bundle, %error, "bundle not given back"),
+            }
+        });
+    }
+}
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -6,6 +6,7 @@
 mod engine_state;
 mod engine_watch;
 mod event;
+mod give_back;
 mod heartbeat;
 mod heartbeats;
 mod items;
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -213,7 +213,7 @@
             return Some(Holder::Nobody);
         };
         let claim = &held.claim;
-        if claim.holder == self.instance {
+        if claim.is_free() || claim.holder == self.instance {
             return Some(Holder::Nobody);
         }
         if self.away_since.is_none() && !self.heartbeats.works(&claim.holder, held.sign, now) {
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -218,8 +218,9 @@
         held.is_some_and(|held| held.claim.holder == instance && held.claim.token == token)
     }
 
-    /// Gives up the bundles of which nothing runs and something is left.
-    pub(super) fn release_idle(&mut self) {
+    /// Gives up the bundles of which nothing runs and something is left; returns them.
+    pub(super) fn release_idle(&mut self) -> Vec<u16> {
+        let mut released = Vec::new();
         let running = &self.running;
         let head = &self.head;
         let log = &self.log;
@@ -231,7 +232,12 @@
             let items = items.map_or(&[][..], |bundle| &bundle.items);
             let runs = items.iter().any(|index| running.contains_key(index));
             let open = items.iter().any(|index| !is_made(index));
-            waits || runs || !open
+            let kept = waits || runs || !open;
+            if !kept {
+                released.push(*bundle);
+            }
+            kept
         });
+        released
     }
 }
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -206,10 +206,15 @@
 }
 
 impl OpenBatch {
-    /// Bundles that nobody has claimed.
+    /// Bundles that nobody holds.
     fn waiting_bundles(&self) -> impl Iterator<Item = u16> {
         let bundles = 0..self.head.bundles.len() as u16;
-        bundles.filter(|bundle| !self.claims.contains_key(bundle) && !self.left(*bundle).is_empty())
+        bundles.filter(|bundle| !self.is_held(*bundle) && !self.left(*bundle).is_empty())
+    }
+
+    fn is_held(&self, bundle: u16) -> bool {
+        let held = self.claims.get(&bundle);
+        held.is_some_and(|held| !held.claim.is_free())
     }
 
     /// Whether an unclaimed bundle falls to the runner at `place` that it has not
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -42,7 +42,9 @@
         }
         // Also after a whole run: items of the bundle that were dropped before it
         // ended stayed taken here and ran nowhere until they were given up.
-        batch.release_idle();
+        for bundle in batch.release_idle() {
+            self.give_back(batch_id, bundle);
+        }
     }
 
     /// Sends the results of each batch to the store, one transaction at a time.
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -2,7 +2,7 @@
 
 use super::{
     score::{Score, Scorers},
-    suspects::Settled,
+    suspects::{Admitted, BrokenRun, Settled},
     text::Text, //
 };
 use crate::{
@@ -46,6 +46,8 @@
 pub(super) struct Engine {
     /// Held by the suspect whose turn it is to begin here.
     pub(super) apart: Arc<Semaphore>,
+    /// Runs that broke off while the engine seemed to live.
+    pub(super) broken: Arc<Mutex<Vec<BrokenRun>>>,
     pub(super) clock: Clock,
     pub(super) crashes: Arc<Crashes>,
     /// The life whose end a run saw last.
@@ -195,17 +197,17 @@
     loop {
         // An item that ends each engine that runs it goes from runner to runner,
         // which count its engines' ends together.
-        let Some(place) = engine.admit(&task).await else {
+        let Some(Admitted { attempt, place }) = engine.admit(&task).await else {
             return ItemEnd::Dropped;
         };
         let now = engine.clock.now();
         let server = engine.server.borrow().clone();
         let Some(server) = server.filter(|_| now < task.until) else {
-            engine.let_go(&task);
+            engine.let_go(attempt);
             return ItemEnd::Dropped;
         };
         if engine.lost.borrow().as_ref() == Some(&server) {
-            engine.let_go(&task);
+            engine.let_go(attempt);
             drop(place);
             // The work loop does not know yet. A run that begins now finds an
             // engine that is closing down, whose end would count against it.
@@ -220,7 +222,8 @@
             }
         };
         let (run, place) = place.hold(running).await;
-        if engine.settle(&server, &task, &run, place).await == Settled::GivenBack {
+        let admitted = (attempt, place);
+        if engine.settle(&server, &task, &run, admitted).await == Settled::GivenBack {
             return ItemEnd::Dropped;
         }
         match run {
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -57,6 +57,7 @@
             clock,
             engine: Engine {
                 apart: Arc::new(Semaphore::new(1)),
+                broken: Arc::default(),
                 clock,
                 crashes: crashes.clone(),
                 lost: watch::Sender::new(None),
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -98,7 +98,7 @@
                 return Score::GivenUp;
             }
             let wait = match self.caller.crashes.judge(fingerprint) {
-                Verdict::Clear => AGAIN,
+                Verdict::Clear | Verdict::Watched => AGAIN,
                 Verdict::Suspect | Verdict::Trial | Verdict::Barred => AGAIN_SUSPECT,
             };
             tokio::time::sleep(wait.as_duration()).await;
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -6,15 +6,16 @@
     Task, //
 };
 use crate::{
-    base::Millis,
+    base::{Fingerprint, Millis},
     net::CallError,
     policy::quarantine::Verdict,
     routing::Life,
-    view::Claimed, //
+    view::{Attempt, Claimed}, //
 };
-use std::sync::atomic::{
-    AtomicUsize,
-    Ordering, //
+use std::sync::{
+    MutexGuard,
+    PoisonError,
+    atomic::{AtomicUsize, Ordering}, //
 };
 use tokio::sync::{
     RwLockReadGuard,
@@ -46,6 +47,15 @@
 const TURN_MOST: Millis = Millis(1_600);
 
 impl Place<'_> {
+    /// Whether an item of which `verdict` is known may begin here.
+    fn suits(&self, verdict: Verdict) -> bool {
+        match verdict {
+            Verdict::Clear | Verdict::Watched => matches!(self, Self::Shared { .. }),
+            Verdict::Suspect | Verdict::Trial => matches!(self, Self::Alone { .. }),
+            Verdict::Barred => false,
+        }
+    }
+
     /// Waits for `run`, which holds this place: a suspect's for a while only.
     pub(super) async fn hold<T>(self, run: impl Future<Output = T>) -> (T, Option<Self>) {
         let mut run = std::pin::pin!(run);
@@ -62,9 +72,24 @@
     }
 }
 
-/// How long a runner has for the attempt of a suspect: longer than it takes to end its
-/// engine, and shorter than an item may lie when its runner was killed.
-const SUSPECT_KEPT: Millis = Millis(3_000);
+/// How long a runner has for an attempt: longer than an item takes to end its engine,
+/// and shorter than it may lie when its runner was killed.
+const ATTEMPT_KEPT: Millis = Millis(3_000);
+
+/// What lets an item begin.
+pub(super) struct Admitted<'a> {
+    /// `None` for an item under which no engine has ended, or while the store is away.
+    pub(super) attempt: Option<Attempt>,
+    pub(super) place: Place<'a>,
+}
+
+/// Whose turn it is to run an item.
+enum Turn {
+    /// More engines have ended under it meanwhile.
+    Again,
+    Mine(Option<Attempt>),
+    Others,
+}
 
 /// Counts an item as waiting in quarantine until it is dropped.
 struct Waiting<'a>(&'a AtomicUsize);
@@ -82,6 +107,28 @@
     }
 }
 
+/// A run whose connection broke.
+#[derive(Clone, Debug)]
+pub(super) struct BrokenRun {
+    at: Millis,
+    attempt: Option<Attempt>,
+    life: Life,
+    request: Fingerprint,
+}
+
+/// A report may have been made so long before it came.
+const REPORT_LATE: Millis = Millis(100);
+
+/// The most of them that are kept: some times what an engine runs at once.
+const BROKEN_MOST: usize = 64;
+
+/// Whether `next` began after `life`. Where engines don't tell when they started, ids
+/// tell lives apart.
+fn is_later(next: &Life, life: &Life) -> bool {
+    let untold = next.born == Millis(0) && next.id != life.id;
+    next.born > life.born || untold
+}
+
 /// What becomes of an item after a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Settled {
@@ -103,10 +150,11 @@
 impl Engine {
     /// Waits until `task` may run; `None` when its time is over before.
     ///
-    /// A suspect begins with the engine to itself, so that the engine's next end tells
-    /// of it alone. Beside an item that ends engines and isn't suspected yet, items that did
-    /// nothing wrong had their third end, and then their trial's; they were given up.
-    pub(super) async fn admit(&self, task: &Task) -> Option<Place<'_>> {
+    /// An item under which an engine has ended runs at one instance at a time: its
+    /// bundle may have two runners, and it would end both their engines. A suspect also
+    /// begins with the engine to itself, so that the engine's next end tells of it
+    /// alone: beside it, items that did nothing wrong had their third end.
+    pub(super) async fn admit(&self, task: &Task) -> Option<Admitted<'_>> {
         let end = self.end_of(task);
         let request = task.fingerprint;
         let mut waiting = None;
@@ -116,7 +164,7 @@
         }
         loop {
             let place = match self.crashes.judge(request) {
-                Verdict::Clear => {
+                Verdict::Clear | Verdict::Watched => {
                     let shared = tokio::time::timeout_at(end, self.places.read()).await;
                     Some(Place::Shared {
                         _guard: shared.ok()?,
@@ -126,26 +174,19 @@
                 Verdict::Barred => None,
             };
             // Whoever ran before may have shown what this one is.
-            match (self.crashes.judge(request), place) {
-                (Verdict::Clear, Some(place)) => return Some(place),
-                // Its bundle may have two runners: it would end both their engines.
-                (Verdict::Suspect, Some(place @ Place::Alone { .. })) => {
-                    let claimed = self.crashes.claim_attempt(request, SUSPECT_KEPT).await;
-                    if claimed != Claimed::Elsewhere {
-                        return Some(place);
-                    }
-                }
-                (Verdict::Trial, Some(place @ Place::Alone { .. })) => {
-                    if self.crashes.claim_trial(request).await {
-                        return Some(place);
-                    }
-                }
-                (Verdict::Suspect | Verdict::Trial, Some(Place::Shared { .. })) => continue,
-                (_, None) | (Verdict::Barred, Some(_)) => {}
+            let verdict = self.crashes.judge(request);
+            match place {
+                Some(place) if place.suits(verdict) => match self.claim(request, verdict).await {
+                    Turn::Mine(attempt) => return Some(Admitted { attempt, place }),
+                    Turn::Again => continue,
+                    Turn::Others => {}
+                },
+                Some(_) if verdict != Verdict::Barred => continue,
+                Some(_) | None => {}
             }
             if waiting.is_none() {
                 let item = &task.item.id;
-                tracing::warn!(item, %request, "in quarantine: the item waits");
+                tracing::warn!(item, %request, ?verdict, "the item waits: engines have ended under it");
                 waiting = Some(Waiting::begin(&self.waiting));
             }
             // It keeps its bundle, which would be offered and taken again and again.
@@ -154,6 +195,34 @@
         }
     }
 
+    /// Takes the attempt of a request of which `verdict` was known, unless it is clear.
+    async fn claim(&self, request: Fingerprint, verdict: Verdict) -> Turn {
+        let claimed = match verdict {
+            Verdict::Clear => return Turn::Mine(None),
+            Verdict::Watched | Verdict::Suspect => {
+                self.crashes.claim_attempt(request, ATTEMPT_KEPT).await
+            }
+            Verdict::Trial => match self.crashes.claim_trial(request).await {
+                Some(attempt) => Claimed::Here(attempt),
+                None => Claimed::Elsewhere,
+            },
+            Verdict::Barred => return Turn::Others,
+        };
+        match claimed {
+            // The claim has read what others saw meanwhile.
+            Claimed::Here(attempt) if self.crashes.judge(request) == verdict => {
+                Turn::Mine(Some(attempt))
+            }
+            Claimed::Here(attempt) => {
+                self.crashes.release_attempt(attempt);
+                Turn::Again
+            }
+            // Without the store each runner goes by what it knows.
+            Claimed::Unknown => Turn::Mine(None),
+            Claimed::Elsewhere => Turn::Others,
+        }
+    }
+
     /// A suspect's place: other suspects go before it, and the runs before it end, as
     /// far as that takes no longer than an item may lie.
     async fn isolate(&self) -> Place<'_> {
@@ -166,15 +235,6 @@
         }
     }
 
-    /// Gives back the attempt of a suspect that did not begin: whoever runs it next
-    /// would wait for it until it is free by itself, and the item would lie.
-    pub(super) fn let_go(&self, task: &Task) {
-        let verdict = self.crashes.judge(task.fingerprint);
-        if matches!(verdict, Verdict::Suspect | Verdict::Trial) {
-            self.crashes.release_attempt(task.fingerprint);
-        }
-    }
-
     /// Whether a suspect has the engine to itself, or waits for that.
     pub(super) fn is_isolating(&self) -> bool {
         self.places.try_read().is_err()
@@ -189,20 +249,8 @@
     /// true if so.
     async fn look_after(&self, server: &Life, task: &Task, run: &Run) -> bool {
         let has_ended = match run {
-            Run::Outlived => {
-                let next = self.server.borrow().clone();
-                // Where engines don't tell when they started, ids tell lives apart.
-                let untold = |next: &Life| next.born == Millis(0) && next.id != server.id;
-                let is_later = |next: &Life| next.born > server.born || untold(next);
-                let started = next.as_ref().is_some_and(is_later);
-                let directory = self.scorers.site.directory();
-                let known = directory.get(&server.id);
-                started && known.is_some_and(|known| !known.draining)
-            }
-            Run::Broken(CallError::Broken { .. }) => {
-                let here = self.server.borrow().as_ref() == Some(server);
-                here && self.peer.is_gone(LOOK_WITHIN).await
-            }
+            Run::Outlived => self.is_outlived(server),
+            Run::Broken(CallError::Broken { .. }) => self.has_ended(server).await,
             _ => false,
         };
         if has_ended {
@@ -212,6 +260,64 @@
         has_ended
     }
 
+    /// Whether the life `server`, whose connection broke, has ended and was not to.
+    async fn has_ended(&self, server: &Life) -> bool {
+        // Several runs lose their engine at once: what one of them found, and the work
+        // loop by it, holds for all.
+        let found = self.lost.borrow().as_ref() == Some(server);
+        let present = self.server.borrow().clone();
+        match present {
+            Some(present) if present == *server => found || self.peer.is_gone(LOOK_WITHIN).await,
+            Some(_) => self.is_outlived(server),
+            None if self.is_leaving(server) != Some(false) => false,
+            None => found || self.peer.is_gone(LOOK_WITHIN).await,
+        }
+    }
+
+    /// Settles the runs that broke off, by a report that came at `seen` of the life
+    /// `present`: it lives, or is a later one.
+    ///
+    /// An engine that is back at once looks as if it had not ended. Another attempt of
+    /// the item before that is known would end another engine.
+    pub(super) fn settle_broken(&self, present: &Life, seen: Millis) {
+        self.broken().retain(|run| {
+            let lives = run.life == *present && seen > run.at + REPORT_LATE;
+            let ended = is_later(present, &run.life);
+            if ended && self.is_leaving(&run.life) != Some(true) {
+                self.crashes.note(&run.life, &[run.request]);
+            }
+            if lives || ended {
+                self.let_go(run.attempt);
+            }
+            !lives && !ended
+        });
+    }
+
+    /// Keeps a run that broke off until it is known whether its engine has ended.
+    fn note_broken(&self, run: BrokenRun) {
+        let mut broken = self.broken();
+        if broken.len() < BROKEN_MOST {
+            broken.push(run);
+        }
+    }
+
+    fn broken(&self) -> MutexGuard<'_, Vec<BrokenRun>> {
+        self.broken.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a later life has taken the place of `server`, which was not to end.
+    fn is_outlived(&self, server: &Life) -> bool {
+        let next = self.server.borrow().clone();
+        let is_later = next.is_some_and(|next| is_later(&next, server));
+        is_later && self.is_leaving(server) != Some(true)
+    }
+
+    /// Whether a server called as `server` leaves; `None` where none is announced.
+    fn is_leaving(&self, server: &Life) -> Option<bool> {
+        let directory = self.scorers.site.directory();
+        directory.get(&server.id).map(|known| known.draining)
+    }
+
     /// Waits until the end of the life `server` is known to the work loop.
     pub(super) async fn noticed(&self, server: &Life) {
         let mut known = self.server.clone();
@@ -220,26 +326,40 @@
         let _ = tokio::time::timeout(NOTICED_WITHIN.as_duration(), other).await;
     }
 
-    /// Takes what a run, which may still hold its `place`, tells of its item.
+    /// Gives back the attempt of an item that is over or did not begin: whoever runs it
+    /// next would wait for it until it is free by itself, and the item would lie.
+    pub(super) fn let_go(&self, attempt: Option<Attempt>) {
+        if let Some(attempt) = attempt {
+            self.crashes.release_attempt(attempt);
+        }
+    }
+
+    /// Takes what a run tells of its item; `admitted` may have given its place back.
     pub(super) async fn settle(
         &self,
         server: &Life,
         task: &Task,
         run: &Run,
-        place: Option<Place<'_>>,
+        admitted: (Option<Attempt>, Option<Place<'_>>),
     ) -> Settled {
         let request = task.fingerprint;
+        let (attempt, place) = admitted;
         let ended = self.look_after(server, task, run).await;
         drop(place);
+        match run {
+            Run::Broken(CallError::Broken { .. }) if !ended => self.note_broken(BrokenRun {
+                at: self.clock.now(),
+                attempt,
+                life: server.clone(),
+                request,
+            }),
+            _ => self.let_go(attempt),
+        }
         if matches!(run, Run::Whole | Run::Failed | Run::Impossible) {
             self.crashes.survived(request);
         }
         let verdict = self.crashes.judge(request);
-        // The run broke off or did not begin, and its engine lives.
-        if !ended {
-            self.let_go(task);
-        }
-        if !ended || verdict == Verdict::Clear {
+        if !ended || matches!(verdict, Verdict::Clear | Verdict::Watched) {
             return Settled::Kept;
         }
         // Others take its bundle over by now. It is claimed anew, so that it does
--- a/src/view/crash_row.rs
+++ b/src/view/crash_row.rs
@@ -23,20 +23,16 @@
     pub(super) request: Fingerprint,
 }
 
-/// The row that lets one instance try a request in quarantine, after `ended`
-/// servers ended under it.
-pub(super) fn trial_key(request: Fingerprint, ended: usize) -> Key {
-    Key::new(CRASHES, "", format!("{request}/{TRIAL}/{ended}"))
-}
+/// The table of attempts. Each is a row in a part of its own, as hundreds of requests
+/// may lose their servers at once, and nobody follows them.
+const ATTEMPTS: &str = "attempts";
 
-/// Whether `key` names a trial.
-pub(super) fn is_trial(key: &str) -> bool {
-    key.split('/').nth(1) == Some(TRIAL)
+/// The row that lets one instance run a request under which servers have ended.
+pub(super) fn attempt_key(request: Fingerprint) -> Key {
+    Key::new(ATTEMPTS, request.to_string(), "attempt")
 }
 
-const TRIAL: &str = "trial";
-
-/// What the row holds beside its key.
+/// What a row holds beside its key.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 struct Value {
     /// By the store's clock.
@@ -61,12 +57,12 @@
     }
 }
 
-/// The row's value for a crash at `at`.
+/// The value of a row that was written at `at`.
 pub(super) fn value_at(at: Millis) -> Bytes {
     encode(&Value { at })
 }
 
-/// When the crash was, by its row's value.
+/// When a row was written, by its value.
 pub(super) fn read_at(value: &[u8]) -> Option<Millis> {
-    decode::<Value>("crash", value).map(|value| value.at)
+    decode::<Value>("crash or attempt", value).map(|value| value.at)
 }
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -3,9 +3,8 @@
 use super::crash_row::{
     CRASHES,
     Crash,
-    is_trial,
+    attempt_key,
     read_at,
-    trial_key,
     value_at, //
 };
 use crate::{
@@ -21,8 +20,7 @@
         Arc,
         Mutex,
         MutexGuard,
-        PoisonError,
-        atomic::{AtomicUsize, Ordering}, //
+        PoisonError, //
     },
 };
 use tokio::{
@@ -42,28 +40,37 @@
     quarantine: Mutex<Quarantine>,
     store: Store,
     /// Changes that are not in the store yet.
-    unshared: AtomicUsize,
+    unshared: watch::Sender<usize>,
     writes: mpsc::Sender<Write>,
 }
 
-/// Who may try a request that may end its server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Who may run a request that may end its server.
+#[derive(Clone, Copy, Debug)]
 pub enum Claimed {
     Elsewhere,
-    Here,
+    Here(Attempt),
     /// The store can't tell.
     Unknown,
 }
 
+/// The one attempt of a request that all instances may make at a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    request: Fingerprint,
+    /// Of its row, which another claim replaces.
+    revision: u64,
+}
+
 /// Takes what is to be written; for [`keep_crashes`].
 pub struct CrashWrites(mpsc::Receiver<Write>);
 
 /// A change that all instances should learn.
 #[derive(Debug)]
-struct Write {
-    /// Whether the row stands from now on, or is removed.
-    counts: bool,
-    key: Key,
+enum Write {
+    /// A crash, whose row stands from now on or is removed.
+    Crash { counts: bool, key: Key },
+    /// An attempt is over; what it showed was queued before.
+    Release(Attempt),
 }
 
 /// Changes that may wait for the store. A server's end concerns some ten requests;
@@ -105,7 +112,7 @@
             listed_until: Instant::now() + LISTED_WITHIN.as_duration(),
             quarantine: Mutex::default(),
             store,
-            unshared: AtomicUsize::new(0),
+            unshared: watch::Sender::new(0),
             writes,
         };
         (Arc::new(crashes), CrashWrites(pending))
@@ -132,7 +139,7 @@
                 tracing::warn!(%request, ended, "request in quarantine");
                 metrics::counter!("redwing_requests_quarantined_total").increment(1);
             }
-            self.write(Crash { life, request }.key(), true);
+            self.write_crash(Crash { life, request }.key(), true);
         }
     }
 
@@ -145,10 +152,7 @@
         let ended = acquitted.len();
         tracing::info!(%request, ended, "request acquitted: a server answered it");
         for life in acquitted {
-            self.write(Crash { life, request }.key(), false);
-        }
-        for ended in ENDED_MOST..=ended {
-            self.write(trial_key(request, ended), false);
+            self.write_crash(Crash { life, request }.key(), false);
         }
     }
 
@@ -158,23 +162,29 @@
         self.quarantine().judge(request, now)
     }
 
-    /// Takes the one attempt of `request` that all instances may make at its present
-    /// count of ends. An attempt that came to nothing is free after `kept`.
+    /// Takes the one attempt of `request` that all instances may make at a time, and
+    /// reads what the attempts before it have shown. One that its holder never ended
+    /// is free after `kept`.
     pub async fn claim_attempt(&self, request: Fingerprint, kept: Millis) -> Claimed {
-        let ended = self.ended(request);
-        let key = trial_key(request, ended);
-        let mut revision = 0;
+        if self.store.is_away() {
+            return Claimed::Unknown;
+        }
+        let key = attempt_key(request);
+        let mut expected = 0;
         for _ in 0..2 {
             let now = self.store.now();
             let transaction = Transaction {
-                expect: vec![(key.clone(), revision)],
+                expect: vec![(key.clone(), expected)],
                 remove: Vec::new(),
                 set: vec![(key.clone(), value_at(now))],
             };
             let rows = match self.store.transact(&transaction).await {
-                Ok(Outcome::Done { .. }) => {
+                Ok(Outcome::Done { revision }) => {
+                    // Its holder before has written what it saw before it ended it.
+                    self.refresh(request).await;
+                    let ended = self.ended(request);
                     tracing::info!(%request, ended, "a request that may end its server is tried");
-                    return Claimed::Here;
+                    return Claimed::Here(Attempt { request, revision });
                 }
                 Ok(Outcome::Conflict { rows }) => rows,
                 Err(error) => {
@@ -187,17 +197,26 @@
                 (now.since(at) >= kept).then_some(row.revision)
             });
             match free {
-                Some(free) => revision = free,
+                Some(free) => expected = free,
+                None if rows.is_empty() => expected = 0,
                 None => return Claimed::Elsewhere,
             }
         }
         Claimed::Elsewhere
     }
 
-    /// Takes the trial of `request`, which is in quarantine; false when another has it,
-    /// or the store can't tell.
-    pub async fn claim_trial(&self, request: Fingerprint) -> bool {
-        self.claim_attempt(request, TRIAL_KEPT).await == Claimed::Here
+    /// Takes the trial of `request`, which is in quarantine; `None` when another has
+    /// it, or the store can't tell.
+    pub async fn claim_trial(&self, request: Fingerprint) -> Option<Attempt> {
+        let Claimed::Here(attempt) = self.claim_attempt(request, TRIAL_KEPT).await else {
+            return None;
+        };
+        // Others may have tried it meanwhile.
+        if self.judge(request) == Verdict::Barred {
+            self.release_attempt(attempt);
+            return None;
+        }
+        Some(attempt)
     }
 
     /// How many servers ended under `request`.
@@ -212,7 +231,14 @@
 
     /// Whether all that this program saw is in the store.
     pub fn are_shared(&self) -> bool {
-        self.unshared.load(Ordering::Relaxed) == 0
+        *self.unshared.borrow() == 0
+    }
+
+    /// Waits at most `within` until all that this program saw is in the store.
+    pub async fn wait_shared(&self, within: Millis) {
+        let mut unshared = self.unshared.subscribe();
+        let none = unshared.wait_for(|unshared| *unshared == 0);
+        let _ = tokio::time::timeout(within.as_duration(), none).await;
     }
 
     /// Reads what others saw under `request`, for a program that can't wait for the
@@ -249,9 +275,9 @@
         let _ = tokio::time::timeout_at(self.listed_until, read).await;
     }
 
-    /// The attempt of `request` showed nothing: another may be made.
-    pub fn release_attempt(&self, request: Fingerprint) {
-        self.write(trial_key(request, self.ended(request)), false);
+    /// The attempt is over: another may be made once all know what it showed.
+    pub fn release_attempt(&self, attempt: Attempt) {
+        self.write(Write::Release(attempt));
     }
 
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
@@ -260,11 +286,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn write(&self, key: Key, counts: bool) {
-        let write = Write { counts, key };
-        self.unshared.fetch_add(1, Ordering::Relaxed);
+    fn write_crash(&self, key: Key, counts: bool) {
+        self.write(Write::Crash { counts, key });
+    }
+
+    fn write(&self, write: Write) {
+        self.unshared.send_modify(|unshared| *unshared += 1);
         if let Err(error) = self.writes.try_send(write) {
-            self.unshared.fetch_sub(1, Ordering::Relaxed);
+            self.unshared.send_modify(|unshared| *unshared -= 1);
             metrics::counter!("redwing_crashes_unshared_total").increment(1);
             tracing::warn!(%error, "a crash is known here only");
         }
@@ -275,9 +304,6 @@
             Change::Put { key, value, .. } => (key, Some(value)),
             Change::Removed { key, .. } => (key, None),
         };
-        if is_trial(&key) {
-            return;
-        }
         let Some(Crash { life, request }) = Crash::parse(&key) else {
             tracing::warn!(key, "an entry names no crash");
             return;
@@ -327,10 +353,8 @@
             _ = sweep.tick() => {
                 let expired = crashes.quarantine().expired(store.now(), ROWS_MOST);
                 for (request, life) in expired {
-                    let ended = crashes.ended(request);
                     crashes.quarantine().forget(request, &life);
-                    crashes.write(trial_key(request, ended), false);
-                    crashes.write(Crash { life, request }.key(), false);
+                    crashes.write_crash(Crash { life, request }.key(), false);
                 }
             }
             else => return,
@@ -338,31 +362,59 @@
     }
 }
 
-/// Writes changes in their order. A write whose outcome is unknown is written
-/// again: it says the same.
+/// Writes changes, and ends attempts once what they showed is written. A write whose
+/// outcome is unknown is written again: it says the same.
 async fn write_all(writes: CrashWrites, crashes: Arc<Crashes>) {
     let CrashWrites(mut writes) = writes;
     let store = &crashes.store;
-    while let Some(first) = writes.recv().await {
-        let mut last = BTreeMap::from([(first.key, first.counts)]);
-        let mut taken = 1;
-        while last.len() < ROWS_MOST
-            && let Ok(next) = writes.try_recv()
-        {
-            last.insert(next.key, next.counts);
-            taken += 1;
+    let mut some = Vec::new();
+    while writes.recv_many(&mut some, ROWS_MOST).await > 0 {
+        let taken = some.len();
+        let mut last = BTreeMap::new();
+        let mut over = Vec::new();
+        for write in some.drain(..) {
+            match write {
+                Write::Crash { counts, key } => {
+                    last.insert(key, counts);
+                }
+                Write::Release(attempt) => over.push(attempt),
+            }
         }
-        let at = value_at(store.now());
-        let (set, remove): (Vec<_>, Vec<_>) = last.into_iter().partition(|(_, counts)| *counts);
-        let transaction = Transaction {
-            expect: Vec::new(),
-            remove: remove.into_iter().map(|(key, _)| key).collect(),
-            set: set.into_iter().map(|(key, _)| (key, at.clone())).collect(),
-        };
-        while let Err(error) = store.transact(&transaction).await {
-            tracing::debug!(%error, "crashes wait for the store");
-            tokio::time::sleep(WRITE_AGAIN.as_duration()).await;
+        if !last.is_empty() {
+            write_crashes(store, last).await;
         }
-        crashes.unshared.fetch_sub(taken, Ordering::Relaxed);
+        for attempt in over {
+            remove_attempt(store, attempt).await;
+        }
+        crashes.unshared.send_modify(|unshared| *unshared -= taken);
+    }
+}
+
+/// Writes the crashes that count and removes the others, until the store has done so.
+async fn write_crashes(store: &Store, crashes: BTreeMap<Key, bool>) {
+    let at = value_at(store.now());
+    let (set, remove): (Vec<_>, Vec<_>) = crashes.into_iter().partition(|(_, counts)| *counts);
+    let transaction = Transaction {
+        expect: Vec::new(),
+        remove: remove.into_iter().map(|(key, _)| key).collect(),
+        set: set.into_iter().map(|(key, _)| (key, at.clone())).collect(),
+    };
+    while let Err(error) = store.transact(&transaction).await {
+        tracing::debug!(%error, "crashes wait for the store");
+        tokio::time::sleep(WRITE_AGAIN.as_duration()).await;
+    }
+}
+
+/// Frees an attempt, unless another holds it by now. One that stays is free by itself
+/// after a while.
+async fn remove_attempt(store: &Store, attempt: Attempt) {
+    let key = attempt_key(attempt.request);
+    let transaction = Transaction {
+        expect: vec![(key.clone(), attempt.revision)],
+        remove: vec![key],
+        set: Vec::new(),
+    };
+    if let Err(error) = store.transact(&transaction).await {
+        tracing::debug!(%error, "an attempt is not freed");
     }
 }
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -9,7 +9,7 @@
 
 pub use self::{
     confirm::confirm,
-    crashes::{Claimed, CrashWrites, Crashes, keep_crashes},
+    crashes::{Attempt, Claimed, CrashWrites, Crashes, keep_crashes},
     keeper::keep,
     site::Site, //
 };
