Heartbeats lie in 64 parts of the store

Cause: a part takes 200 transactions a second, and each runner writes one a second into the same part.

Two ways weighed: a row a part for each instance (no contention, but a listing of 347 calls for each runner that starts), and 64 parts (5 writes a second each at 347 runners, 11 at 694, 52 at 3,300). A slower heartbeat was not chosen: it would tell of a runner's end later.

A test counts the writes of a part for 347, 694 and 3,300 runners; it fails for one part.

--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -1,5 +1,7 @@
 //! Where a batch lies in the store.
 
+use crate::base::stable_hash;
+
 /// Heads, logs, claims and heartbeats: what every runner follows.
 pub const WORK: &str = "work";
 
@@ -13,8 +15,23 @@
 /// Results, each written once.
 pub const RESULTS: &str = "results";
 
-/// The part of [`WORK`] with the runners' heartbeats, by instance.
-pub const HEARTBEATS: &str = "heartbeats";
+/// The parts of [`WORK`] with the runners' heartbeats begin so.
+const HEARTBEATS: &str = "heartbeats-";
+
+/// The heartbeats lie in so many parts: one part takes 200 transactions a second, and
+/// 3,300 runners write one each, most of them when they start together.
+const HEARTBEAT_PARTS: u64 = 64;
+
+/// The part of [`WORK`] with the heartbeat of the runner `instance`.
+pub fn heartbeat_part(instance: &str) -> String {
+    let number = stable_hash(&[instance.as_bytes()]) % HEARTBEAT_PARTS;
+    format!("{HEARTBEATS}{number:02}")
+}
+
+/// Whether `part` holds heartbeats.
+pub fn has_heartbeats(part: &str) -> bool {
+    part.starts_with(HEARTBEATS)
+}
 
 /// The part of the batch called `id`.
 pub fn part_of(id: &str) -> String {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -21,7 +21,17 @@
     claim::{Claim, Heartbeat},
     head::{Bundle, Head, ItemRef},
     item::{Item, Scorer, Submission},
-    layout::{BODIES, HEARTBEATS, PARTIALS, RESULTS, WORK, WorkKey, part_of, partial_key},
+    layout::{
+        BODIES,
+        PARTIALS,
+        RESULTS,
+        WORK,
+        WorkKey,
+        has_heartbeats,
+        heartbeat_part,
+        part_of,
+        partial_key, //
+    },
     log::Log,
     name::name_of,
     page::{Page, page_of},
--- a/src/runner/changes.rs
+++ b/src/runner/changes.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::Millis,
-    batch::{HEARTBEATS, Head, Heartbeat, Log, WorkKey, decode, part_of},
+    batch::{Head, Heartbeat, Log, WorkKey, decode, has_heartbeats, part_of},
     store::{Change, Row}, //
 };
 
@@ -42,7 +42,7 @@
     }
 
     pub(super) fn put(&mut self, part: &str, key: &str, value: &[u8], revision: u64, now: Millis) {
-        if part == HEARTBEATS {
+        if has_heartbeats(part) {
             if let Some(heartbeat) = decode::<Heartbeat>("heartbeat", value) {
                 self.heartbeats.take(key, heartbeat, revision, now);
             }
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     base::Millis,
-    batch::{HEARTBEATS, Heartbeat, WORK, decode, encode},
+    batch::{Heartbeat, WORK, decode, encode, heartbeat_part},
     platform::Store,
     store::{Key, Outcome, Transaction}, //
 };
@@ -85,11 +85,15 @@
     }
 }
 
+fn heartbeat_key(instance: &str) -> Key {
+    Key::new(WORK, heartbeat_part(instance), instance)
+}
+
 fn heartbeat_write(instance: &str, heartbeat: &Heartbeat) -> Transaction {
     Transaction {
         expect: Vec::new(),
         remove: Vec::new(),
-        set: vec![(Key::new(WORK, HEARTBEATS, instance), encode(heartbeat))],
+        set: vec![(heartbeat_key(instance), encode(heartbeat))],
     }
 }
 
@@ -101,7 +105,7 @@
     instance: &str,
     service: &str,
 ) -> (u64, Option<String>) {
-    let key = Key::new(WORK, HEARTBEATS, instance);
+    let key = heartbeat_key(instance);
     loop {
         let home = match store.row(&key).await {
             Ok(row) => {
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -253,10 +253,10 @@
         token,
     };
     let (work, part) = (batch::WORK, batch::part_of(&batch.id));
-    let beats = batch::HEARTBEATS;
+    let beats = batch::heartbeat_part("runner-x");
     let key = WorkKey::Claim(0).to_string();
     let store = &scene.store;
-    store.put_row(work, beats, "runner-x", &batch::encode(&start));
+    store.put_row(work, &beats, "runner-x", &batch::encode(&start));
     store.put_row(work, &part, &key, &batch::encode(&claim));
     assert_eq!(scene.submit(0, &batch).await, Some(202));
 
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -15,7 +15,10 @@
         accept,
         append,
         decode,
-        page_of, //
+        has_heartbeats,
+        heartbeat_part,
+        page_of,
+        part_of, //
     },
     routing::{Directory, Life, Server},
     store::{Change, Listing, Row, TableView}, //
@@ -184,6 +187,27 @@
     }
 }
 
+/// A part takes 200 transactions a second. With the heartbeats of 347 runners in one, those
+/// that started last were turned away for as long as the others went on.
+#[test]
+fn heartbeats_of_a_fleet_fit_the_store() {
+    for runners in [347, 694, 3_300] {
+        let mut parts: BTreeMap<String, usize> = BTreeMap::new();
+        for number in 0..runners {
+            let part = heartbeat_part(&format!("side-bale-hall-{number}"));
+            assert!(has_heartbeats(&part));
+            *parts.entry(part).or_default() += 1;
+        }
+        // One a second each, and another one where something changes.
+        let most = parts.values().max().copied().unwrap_or_default() * 2;
+        assert!(
+            most <= 200,
+            "{runners} runners: {most} a second in one part"
+        );
+    }
+    assert!(!has_heartbeats(&part_of("heartbeats")));
+}
+
 proptest! {
     /// Results that are listed in any portions are read back in their order
     /// from any position, the large ones too, each whole or not at all.
