A server of which nothing is known counts as usual

Cause: an unknown server's estimate was 1 ms, and a known one's faded to that within seconds. Each caller tried each server of its service, over a new connection, and again whenever it had not called it for a while: connections grew with callers x servers. Ruled out: the cost of a connection in the choice (30 ms), which is paid off at once by an estimate that is 80 ms too low. Now estimates begin at what the service usually takes, and fade towards it. The other way weighed, a subset of servers for each caller, is not built: it needs a size, and has to be widened when its members fail.

--- a/src/calls/book.rs
+++ b/src/calls/book.rs
@@ -64,12 +64,13 @@
 const RECORDS_MOST: usize = 4_096;
 
 impl Book {
-    /// The server as a candidate for a call.
+    /// The server as a candidate for a call that usually takes `usual` ms.
     pub(super) fn candidate(
         &self,
         server: &Server,
         home: &str,
         tried: bool,
+        usual: f64,
         now: Millis,
     ) -> Candidate {
         let record = self.records.get(&server.life);
@@ -77,7 +78,7 @@
         Candidate {
             connected: false,
             in_flight: record.map_or(0, |record| record.in_flight),
-            latency: record.map_or(1.0, |record| record.latency.estimate(now)),
+            latency: record.map_or(usual, |record| record.latency.estimate(now, usual)),
             local: server.data_centre == home,
             reported: record.and_then(|record| record.reported).and_then(fresh),
             slots: server.slots,
@@ -105,11 +106,11 @@
         }
     }
 
-    /// An answer came after `taken` ms.
-    pub(super) fn succeed(&mut self, server: &Life, now: Millis, taken: f64) {
+    /// An answer came after `taken` ms, where `usual` is usual.
+    pub(super) fn succeed(&mut self, server: &Life, now: Millis, usual: f64, taken: f64) {
         if let Some(record) = self.records.get_mut(server) {
             record.health.succeed();
-            record.latency.note(now, taken);
+            record.latency.note(now, usual, taken);
         }
     }
 
@@ -124,9 +125,9 @@
     }
 
     /// No answer came within `waited` ms: what it takes is at least that.
-    pub(super) fn lag(&mut self, server: &Life, now: Millis, waited: f64) {
+    pub(super) fn lag(&mut self, server: &Life, now: Millis, usual: f64, waited: f64) {
         if let Some(record) = self.records.get_mut(server) {
-            record.latency.note(now, waited);
+            record.latency.note(now, usual, waited);
         }
     }
 
--- a/src/calls/caller.rs
+++ b/src/calls/caller.rs
@@ -54,6 +54,13 @@
     services: HashMap<String, Typical>,
 }
 
+impl State {
+    fn typical(&self, service: &str) -> f64 {
+        let known = self.services.get(service).copied();
+        known.unwrap_or_default().value()
+    }
+}
+
 /// An attempt's server and when it was sent.
 #[derive(Clone)]
 pub(super) struct Sent {
@@ -225,6 +232,7 @@
         let mut servers: Vec<Arc<Server>> =
             self.site.directory().serving(service).cloned().collect();
         servers.sort_by(|a, b| a.life.id.cmp(&b.life.id));
+        let usual = self.typical(service);
         let state = self.state();
         let candidates: Vec<_> = servers
             .iter()
@@ -233,7 +241,7 @@
                 let peer = state.peers.get(&server.address);
                 Candidate {
                     connected: peer.is_some_and(Peer::is_connected),
-                    ..state.book.candidate(server, &self.home, tried, now)
+                    ..state.book.candidate(server, &self.home, tried, usual, now)
                 }
             })
             .collect();
@@ -327,10 +335,12 @@
                 if answer.status.is_server_error() {
                     return;
                 }
-                state.book.succeed(server, now, taken);
                 state.budget.succeed();
                 let service = state.services.entry(sent.server.service.clone());
-                service.or_default().note(taken);
+                let typical = service.or_default();
+                let usual = typical.value();
+                typical.note(taken);
+                state.book.succeed(server, now, usual, taken);
             }
             Attempt::Failed {
                 reason,
@@ -349,14 +359,9 @@
         }
     }
 
+    /// What calls to `service` usually take, in ms.
     pub(super) fn typical(&self, service: &str) -> f64 {
-        let state = self.state();
-        state
-            .services
-            .get(service)
-            .copied()
-            .unwrap_or_default()
-            .value()
+        self.state().typical(service)
     }
 }
 
@@ -380,7 +385,8 @@
             // Another server was faster, or the caller left: the time waited
             // says how slow this one is at least.
             let waited = now.since(self.sent.at).0 as f64;
-            state.book.lag(server, now, waited);
+            let usual = state.typical(&self.sent.server.service);
+            state.book.lag(server, now, usual, waited);
             if state.book.leave(server, self.call.fingerprint, now) {
                 self.caller
                     .look_later(&self.sent.server, self.call.fingerprint);
--- a/src/entry/outcomes.rs
+++ b/src/entry/outcomes.rs
@@ -3,7 +3,7 @@
 use super::{
     call::{AttemptKey, Call, CallKey},
     command::Reply,
-    server::ServerKey,
+    server::{ServerKey, UNKNOWN},
     traffic::Traffic, //
 };
 use crate::{
@@ -229,7 +229,7 @@
             && let Some(server) = self.servers.get_mut(handover.server)
         {
             server.health.succeed();
-            server.latency.note(now, call.taken(handover, now));
+            server.latency.note(now, UNKNOWN, call.taken(handover, now));
         }
         let request = call.new.request;
         if let Some(model) = call.model() {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -8,6 +8,10 @@
 };
 use tokio::task::JoinHandle;
 
+/// What a server of which nothing is known is taken to need, in ms: it gets a request
+/// soon, which tells.
+pub(super) const UNKNOWN: f64 = 1.0;
+
 slotmap::new_key_type! {
     /// A server's place in the entry's arena.
     pub struct ServerKey;
@@ -46,7 +50,7 @@
             eligible: !excluded && self.takes_work(),
             in_flight: self.in_flight,
             key,
-            latency: self.latency.estimate(now),
+            latency: self.latency.estimate(now, UNKNOWN),
             others: (self.report.running + self.report.queued).saturating_sub(self.reported_mine),
             report_age: now.since(self.reported),
             trusted: self.health.may_get(now),
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -26,6 +26,9 @@
 /// answer.
 const LEAST: Millis = Millis(300);
 
+/// What a call that knows of no answer of late expects: then the shortest wait holds.
+const USUAL: f64 = 0.0;
+
 /// The longest: an answer that takes longer is asked better anew.
 const MOST: Millis = Millis(1_500);
 
@@ -35,14 +38,14 @@
 impl Patience {
     /// How long an answer is waited for now.
     pub fn wait(&self, now: Millis) -> Millis {
-        let wait = Millis((self.latency.estimate(now) * FACTOR) as u64);
+        let wait = Millis((self.latency.estimate(now, USUAL) * FACTOR) as u64);
         let wait = wait.clamp(LEAST, MOST);
         Millis(wait.0 << self.missed.min(DOUBLED_MOST)).min(MOST)
     }
 
     /// An answer took `taken`.
     pub fn note(&mut self, now: Millis, taken: Millis) {
-        self.latency.note(now, taken.0 as f64);
+        self.latency.note(now, USUAL, taken.0 as f64);
         self.missed = 0;
     }
 
