Instances learn of the store's changes from each other

In each data centre three instances of a program ask the store and feed the others over the internal ports, in a tree in which nobody feeds more than 16. Places are rows without a lease; a feeder that is silent, too old or lost is left at once. Those that are fed ask the store once a second whether it answers them, as callers must not wait at a gateway that it turns away. The names of removed rows are forgotten after a minute or two; they were kept for good.

Tests: the tree of 986, 1,972 and 3,760 instances in simulated time (fails for each asking by itself), two thirds and all of the feeders lost; over sockets, nine gateways and nine runners make 45 calls a second at most (90 before), hear of a configuration within 1 s, also when six of nine end, through outages of three kinds, and at a gateway that is cut off from the store.

--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -11,9 +11,10 @@
     calls::Caller,
     duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
     platform::Store,
+    relay::{Relay, Seat},
     settings::GatewaySettings,
     usage::{Counter, report},
-    view::{Crashes, Site, confirm, keep, keep_crashes}, //
+    view::{Crashes, Site, confirm, keep, keep_crashes, watch_reach}, //
 };
 use std::{
     collections::HashMap,
@@ -54,6 +55,7 @@
         let callers = HttpServer::bind(settings.callers, limits)?;
         let ready = HttpServer::bind(settings.ready, Limits::default())?;
         let metrics = HttpServer::bind(common.metrics, Limits::default())?;
+        let peers = HttpServer::bind(common.peers, Limits::default())?;
         let addresses = (callers.address, metrics.address, ready.address);
         tracing::info!(
             instance = common.instance,
@@ -66,6 +68,12 @@
         let clock = Clock::open();
         let site = Arc::new(Site::new(clock, settings.revocation));
         let store = Store::open(common.store, clock);
+        let seat = Seat {
+            address: peers.address,
+            group: format!("gateways-{}", common.data_centre),
+            instance: common.instance.clone(),
+        };
+        let relay = Relay::open(seat, store.clone(), clock);
         let (crashes, writes) = Crashes::open(store.clone());
         let usage = settings.usage.map(|usage| {
             let windows = usage.windows();
@@ -101,10 +109,13 @@
             if let Some((counter, usage)) = reporting {
                 tokio::spawn(counter.clone().keep());
                 let reporting = usage.reporting();
-                tokio::spawn(report(counter, reporting, store.clone(), clock));
+                tokio::spawn(report(counter, reporting, store, clock));
             }
-            tokio::spawn(keep(seen, store));
-            tokio::spawn(keep_crashes(shared, writes));
+            tokio::spawn(keep(seen.clone(), relay.clone()));
+            tokio::spawn(keep_crashes(shared, writes, relay.clone()));
+            tokio::spawn(watch_reach(seen, relay.clone()));
+            tokio::spawn(relay.clone().serve(context.clone(), peers));
+            tokio::spawn(relay.keep());
             let answering = context.clone();
             let handler = move |request| {
                 let front = front.clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Each layer imports only those listed before it: `base`, `policy` (pure
 //! decisions), `wire`, `net`, `routing`, `store`, `batch`, `platform` (the
-//! users' machines), `table`, `engine`, `settings`, `duty`, `calls`, then the
-//! programs `agent`, `entry`, `gateway`, `runner` and `operator`.
+//! users' machines), `table`, `engine`, `settings`, `duty`, `relay`, `view`, `calls`,
+//! then the programs `agent`, `entry`, `gateway`, `runner` and `operator`.
 
 pub mod agent;
 pub mod base;
@@ -17,6 +17,7 @@
 pub mod operator;
 pub mod platform;
 pub mod policy;
+pub mod relay;
 pub mod routing;
 pub mod runner;
 pub mod settings;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,11 +1,14 @@
 //! The client of the platform's table.
 
-use super::store_wire::{
-    WireKey,
-    WireListing,
-    WireTransaction,
-    rows,
-    wire_key, //
+use super::{
+    store_probe::{PROBES, ProbePace},
+    store_wire::{
+        WireKey,
+        WireListing,
+        WireTransaction,
+        rows,
+        wire_key, //
+    },
 };
 use crate::{
     base::{Clock, Millis},
@@ -34,6 +37,7 @@
 pub struct Store {
     pub(super) clock: Clock,
     patience: Arc<Mutex<Patience>>,
+    pub(super) pace: Arc<ProbePace>,
     pub(super) peer: Peer,
     pub(super) reach: Arc<Reach>,
     /// The store's clock as read last, and when that was.
@@ -51,6 +55,7 @@
     pub fn open(address: SocketAddr, clock: Clock) -> Self {
         Self {
             clock,
+            pace: Arc::default(),
             patience: Arc::default(),
             peer: Peer::open(address, clock),
             reach: Arc::default(),
@@ -137,6 +142,11 @@
         Ok(listing.rows.into_iter().find(|row| row.key == key.key))
     }
 
+    /// Whether the store answers this process now.
+    pub async fn is_reached(&self) -> bool {
+        self.rows(PROBES, "", "", 1).await.is_ok()
+    }
+
     /// All rows of `part`, over as many calls as it takes. The revision is that
     /// of the first call, from which its changes can be followed.
     ///
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,6 +25,7 @@
 pub mod pace;
 pub mod patience;
 pub mod quarantine;
+pub mod relay;
 pub mod retry;
 pub mod retry_budget;
 pub mod router;
--- /dev/null
+++ b/src/relay/table.rs
@@ -0,0 +1,137 @@
+//! One table as this process has read it, for itself and for those that it feeds.
+
+use super::message::Page;
+use crate::{
+    base::Millis,
+    store::{Change, TableView}, //
+};
+use std::sync::{
+    Mutex,
+    MutexGuard,
+    PoisonError, //
+};
+use tokio::sync::watch;
+
+/// Written by the table's follower.
+pub(super) struct Table {
+    state: watch::Sender<State>,
+    view: Mutex<TableView>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    /// The revision of the newest change.
+    changed: u64,
+    /// When the store told what is known.
+    confirmed: Millis,
+    /// Whether changes are learnt at present.
+    linked: bool,
+    /// The revision up to which all changes are known.
+    revision: u64,
+    /// Whether all rows are kept, for others.
+    whole: bool,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            state: watch::Sender::new(State::default()),
+            view: Mutex::default(),
+        }
+    }
+}
+
+impl Table {
+    /// Takes what was told of the table up to `revision`, as the store had it at
+    /// `confirmed`; returns what it changes.
+    pub(super) fn update(
+        &self,
+        revision: u64,
+        confirmed: Millis,
+        take: impl FnOnce(&mut TableView) -> Vec<Change>,
+    ) -> Vec<Change> {
+        let (changes, newest) = {
+            let mut view = self.view();
+            let changes = take(&mut view);
+            (changes, view.newest_kept())
+        };
+        self.state.send_modify(|state| {
+            state.changed = newest;
+            state.confirmed = confirmed;
+            state.linked = true;
+            state.revision = state.revision.max(revision);
+        });
+        changes
+    }
+
+    /// All rows were told, up to `revision`.
+    pub(super) fn set_whole(&self, revision: u64) {
+        let was_whole = self.state.borrow().whole;
+        let mut view = self.view();
+        if was_whole || !view.keeps() {
+            return;
+        }
+        view.set_whole(revision);
+        drop(view);
+        self.state.send_modify(|state| state.whole = true);
+    }
+
+    /// Keeps the rows from now on, for others; true when they have to be listed for it.
+    pub(super) fn keep(&self) -> bool {
+        let mut view = self.view();
+        let begins = !view.keeps();
+        if begins {
+            view.keep();
+        }
+        begins
+    }
+
+    /// Whether the rows are kept for others, and learnt at present.
+    pub(super) fn feeds(&self) -> bool {
+        let state = *self.state.borrow();
+        state.whole && state.linked
+    }
+
+    /// Nothing is learnt at present.
+    pub(super) fn lose(&self) {
+        self.state.send_modify(|state| state.linked = false);
+    }
+
+    /// Forgets removed rows that nobody can miss any more.
+    pub(super) fn prune(&self) {
+        self.view().prune();
+    }
+
+    /// Waits at most `hold` until others can be fed.
+    pub(super) async fn wait_feeds(&self, hold: Millis) {
+        let mut state = self.state.subscribe();
+        let feeds = state.wait_for(|state| state.whole && state.linked);
+        let _ = tokio::time::timeout(hold.as_duration(), feeds).await;
+    }
+
+    /// Waits at most `hold` for a change after `after`, or until none is learnt.
+    pub(super) async fn wait_changed(&self, after: u64, hold: Millis) {
+        let mut state = self.state.subscribe();
+        let changed = state.wait_for(|state| state.changed > after || !state.linked);
+        let _ = tokio::time::timeout(hold.as_duration(), changed).await;
+    }
+
+    /// What changed after `after`; `None` when that is not kept.
+    pub(super) fn page(&self, after: u64, now: Millis) -> Option<Page> {
+        let state = *self.state.borrow();
+        if !state.whole {
+            return None;
+        }
+        let rows = self.view().since(after)?;
+        Some(Page {
+            age: now.since(state.confirmed),
+            // What changed since may be among the rows, but not all of it.
+            revision: state.revision,
+            rows: rows.into_iter().map(Into::into).collect(),
+        })
+    }
+
+    fn view(&self) -> MutexGuard<'_, TableView> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/runner/event.rs
+++ b/src/runner/event.rs
@@ -4,7 +4,8 @@
 use crate::{
     batch::{Claim, Item, Log, Partial},
     platform::{EngineReport, OrderAnswer},
-    store::{Followed, Outcome, StoreError}, //
+    relay::Followed,
+    store::{Outcome, StoreError}, //
 };
 use std::collections::HashMap;
 
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -11,6 +11,7 @@
     duty::{self, DutyError, Handle, HttpServer, Limits, Route, admin},
     net::Peer,
     platform::Store,
+    relay::{Relay, Seat},
     settings::RunnerSettings,
     view::{Crashes, Site, keep, keep_crashes}, //
 };
@@ -35,6 +36,7 @@
         let common = settings.common;
         let mut handle = Handle::open(common.stop_bound())?;
         let metrics = HttpServer::bind(common.metrics, Limits::default())?;
+        let peers = HttpServer::bind(common.peers, Limits::default())?;
         let address = metrics.address;
         tracing::info!(
             instance = common.instance,
@@ -47,6 +49,12 @@
         let clock = Clock::open();
         let site = Arc::new(Site::new(clock, None));
         let store = Store::open(common.store, clock);
+        let seat = Seat {
+            address: peers.address,
+            group: format!("runners-{}", common.data_centre),
+            instance: common.instance.clone(),
+        };
+        let relay = Relay::open(seat, store.clone(), clock);
         let (server, life) = watch::channel(None);
         let (crashes, writes) = Crashes::open(store.clone());
         let scorers = Scorers {
@@ -73,18 +81,21 @@
             },
             engine_address: settings.engine,
             instance: common.instance,
+            relay: relay.clone(),
             retention: common.retention,
             server,
             service: settings.service,
             site: site.clone(),
-            store: store.clone(),
+            store,
         };
 
         let supervisor = handle.supervisor().clone();
         let health = handle.health();
-        let work = move |context| async move {
-            tokio::spawn(keep(site, store));
-            tokio::spawn(keep_crashes(crashes, writes));
+        let work = move |context: duty::Context| async move {
+            tokio::spawn(keep(site, relay.clone()));
+            tokio::spawn(keep_crashes(crashes, writes, relay.clone()));
+            tokio::spawn(relay.clone().serve(context.clone(), peers));
+            tokio::spawn(relay.keep());
             Work::run(seed, context).await;
         };
         handle.add(duty::spawn("work", &supervisor, work)?);
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -13,8 +13,9 @@
     duty::{Context, Phase},
     platform::{EngineReport, Store},
     policy::pace::Kind,
+    relay::{BACKOFF_MOST, Followed, Following, HOLD, Relay, follow},
     routing::Life,
-    store::{BACKOFF_MOST, Followed, Following, HOLD, Row, follow},
+    store::Row,
     view::Site, //
 };
 use std::{
@@ -85,6 +86,7 @@
     pub(super) engine: Engine,
     pub(super) engine_address: SocketAddr,
     pub(super) instance: String,
+    pub(super) relay: Arc<Relay>,
     pub(super) retention: Millis,
     pub(super) server: watch::Sender<Option<Life>>,
     pub(super) service: String,
@@ -112,7 +114,7 @@
         );
         let watching = super::engine_watch::watch(seed.engine.peer.clone(), events.clone());
         tokio::spawn(watching);
-        tokio::spawn(follow_work(seed.store.clone(), events.clone()));
+        tokio::spawn(follow_work(seed.relay, events.clone()));
 
         let mut work = Self {
             away_since: None,
@@ -241,7 +243,7 @@
     }
 }
 
-async fn follow_work(store: Store, events: mpsc::Sender<Event>) {
+async fn follow_work(relay: Arc<Relay>, events: mpsc::Sender<Event>) {
     let (sender, mut feed) = mpsc::channel(RING);
     let following = Following {
         backoff: BACKOFF_MOST,
@@ -250,13 +252,13 @@
         parts: true,
         table: WORK,
     };
-    let following = follow(store, following, sender);
-    let relay = async {
+    let following = follow(relay, following, sender);
+    let telling = async {
         while let Some(followed) = feed.recv().await {
             if events.send(Event::Store(followed)).await.is_err() {
                 return;
             }
         }
     };
-    tokio::join!(following, relay);
+    tokio::join!(following, telling);
 }
--- a/src/settings/site_settings.rs
+++ b/src/settings/site_settings.rs
@@ -25,6 +25,8 @@
     pub instance: String,
     pub log_level: String,
     pub metrics: SocketAddr,
+    /// Where other instances of the program ask for what this one knows.
+    pub peers: SocketAddr,
     /// How long after its submission a batch can be read.
     pub retention: Millis,
     pub store: SocketAddr,
@@ -116,6 +118,7 @@
             instance: reader.text("instance", None),
             log_level: reader.text("log_level", Some("info")),
             metrics: address(listen, "metrics", None),
+            peers: address(listen, "peers", None),
             retention: seconds(reader, "retention_s", 120.0),
             store: address(reader, "store", None),
         }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,7 +2,6 @@
 //! transactions, and read as listings or as a feed of changes.
 
 mod change;
-mod follower;
 mod row;
 mod store_error;
 mod table_view;
@@ -10,7 +9,6 @@
 
 pub use self::{
     change::Change,
-    follower::{BACKOFF_MOST, Followed, Following, HOLD, follow},
     row::{Key, Listing, Row},
     store_error::StoreError,
     table_view::TableView,
--- a/src/store/table_view.rs
+++ b/src/store/table_view.rs
@@ -5,7 +5,9 @@
     Listing,
     Row, //
 };
+use bytes::Bytes;
 use std::collections::{
+    BTreeMap,
     HashMap,
     HashSet, //
 };
@@ -18,9 +20,21 @@
 /// already seen changes nothing.
 #[derive(Debug, Default)]
 pub struct TableView {
+    /// The rows with their values, for others; `None` while nobody needs them.
+    kept: Option<Kept>,
+    /// Rows that had been removed when the view was last pruned.
+    old: Vec<Name>,
     rows: HashMap<Name, Seen>,
 }
 
+/// Each row's last change, in the order of revisions.
+#[derive(Debug, Default)]
+struct Kept {
+    /// Removed rows up to this revision are forgotten.
+    forgotten: u64,
+    rows: BTreeMap<(u64, Name), Option<Bytes>>,
+}
+
 /// Part and key.
 type Name = (String, String);
 
@@ -31,6 +45,69 @@
 }
 
 impl TableView {
+    /// Keeps rows with their values from now on; the whole table has to be listed for it.
+    pub fn keep(&mut self) {
+        self.kept = Some(Kept::default());
+    }
+
+    /// All rows up to `revision` were listed since rows are kept; what was removed
+    /// before is not known.
+    pub fn set_whole(&mut self, revision: u64) {
+        if let Some(kept) = &mut self.kept {
+            kept.forgotten = kept.forgotten.max(revision);
+        }
+    }
+
+    /// Whether rows are kept with their values.
+    pub fn keeps(&self) -> bool {
+        self.kept.is_some()
+    }
+
+    /// The revision of the newest change among the kept rows.
+    pub fn newest_kept(&self) -> u64 {
+        let newest = self
+            .kept
+            .as_ref()
+            .and_then(|kept| kept.rows.last_key_value());
+        newest.map_or(0, |((revision, _), _)| *revision)
+    }
+
+    /// The kept rows that changed after the revision `after`, or all that exist for 0;
+    /// `None` when some of them may be forgotten.
+    pub fn since(&self, after: u64) -> Option<Vec<Row>> {
+        let kept = self.kept.as_ref()?;
+        if after != 0 && after < kept.forgotten {
+            return None;
+        }
+        let first = (after + 1, Name::default());
+        let rows = kept.rows.range(first..);
+        let told = rows.filter(|(_, value)| after != 0 || value.is_some());
+        let row = |((revision, (part, key)), value): (&(u64, Name), &Option<Bytes>)| Row {
+            part: part.clone(),
+            key: key.clone(),
+            value: value.clone(),
+            revision: *revision,
+        };
+        Some(told.map(row).collect())
+    }
+
+    /// Forgets the rows that had been removed when this was last called. Until then a
+    /// feed or a listing that lags behind can't bring them back.
+    pub fn prune(&mut self) {
+        for name in std::mem::take(&mut self.old) {
+            let Some(seen) = self.rows.get(&name).copied().filter(|seen| !seen.exists) else {
+                continue;
+            };
+            self.rows.remove(&name);
+            if let Some(kept) = &mut self.kept {
+                kept.rows.remove(&(seen.revision, name));
+                kept.forgotten = kept.forgotten.max(seen.revision);
+            }
+        }
+        let removed = self.rows.iter().filter(|(_, seen)| !seen.exists);
+        self.old = removed.map(|(name, _)| name.clone()).collect();
+    }
+
     /// Takes rows of the feed; returns what they change.
     pub fn feed(&mut self, rows: Vec<Row>) -> Vec<Change> {
         rows.into_iter().filter_map(|row| self.take(row)).collect()
@@ -61,12 +138,19 @@
         } = row;
         let name = (part, key);
         let known = self.rows.get(&name).copied();
-        if known.is_some_and(|seen| seen.revision >= revision) {
+        if let Some(seen) = known.filter(|seen| seen.revision >= revision) {
+            // It may have been seen before rows were kept.
+            if let Some(kept) = self.kept.as_mut().filter(|_| seen.revision == revision) {
+                kept.put(&name, known, revision, value);
+            }
             return None;
         }
         let existed = known.is_some_and(|seen| seen.exists);
         let exists = value.is_some();
         self.rows.insert(name.clone(), Seen { exists, revision });
+        if let Some(kept) = &mut self.kept {
+            kept.put(&name, known, revision, value.clone());
+        }
 
         let (part, key) = name;
         match value {
@@ -95,6 +179,9 @@
             if !seen.exists || seen.revision > revision || !gone(name) {
                 continue;
             }
+            if let Some(kept) = &mut self.kept {
+                kept.put(name, Some(*seen), revision, None);
+            }
             seen.exists = false;
             seen.revision = revision;
             changes.push(Change::Removed {
@@ -105,3 +192,13 @@
         changes
     }
 }
+
+impl Kept {
+    /// Puts the change of a row in the place of the one before.
+    fn put(&mut self, name: &Name, before: Option<Seen>, revision: u64, value: Option<Bytes>) {
+        if let Some(before) = before {
+            self.rows.remove(&(before.revision, name.clone()));
+        }
+        self.rows.insert((revision, name.clone()), value);
+    }
+}
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -11,8 +11,9 @@
     base::{Fingerprint, Millis},
     platform::Store,
     policy::quarantine::{ENDED_MOST, Quarantine, Verdict},
+    relay::{BACKOFF_MOST, Followed, Following, Relay, follow},
     routing::Life,
-    store::{BACKOFF_MOST, Change, Followed, Following, Key, Outcome, Transaction, follow}, //
+    store::{Change, Key, Outcome, Transaction}, //
 };
 use std::{
     collections::BTreeMap,
@@ -325,7 +326,7 @@
 }
 
 /// Shares crashes with all instances through the store, for good.
-pub async fn keep_crashes(crashes: Arc<Crashes>, writes: CrashWrites) {
+pub async fn keep_crashes(crashes: Arc<Crashes>, writes: CrashWrites, relay: Arc<Relay>) {
     let store = &crashes.store;
     let (sender, mut feed) = mpsc::channel(RING);
     let following = Following {
@@ -335,7 +336,7 @@
         parts: false,
         table: CRASHES,
     };
-    tokio::spawn(follow(store.clone(), following, sender));
+    tokio::spawn(follow(relay, following, sender));
     tokio::spawn(write_all(writes, crashes.clone()));
     let mut sweep = tokio::time::interval(SWEEP.as_duration());
     loop {
--- a/src/view/keeper.rs
+++ b/src/view/keeper.rs
@@ -9,12 +9,12 @@
         NAMED_VERSION,
         OPERATOR_TABLE,
         SERVERS_TABLE,
-        Store,
         read_config,
         read_named,
         read_server, //
     },
-    store::{BACKOFF_MOST, Change, Followed, Following, HOLD, follow}, //
+    relay::{BACKOFF_MOST, Followed, Following, HOLD, Relay, follow},
+    store::Change, //
 };
 use std::{
     collections::HashSet,
@@ -45,7 +45,7 @@
 const SERVERS_PACE: Millis = Millis(100);
 
 /// Follows the operators' and the servers' tables for good.
-pub async fn keep(site: Arc<Site>, store: Store) {
+pub async fn keep(site: Arc<Site>, relay: Arc<Relay>) {
     let (operators, mut operator_feed) = mpsc::channel(RING);
     let (servers, mut server_feed) = mpsc::channel(RING);
     let operator_table = Following {
@@ -62,8 +62,8 @@
         parts: false,
         table: SERVERS_TABLE,
     };
-    tokio::spawn(follow(store.clone(), operator_table, operators));
-    tokio::spawn(follow(store, server_table, servers));
+    tokio::spawn(follow(relay.clone(), operator_table, operators));
+    tokio::spawn(follow(relay, server_table, servers));
 
     let mut strangers = Strangers::default();
     let mut settle = tokio::time::interval(SETTLE.as_duration());
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -5,11 +5,13 @@
 mod crash_row;
 mod crashes;
 mod keeper;
+mod reach;
 mod site;
 
 pub use self::{
     confirm::confirm,
     crashes::{Attempt, Claimed, CrashWrites, Crashes, keep_crashes},
     keeper::keep,
+    reach::watch_reach,
     site::Site, //
 };
--- a/src/view/site.rs
+++ b/src/view/site.rs
@@ -29,6 +29,8 @@
 pub struct Site {
     pub clock: Clock,
     config: watch::Sender<Option<Arc<Config>>>,
+    /// Since when the store does not answer this process itself.
+    cut: Mutex<Option<Millis>>,
     /// Told when the store has confirmed the configuration.
     confirmed: Notify,
     directory: Mutex<Directory>,
@@ -47,6 +49,7 @@
         Self {
             clock,
             config: watch::Sender::new(None),
+            cut: Mutex::default(),
             confirmed: Notify::new(),
             freshness: Mutex::new(Freshness::new(revocation)),
             wanted: Notify::new(),
@@ -146,9 +149,24 @@
         self.listed.store(true, Ordering::Relaxed);
     }
 
-    /// Since when the store does not answer; `None` while it does.
+    /// Since when the store does not answer, or not this process; `None` while it does.
     pub fn store_away_since(&self) -> Option<Millis> {
-        self.directory().away_since()
+        let away = self.directory().away_since();
+        let cut = *self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        away.into_iter().chain(cut).min()
+    }
+
+    /// Whether the store answers this process itself.
+    pub(super) fn set_reached(&self, reached: bool) {
+        let now = self.now();
+        let mut cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        if cut.is_some() == reached {
+            tracing::info!(reached, "the store answers this process, or does not");
+        }
+        *cut = match reached {
+            true => None,
+            false => cut.or(Some(now)),
+        };
     }
 
     /// The server of `service` at `address`.
--- a/standins/src/site/scene.rs
+++ b/standins/src/site/scene.rs
@@ -142,6 +142,15 @@
         self.wait_up().await
     }
 
+    /// The same for one that reaches the store at another address.
+    pub async fn start_gateway_via(&mut self, store: SocketAddr) -> io::Result<()> {
+        let mut settings = self.gateway_settings(self.gateways.len());
+        settings.common.store = store;
+        let gateway = Gateway::open(settings).map_err(io::Error::other)?;
+        self.gateways.push(gateway);
+        self.wait_up().await
+    }
+
     /// Announces all servers as ready.
     pub fn announce_all(&self) {
         for engine in &self.engines {
@@ -277,6 +286,7 @@
             instance: instance.to_owned(),
             log_level: "info".to_owned(),
             metrics: any_port(),
+            peers: any_port(),
             retention: self.retention,
             store: self.store.address,
         }
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -48,6 +48,7 @@
     changed: watch::Sender<u64>,
     clock: Clock,
     faults: Mutex<StoreFaults>,
+    reads: AtomicU64,
     rows: Mutex<Rows>,
     writes: AtomicU64,
 }
@@ -84,6 +85,7 @@
             changed: watch::Sender::new(0),
             clock: Clock::open(),
             faults: Mutex::default(),
+            reads: AtomicU64::new(0),
             rows: Mutex::default(),
             writes: AtomicU64::new(0),
         });
@@ -137,6 +139,11 @@
         lock(&self.inner.rows).count(part)
     }
 
+    /// The calls that asked for rows so far.
+    pub fn reads(&self) -> u64 {
+        self.inner.reads.load(Ordering::Relaxed)
+    }
+
     /// The calls that asked for a write so far.
     pub fn writes(&self) -> u64 {
         self.inner.writes.load(Ordering::Relaxed)
@@ -155,6 +162,9 @@
             .filter_map(|pair| pair.split_once('='))
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
             .collect();
+        if head.method == Method::GET {
+            self.reads.fetch_add(1, Ordering::Relaxed);
+        }
         let faults = *lock(&self.faults);
         if let Some(answer) = self.away().await? {
             return Ok(answer);
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -70,9 +70,9 @@
         callers: Option<SocketAddr>,
     ) -> io::Result<Self> {
         let relay = Relay::open(store).await?;
-        let (metrics, way) = (free_port()?, relay.address);
+        let (metrics, peers, way) = (free_port()?, free_port()?, relay.address);
         let text = format!(
-            "instance: {name}\ndata_centre: north\nlisten:\n  metrics: \"{metrics}\"\n{listen}\
+            "instance: {name}\ndata_centre: north\nlisten:\n  metrics: \"{metrics}\"\n  peers: \"{peers}\"\n{listen}\
              store: \"{way}\"\ngrace_s: 6\nretention_s: 60\n{more}"
         );
         let settings = folder.join(format!("{name}.yaml"));
--- /dev/null
+++ b/standins/tests/integration/relay.rs
@@ -0,0 +1,134 @@
+//! Gateways and runners that learn of changes from each other.
+
+use hyper::Method;
+use redwing_standins::{
+    relay::{Relay, Silence},
+    site::{Batch, Scene, Shape}, //
+};
+use std::time::Duration;
+
+/// How soon a change of the configuration has to be in force.
+const IN_FORCE: u64 = 1_000;
+
+/// How long feeders that end, or are cut off, may hold a change up.
+const REPLACED: u64 = 3_000;
+
+async fn sleep(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+async fn open(gateways: usize, engines: usize) -> Scene {
+    let shape = Shape {
+        engines,
+        gateways,
+        ..Shape::default()
+    };
+    let scene = Scene::open(shape).await.unwrap();
+    // All have found out who feeds them.
+    sleep(1_500).await;
+    scene
+}
+
+/// The gateways that do not serve the route below `prefix`.
+async fn without(scene: &Scene, prefix: &str) -> Vec<usize> {
+    let mut without = Vec::new();
+    for gateway in 0..scene.gateways.len() {
+        let headers = [("x-attempt-id", "a"), ("x-deadline-ms", "1000")];
+        let path = format!("{prefix}x");
+        let answer = scene
+            .send(gateway, Method::POST, &path, &headers, "a")
+            .await;
+        if answer.is_none_or(|answer| answer.status != 200) {
+            without.push(gateway);
+        }
+    }
+    without
+}
+
+fn route(prefix: &str) -> serde_json::Value {
+    serde_json::json!([{
+        "name": "more", "host": "site.example", "pathPrefix": prefix, "routeType": "safe",
+        "timeoutMs": 2_000, "targetLatencyMs": 200, "priority": 1, "maxAttempts": 3,
+        "service": "plain",
+    }])
+}
+
+/// The store's calls grew with the number of processes; a quiet site of nine gateways
+/// and nine runners made 90 a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_few_instances_ask_the_store_for_all() {
+    let mut scene = open(9, 9).await;
+    let before = scene.store.reads();
+    sleep(2_000).await;
+    let asked = (scene.store.reads() - before) / 2;
+    // Three of each ask for three or four tables, six gateways whether they reach it.
+    assert!(asked <= 45, "{asked} calls a second");
+
+    scene.put_config(route("/more/"));
+    sleep(IN_FORCE).await;
+    assert_eq!(without(&scene, "/more/").await, Vec::<usize>::new());
+
+    let batch = Batch::new("fed", 6, 4, 5);
+    assert_eq!(scene.submit(4, &batch).await, Some(202));
+    let results = scene
+        .read(&batch, 24, redwingpond::base::Millis(10_000))
+        .await;
+    assert_eq!(results.len(), 24);
+}
+
+/// Six of nine gateways end at once, whoever feeds the others among them.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_hear_of_changes_when_their_feeders_end() {
+    let mut scene = open(9, 1).await;
+    scene.gateways.drain(0..6);
+    scene.put_config(route("/more/"));
+    sleep(REPLACED).await;
+    assert_eq!(without(&scene, "/more/").await, Vec::<usize>::new());
+}
+
+/// A gateway that the store does not answer hears of a new configuration all the same,
+/// and leaves batches to others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_is_cut_off_from_the_store_is_fed() {
+    let mut scene = open(4, 1).await;
+    let way = Relay::open(scene.store.address).await.unwrap();
+    scene.start_gateway_via(way.address).await.unwrap();
+    sleep(1_500).await;
+    way.silence(Silence {
+        from_target: true,
+        to_target: true,
+    });
+    drop(way);
+    scene.put_config(route("/more/"));
+    sleep(REPLACED).await;
+    assert_eq!(without(&scene, "/more/").await, Vec::<usize>::new());
+
+    let ready = scene.gateways[4].ready;
+    let within = Duration::from_secs(1);
+    let asked = scene
+        .client
+        .call(Method::GET, ready, "/readyz", &[], "", within);
+    assert_eq!(asked.await.unwrap().status, 503);
+}
+
+/// The store goes away and comes back: all hear of what changed meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_hear_of_changes_after_an_outage() {
+    use redwing_standins::site::{Outage, StoreFaults};
+    for outage in [Outage::Busy, Outage::Reset, Outage::Silent] {
+        let mut scene = open(9, 1).await;
+        scene.store.set_faults(StoreFaults {
+            outage,
+            ..StoreFaults::default()
+        });
+        sleep(3_000).await;
+        scene.put_config(route("/more/"));
+        scene.store.set_faults(StoreFaults::default());
+        sleep(REPLACED).await;
+        assert_eq!(
+            without(&scene, "/more/").await,
+            Vec::<usize>::new(),
+            "{outage:?}"
+        );
+    }
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -10,6 +10,7 @@
     mod platform_wire;
     mod quarantine;
     mod reach;
+    mod relay_tree;
     mod settings_faults;
     mod step_times;
     mod use_counts;
--- /dev/null
+++ b/tests/integration/relay_tree.rs
@@ -0,0 +1,268 @@
+//! Who feeds whom, replayed with all instances of a fleet that start, end and come back.
+
+use redwingpond::{
+    base::Millis,
+    policy::relay::{CHILDREN_MOST, Children, Feeders, ROOTS, first_place, is_stale}, //
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr, //
+};
+
+/// The calls for changes that an instance makes by itself each second: four tables, one
+/// of which changes all the time.
+const CALLS: usize = 24;
+
+/// The reading calls a second that a store takes from all together.
+const READS_MOST: usize = 2_000;
+
+/// The instances of one program in one data centre.
+#[derive(Default)]
+struct Group {
+    /// What each feeds, by its address.
+    children: BTreeMap<SocketAddr, Children>,
+    feeders: BTreeMap<SocketAddr, Feeders>,
+    parents: BTreeMap<SocketAddr, SocketAddr>,
+    places: [Option<SocketAddr>; ROOTS],
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7660))
+}
+
+impl Group {
+    fn start(&mut self, number: usize) {
+        let address = address(number);
+        self.children.insert(address, Children::default());
+        self.feeders.insert(address, Feeders::default());
+    }
+
+    fn end(&mut self, address: SocketAddr) {
+        self.children.remove(&address);
+        self.feeders.remove(&address);
+        self.parents.remove(&address);
+        self.parents.retain(|_, parent| *parent != address);
+    }
+
+    fn is_root(&self, address: SocketAddr) -> bool {
+        self.places.contains(&Some(address))
+    }
+
+    /// The instances that nobody feeds, roots left out.
+    fn alone(&self) -> Vec<SocketAddr> {
+        let all = self.children.keys().copied();
+        all.filter(|of| !self.is_root(*of) && !self.parents.contains_key(of))
+            .collect()
+    }
+
+    /// Has each that is fed ask, and each that nobody feeds look once for a feeder.
+    fn look(&mut self, now: Millis) {
+        for (address, parent) in &self.parents {
+            if let Some(children) = self.children.get_mut(parent) {
+                assert!(children.admit(&address.to_string(), *address, now));
+            }
+        }
+        for address in self.alone() {
+            if self.places.contains(&None) {
+                self.take_place(address, now);
+                continue;
+            }
+            let roots: Vec<SocketAddr> = self.places.iter().flatten().copied().collect();
+            let feeders = self.feeders.get_mut(&address).unwrap();
+            let order = feeders.order(&address.to_string(), &roots, now);
+            let parent = order
+                .into_iter()
+                .find_map(|root| self.join(address, root, now, 6));
+            match parent {
+                Some(parent) => {
+                    self.parents.insert(address, parent);
+                }
+                None => self.take_place(address, now),
+            }
+        }
+    }
+
+    fn join(
+        &mut self,
+        address: SocketAddr,
+        at: SocketAddr,
+        now: Millis,
+        depth: usize,
+    ) -> Option<SocketAddr> {
+        let feeders = self.feeders.get_mut(&address)?;
+        let Some(children) = self.children.get_mut(&at) else {
+            feeders.miss(at, now);
+            return None;
+        };
+        feeders.reach(at);
+        if children.admit(&address.to_string(), address, now) {
+            return Some(at);
+        }
+        let below = feeders.order(&address.to_string(), &children.addresses(), now);
+        let next = *below.iter().find(|fed| **fed != address)?;
+        (depth > 0).then(|| self.join(address, next, now, depth - 1))?
+    }
+
+    fn take_place(&mut self, address: SocketAddr, now: Millis) {
+        let feeders = &self.feeders[&address];
+        let is_free = |place: &Option<SocketAddr>| place.is_none_or(|of| feeders.is_gone(of, now));
+        let first = first_place(&address.to_string());
+        let free = (0..ROOTS).map(|turn| (first + turn) % ROOTS);
+        let free = free.into_iter().find(|place| is_free(&self.places[*place]));
+        if let Some(place) = free {
+            self.places[place] = Some(address);
+        }
+    }
+
+    /// How many others each is away from the store.
+    fn depth(&self, of: SocketAddr) -> usize {
+        let mut at = of;
+        let mut depth = 0;
+        while let Some(parent) = self.parents.get(&at) {
+            at = *parent;
+            depth += 1;
+            assert!(
+                depth <= self.children.len(),
+                "they feed each other in a circle"
+            );
+        }
+        depth
+    }
+
+    fn check(&self, name: &str) {
+        assert_eq!(self.alone(), Vec::new(), "{name}: nobody feeds them");
+        let mut fed: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+        for parent in self.parents.values() {
+            *fed.entry(*parent).or_default() += 1;
+        }
+        let most = fed.values().max().copied().unwrap_or_default();
+        assert!(most <= CHILDREN_MOST, "{name}: one feeds {most}");
+        let depth = self.children.keys().map(|of| self.depth(*of)).max();
+        assert!(
+            depth.unwrap_or_default() <= 4,
+            "{name}: {depth:?} from the store"
+        );
+    }
+}
+
+/// A fleet of hundreds of instances asks the store so often that it turns calls away, if
+/// each asks by itself.
+#[test]
+fn few_of_a_fleet_ask_the_store() {
+    struct Test {
+        centres: usize,
+        instances: usize,
+        name: &'static str,
+    }
+
+    for test in [
+        Test {
+            centres: 6,
+            instances: 986,
+            name: "the fleet",
+        },
+        Test {
+            centres: 6,
+            instances: 1_972,
+            name: "twice the fleet",
+        },
+        Test {
+            centres: 8,
+            instances: 3_760,
+            name: "the target",
+        },
+    ] {
+        let mut group = Group::default();
+        for number in 0..test.instances / test.centres {
+            group.start(number);
+        }
+        // All start at the same moment; each place is taken by one of them.
+        for round in 0..20 {
+            group.look(Millis(round * 150));
+        }
+        group.check(test.name);
+        let roots: BTreeSet<SocketAddr> = group.places.iter().flatten().copied().collect();
+        assert_eq!(roots.len(), ROOTS, "{}", test.name);
+        let asked = roots.len() * test.centres * CALLS;
+        assert!(asked <= READS_MOST, "{}: {asked} calls a second", test.name);
+        let before = test.instances * CALLS;
+        assert!(before > READS_MOST, "{}: no load to speak of", test.name);
+    }
+}
+
+/// Most of those that feed others end at the same moment, the roots among them: the
+/// others are fed again within a second.
+#[test]
+fn others_feed_those_whose_feeders_end() {
+    for keep in [0, 1, 3] {
+        let mut group = Group::default();
+        for number in 0..400 {
+            group.start(number);
+        }
+        for round in 0..20 {
+            group.look(Millis(round * 150));
+        }
+        let roots: Vec<SocketAddr> = group.places.iter().flatten().copied().collect();
+        let feed: BTreeSet<SocketAddr> = group.parents.values().copied().collect();
+        let lost = feed
+            .iter()
+            .enumerate()
+            .filter(|(number, _)| keep == 0 || number % keep != 0);
+        let lost: Vec<SocketAddr> = lost.map(|(_, address)| *address).collect();
+        for address in lost.iter().chain(&roots) {
+            group.end(*address);
+        }
+        for round in 0..7 {
+            group.look(Millis(10_000 + round * 150));
+        }
+        group.check(&format!("{} of {} feeders lost", lost.len(), feed.len()));
+    }
+}
+
+/// A feeder that is frozen or cut off is noticed by the age of what it tells.
+#[test]
+fn what_is_too_old_is_not_gone_by() {
+    for (age, hold, stale) in [
+        (0, 500, false),
+        (1_200, 500, false),
+        (1_201, 500, true),
+        (1_300, 1_000, false),
+    ] {
+        assert_eq!(
+            is_stale(Millis(age), Millis(hold)),
+            stale,
+            "{age} of {hold}"
+        );
+    }
+}
+
+/// One that was left is not asked again at once, and one that does not answer is
+/// replaced only when it had the time to start again.
+#[test]
+fn feeders_are_remembered() {
+    let mut feeders = Feeders::default();
+    let (one, other) = (address(1), address(2));
+    feeders.leave(one, Millis(1_000));
+    assert_eq!(feeders.order("a", &[one, other], Millis(3_900)), [other]);
+    assert_eq!(feeders.order("a", &[one, other], Millis(4_000)).len(), 2);
+
+    feeders.miss(one, Millis(1_000));
+    feeders.miss(one, Millis(1_500));
+    assert!(!feeders.is_gone(one, Millis(1_599)));
+    assert!(feeders.is_gone(one, Millis(1_600)));
+    feeders.reach(one);
+    assert!(!feeders.is_gone(one, Millis(9_000)));
+}
+
+/// A child that asks no more leaves its room to another.
+#[test]
+fn room_is_given_to_those_that_ask() {
+    let mut children = Children::default();
+    for number in 0..CHILDREN_MOST {
+        assert!(children.admit(&number.to_string(), address(number), Millis(0)));
+    }
+    assert!(!children.admit("late", address(99), Millis(3_000)));
+    assert!(children.admit("0", address(0), Millis(3_000)));
+    assert!(children.admit("late", address(99), Millis(4_000)));
+    assert_eq!(children.count(), 2);
+}
