Places of roots in a file of their own; a leaving instance takes none

An instance that drains stopped feeding others, but could take a root's place once more. Tests of what a view tells others, and that the names of removed rows are forgotten.

--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -115,7 +115,7 @@
             tokio::spawn(keep_crashes(shared, writes, relay.clone()));
             tokio::spawn(watch_reach(seen, relay.clone()));
             tokio::spawn(relay.clone().serve(context.clone(), peers));
-            tokio::spawn(relay.keep());
+            tokio::spawn(relay.keep(context.clone()));
             let answering = context.clone();
             let handler = move |request| {
                 let front = front.clone();
--- a/src/relay/membership.rs
+++ b/src/relay/membership.rs
@@ -2,46 +2,19 @@
 
 use super::{
     handle::{Parent, Relay, Role},
-    message::{Reply, Want}, //
+    message::{Reply, Want},
+    places::Places, //
 };
 use crate::{
     base::{Millis, stable_hash},
-    batch::{decode, encode},
-    net::Peer,
-    policy::relay::{ROOTS, first_place},
-    store::{Key, Outcome, StoreError, Transaction}, //
-};
-use serde::{
-    Deserialize,
-    Serialize, //
+    duty::{Context, Phase},
+    net::Peer, //
 };
 use std::{
     net::SocketAddr,
     sync::Arc, //
 };
 
-/// The table of roots: a part for each group, a row for each place.
-///
-/// A row is a hint where to ask. Two instances that take themselves for the same root do
-/// no harm: both read the store.
-const ROOTS_TABLE: &str = "roots";
-
-/// What a place's row holds.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Holder {
-    address: SocketAddr,
-    instance: String,
-}
-
-/// A place and who holds it.
-#[derive(Clone, Debug)]
-struct Place {
-    holder: Option<Holder>,
-    number: usize,
-    /// 0 for one that was never taken.
-    revision: u64,
-}
-
 /// The time between two looks of a root whether it still is one.
 const ROOT_CHECK: Millis = Millis(5_000);
 
@@ -82,20 +55,28 @@
 }
 
 impl Relay {
-    /// Has this process fed, or makes it a root, for good.
-    pub async fn keep(self: Arc<Self>) {
-        let mut known = Vec::new();
+    /// Has this process fed, or makes it a root, until the program drains: one that leaves
+    /// must not take the place of a root.
+    pub async fn keep(self: Arc<Self>, context: Context) {
+        tokio::select! {
+            () = self.keep_role() => {}
+            () = context.reached(Phase::Draining) => {}
+        }
+    }
+
+    async fn keep_role(&self) {
+        let mut places = Places::default();
         loop {
             match self.role() {
                 Role::Alone => {
-                    let wait = self.find(&mut known).await;
+                    let wait = self.find(&mut places).await;
                     tokio::time::sleep(wait.as_duration()).await;
                 }
                 // Its place is its own again once the store answers it.
-                Role::Child(parent) if self.holds(&known) => tokio::select! {
+                Role::Child(parent) if places.has(self.seat.address) => tokio::select! {
                     () = self.left(&parent) => {}
                     () = tokio::time::sleep(HOLDER_CHECK.as_duration()) => {
-                        if self.read_places(&mut known).await.is_ok() && self.holds(&known) {
+                        if places.read(self).await.is_ok() && places.has(self.seat.address) {
                             self.become_root();
                         }
                     }
@@ -103,32 +84,32 @@
                 Role::Child(parent) => self.left(&parent).await,
                 Role::Root => tokio::select! {
                     () = self.deposed() => {}
-                    () = tokio::time::sleep(ROOT_CHECK.as_duration()) => self.check(&mut known).await,
+                    () = tokio::time::sleep(ROOT_CHECK.as_duration()) => self.check(&mut places).await,
                 },
             }
         }
     }
 
     /// Looks once for a feeder; returns the wait before the next look.
-    async fn find(&self, known: &mut Vec<Place>) -> Millis {
-        let mut reached = self.read_places(known).await.is_ok();
-        if reached && Self::has_free(known) && !self.holds(known) {
+    async fn find(&self, places: &mut Places) -> Millis {
+        let mut reached = places.read(self).await.is_ok();
+        if reached && places.has_free() && !places.has(self.seat.address) {
             // The store is asked meanwhile.
             self.settled.send_replace(true);
             tokio::time::sleep(self.spread(ELECTION_SPREAD).as_duration()).await;
-            reached = self.read_places(known).await.is_ok();
-            if reached && Self::has_free(known) && self.take_place(known).await {
+            reached = places.read(self).await.is_ok();
+            if reached && places.has_free() && places.take(self).await {
                 self.become_root();
                 return Millis(0);
             }
         }
-        if reached && self.holds(known) {
+        if reached && places.has(self.seat.address) {
             self.become_root();
             return Millis(0);
         }
-        match self.join_any(known).await {
+        match self.join_any(places).await {
             Join::Joined(parent) => {
-                self.become_child(parent, known);
+                self.become_child(parent, places);
                 return Millis(0);
             }
             // It was waited for.
@@ -138,7 +119,7 @@
             }
             Join::No => {}
         }
-        if reached && self.take_place(known).await {
+        if reached && places.take(self).await {
             self.become_root();
             return Millis(0);
         }
@@ -147,8 +128,8 @@
     }
 
     /// A root looks whether another has taken its place.
-    async fn check(&self, known: &mut Vec<Place>) {
-        if self.read_places(known).await.is_ok() && !self.holds(known) {
+    async fn check(&self, places: &mut Places) {
+        if places.read(self).await.is_ok() && !places.has(self.seat.address) {
             tracing::info!("another instance is root in its place");
             self.set_role(Role::Alone);
         }
@@ -162,10 +143,10 @@
         self.settled.send_replace(true);
     }
 
-    fn become_child(&self, parent: Parent, known: &[Place]) {
+    fn become_child(&self, parent: Parent, places: &Places) {
         tracing::info!(feeder = %parent.address, "fed by another instance");
         // Others wait for the holder of a place to tell that the store is back.
-        match self.holds(known) {
+        match places.has(self.seat.address) {
             true => self.store.probe_often(),
             false => {
                 let seldom = PROBE_SELDOM + self.spread(PROBE_SPREAD);
@@ -178,11 +159,6 @@
         self.store.probe_now();
     }
 
-    /// Whether a place was never taken.
-    fn has_free(places: &[Place]) -> bool {
-        places.iter().any(|place| place.holder.is_none())
-    }
-
     /// A time below `most`, another one for each instance and moment.
     fn spread(&self, most: Millis) -> Millis {
         let now = self.clock.now().0.to_le_bytes();
@@ -190,41 +166,11 @@
         Millis(hash % most.0)
     }
 
-    fn holds(&self, places: &[Place]) -> bool {
-        let mine = |holder: &Holder| holder.address == self.seat.address;
-        let mut holders = places.iter().filter_map(|place| place.holder.as_ref());
-        holders.any(mine)
-    }
-
-    /// Reads who holds the places; what was `known` stays when the store does not tell.
-    async fn read_places(&self, known: &mut Vec<Place>) -> Result<(), StoreError> {
-        if self.store.is_away() {
-            return Err(StoreError::Away);
-        }
-        let group = &self.seat.group;
-        let listing = self.store.rows(ROOTS_TABLE, group, "", ROOTS).await?;
-        let place = |number: usize| {
-            let row = listing
-                .rows
-                .iter()
-                .find(|row| row.key == number.to_string());
-            let holder = row.and_then(|row| decode("root", row.value.as_ref()?));
-            Place {
-                holder,
-                number,
-                revision: row.map_or(0, |row| row.revision),
-            }
-        };
-        *known = (0..ROOTS).map(place).collect();
-        Ok(())
-    }
-
     /// Asks the roots, and those that they feed, until one feeds this process.
-    async fn join_any(&self, places: &[Place]) -> Join {
-        let holders = places.iter().filter_map(|place| place.holder.as_ref());
-        let others = holders.filter(|holder| holder.address != self.seat.address);
-        let addresses: Vec<SocketAddr> = others.map(|holder| holder.address).collect();
-        let order = self.order(&addresses);
+    async fn join_any(&self, places: &Places) -> Join {
+        let holders = places.holders();
+        let others = holders.filter(|holder| *holder != self.seat.address);
+        let order = self.order(&others.collect::<Vec<SocketAddr>>());
         let mut lost = Vec::new();
         for address in order {
             match self.join(address, Millis(0), DEPTH_MOST).await {
@@ -267,35 +213,4 @@
             Some(Reply::Forgotten | Reply::Full(_) | Reply::Page(_)) | None => Join::No,
         }
     }
-
-    /// Takes a place that nobody holds, or whose holder is gone.
-    async fn take_place(&self, places: &[Place]) -> bool {
-        let now = self.clock.now();
-        let is_free = |place: &Place| match &place.holder {
-            None => true,
-            Some(holder) => self.feeders().is_gone(holder.address, now),
-        };
-        let first = first_place(&self.seat.instance);
-        let in_turn = (0..places.len()).map(|turn| &places[(first + turn) % places.len()]);
-        let Some(place) = in_turn.into_iter().find(|place| is_free(place)) else {
-            return false;
-        };
-        let key = Key::new(ROOTS_TABLE, &self.seat.group, place.number.to_string());
-        let holder = Holder {
-            address: self.seat.address,
-            instance: self.seat.instance.clone(),
-        };
-        let before = place.holder.as_ref().map(|holder| &holder.instance);
-        let transaction = Transaction {
-            expect: vec![(key.clone(), place.revision)],
-            remove: Vec::new(),
-            set: vec![(key, encode(&holder))],
-        };
-        let taken = self.store.transact(&transaction).await;
-        let taken = matches!(taken, Ok(Outcome::Done { .. }));
-        if taken {
-            tracing::info!(number = place.number, ?before, "takes the place of a root");
-        }
-        taken
-    }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod handle;
 mod membership;
 mod message;
+mod places;
 mod serve;
 mod table;
 
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -95,7 +95,7 @@
             tokio::spawn(keep(site, relay.clone()));
             tokio::spawn(keep_crashes(crashes, writes, relay.clone()));
             tokio::spawn(relay.clone().serve(context.clone(), peers));
-            tokio::spawn(relay.keep());
+            tokio::spawn(relay.keep(context.clone()));
             Work::run(seed, context).await;
         };
         handle.add(duty::spawn("work", &supervisor, work)?);
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -187,6 +187,105 @@
     }
 }
 
+fn row(key: &str, revision: u64, value: Option<&'static str>) -> Row {
+    Row {
+        part: String::new(),
+        key: key.to_owned(),
+        value: value.map(|value| Bytes::from_static(value.as_bytes())),
+        revision,
+    }
+}
+
+/// What others are told of a table is each row's last change, and all of them or none.
+#[test]
+fn a_view_tells_others_what_changed() {
+    struct Test {
+        after: u64,
+        told: Option<&'static [(&'static str, u64)]>,
+    }
+
+    let mut view = TableView::default();
+    view.feed(vec![
+        row("a", 1, Some("1")),
+        row("b", 2, Some("2")),
+        row("gone", 3, None),
+    ]);
+    view.keep();
+    let rows = vec![row("a", 1, Some("1")), row("b", 2, Some("2"))];
+    view.list(
+        None,
+        Listing {
+            rows,
+            revision: 4,
+            ..Listing::default()
+        },
+    );
+    view.set_whole(4);
+    view.feed(vec![
+        row("b", 5, Some("5")),
+        row("c", 6, Some("6")),
+        row("a", 7, None),
+    ]);
+    for test in [
+        Test {
+            after: 0,
+            told: Some(&[("b", 5), ("c", 6)]),
+        },
+        Test {
+            after: 3,
+            told: None,
+        },
+        Test {
+            after: 4,
+            told: Some(&[("b", 5), ("c", 6), ("a", 7)]),
+        },
+        Test {
+            after: 6,
+            told: Some(&[("a", 7)]),
+        },
+        Test {
+            after: 7,
+            told: Some(&[]),
+        },
+    ] {
+        let rows = view.since(test.after);
+        let told = rows.map(|rows| {
+            let names = rows.into_iter().map(|row| (row.key, row.revision));
+            names.collect::<Vec<(String, u64)>>()
+        });
+        let expected = test.told.map(|told| {
+            let names = told
+                .iter()
+                .map(|(key, revision)| ((*key).to_owned(), *revision));
+            names.collect::<Vec<(String, u64)>>()
+        });
+        assert_eq!(told, expected, "after {}", test.after);
+    }
+}
+
+/// The names of removed rows grew with all rows that were ever written.
+#[test]
+fn removed_rows_are_forgotten() {
+    let mut view = TableView::default();
+    view.keep();
+    view.set_whole(0);
+    view.feed(vec![
+        row("a", 1, Some("1")),
+        row("b", 2, Some("2")),
+        row("a", 3, None),
+    ]);
+    view.prune();
+    assert!(
+        view.feed(vec![row("a", 1, Some("1"))]).is_empty(),
+        "a late feed brings it back"
+    );
+    assert_eq!(view.since(2).map(|rows| rows.len()), Some(1));
+    view.prune();
+    assert_eq!(view.since(2), None, "told as if nothing had been removed");
+    assert_eq!(view.since(3).map(|rows| rows.len()), Some(0));
+    assert_eq!(view.feed(vec![row("a", 9, Some("9"))]).len(), 1);
+}
+
 /// A part takes 200 transactions a second. With the heartbeats of 347 runners in one, those
 /// that started last were turned away for as long as the others went on.
 #[test]
