--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -96,8 +96,10 @@
     pub(super) peer: Peer,
 }
 
-/// How long after its start a process waits to be fed before it asks the store.
-const START_WAIT: Millis = Millis(500);
+/// How long after its start a process waits to be fed before it asks the store. When a
+/// whole fleet starts at once and each lists everything, the store turns most calls away,
+/// those of the roots among them, for some seconds; a root needs some tenths of one.
+const START_WAIT: Millis = Millis(2_500);
 
 /// The path of all questions.
 pub(super) const PATH: &str = "/relay";
--- a/src/relay/membership.rs
+++ b/src/relay/membership.rs
@@ -94,8 +94,6 @@
     async fn find(&self, places: &mut Places) -> Millis {
         let mut reached = places.read(self).await.is_ok();
         if reached && places.has_free() && !places.has(self.seat.address) {
-            // The store is asked meanwhile.
-            self.settled.send_replace(true);
             tokio::time::sleep(self.spread(ELECTION_SPREAD).as_duration()).await;
             reached = places.read(self).await.is_ok();
             if reached && places.has_free() && places.take(self).await {
@@ -113,17 +111,13 @@
                 return Millis(0);
             }
             // It was waited for.
-            Join::Lost => {
-                self.settled.send_replace(true);
-                return LOST_AGAIN;
-            }
+            Join::Lost => return LOST_AGAIN,
             Join::No => {}
         }
         if reached && places.take(self).await {
             self.become_root();
             return Millis(0);
         }
-        self.settled.send_replace(true);
         AGAIN + self.spread(AGAIN_SPREAD)
     }
 
