--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -148,8 +148,8 @@
     async fn changes(&mut self, after: u64) -> Result<u64, StoreError> {
         let mut hold = self.following.hold;
         if let Some(parent) = self.relay.parent() {
-            let held = hold + HELD_LONGER;
-            match self.ask(&parent, after, held, held + PAGE_SLACK).await {
+            let longer = hold + HELD_LONGER;
+            match self.ask(&parent, after, longer, longer + PAGE_SLACK).await {
                 Asked::Page(page) => return Ok(self.take_page(page, after).await),
                 Asked::Forgotten => return Err(StoreError::HistoryLost),
                 // What the store tells must not wait: it may be late already.
