--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -142,9 +142,13 @@
         Ok(listing.rows.into_iter().find(|row| row.key == key.key))
     }
 
-    /// Whether the store answers this process now.
-    pub async fn is_reached(&self) -> bool {
-        self.rows(PROBES, "", "", 1).await.is_ok()
+    /// Asks whether the store answers this process; waits a while for one that is away.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::rows`].
+    pub async fn ask(&self) -> Result<(), StoreError> {
+        self.rows(PROBES, "", "", 1).await.map(|_| ())
     }
 
     /// All rows of `part`, over as many calls as it takes. The revision is that
--- a/src/view/reach.rs
+++ b/src/view/reach.rs
@@ -4,7 +4,8 @@
 use super::Site;
 use crate::{
     base::Millis,
-    relay::Relay, //
+    relay::Relay,
+    store::StoreError, //
 };
 use std::sync::Arc;
 
@@ -12,12 +13,23 @@
 /// others within two such times.
 const EVERY: Millis = Millis(1_000);
 
+/// The wait after a question that found no answer. The next one waits by itself for a store
+/// that is away, and callers are turned away until it is answered.
+const AGAIN: Millis = Millis(20);
+
 /// Looks for good.
 pub async fn watch_reach(site: Arc<Site>, relay: Arc<Relay>) {
     loop {
-        tokio::time::sleep(EVERY.as_duration()).await;
         // Who asks the store for changes learns it from them.
-        let reached = !relay.is_fed() || relay.store().is_reached().await;
-        site.set_reached(reached);
+        let asked = match relay.is_fed() {
+            true => relay.store().ask().await,
+            false => Ok(()),
+        };
+        site.set_reached(asked.is_ok());
+        let wait = match asked {
+            Err(StoreError::Away | StoreError::Unknown { .. }) => AGAIN,
+            Ok(()) | Err(_) => EVERY,
+        };
+        tokio::time::sleep(wait.as_duration()).await;
     }
 }
