--- a/src/relay/membership.rs
+++ b/src/relay/membership.rs
@@ -106,6 +106,12 @@
             return Millis(0);
         }
         match self.join_any(places).await {
+            // Roots that wait for each other's word would feed each other in a circle once
+            // the store is back, and hear nothing for a while.
+            Join::Joined(_) if places.has(self.seat.address) && places.read(self).await.is_ok() => {
+                self.become_root();
+                return Millis(0);
+            }
             Join::Joined(parent) => {
                 self.become_child(parent, places);
                 return Millis(0);
