--- a/src/policy/latency.rs
+++ b/src/policy/latency.rs
@@ -45,7 +45,7 @@
 
     #[test]
     fn rises_fast_and_fades() {
-        let usual = 30.0;
+        let usual = 20.0;
         let mut latency = Latency::default();
         assert!((latency.estimate(Millis(5_000), usual) - usual).abs() < 0.1);
         for _ in 0..100 {
@@ -56,7 +56,7 @@
             latency.note(Millis(0), usual, 200.0);
         }
         assert!(latency.estimate(Millis(0), usual) > 170.0);
-        assert!(latency.estimate(HALF_LIFE, usual) < 115.0);
+        assert!(latency.estimate(HALF_LIFE, usual) < 100.0);
         assert!(latency.estimate(Millis(60_000), usual) < usual + 1.0);
     }
 }
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -41,9 +41,9 @@
 
 /// How this process learns of changes, shared by all its followers.
 pub struct Relay {
-    pub(super) children: Mutex<Children>,
+    children: Mutex<Children>,
     pub(super) clock: Clock,
-    pub(super) feeders: Mutex<Feeders>,
+    feeders: Mutex<Feeders>,
     role: watch::Sender<Role>,
     pub(super) seat: Seat,
     /// Whether it keeps what it learns for others.
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -4,7 +4,6 @@
     base::Millis,
     store::{Listing, Row}, //
 };
-use bytes::Bytes;
 use serde::{
     Deserialize,
     Serialize, //
@@ -51,46 +50,14 @@
     pub(super) age: Millis,
     /// The revision up to which all changes are told.
     pub(super) revision: u64,
-    pub(super) rows: Vec<PageRow>,
-}
-
-#[derive(Debug, Deserialize, Serialize)]
-pub(super) struct PageRow {
-    part: String,
-    key: String,
-    revision: u64,
-    /// `None` for a removed row.
-    value: Option<Bytes>,
-}
-
-impl From<Row> for PageRow {
-    fn from(row: Row) -> Self {
-        let Row {
-            part,
-            key,
-            value,
-            revision,
-        } = row;
-        Self {
-            part,
-            key,
-            revision,
-            value,
-        }
-    }
+    pub(super) rows: Vec<Row>,
 }
 
 impl Page {
     /// Its rows, as if the store had told them.
     pub(super) fn into_listing(self) -> Listing {
-        let row = |row: PageRow| Row {
-            part: row.part,
-            key: row.key,
-            value: row.value,
-            revision: row.revision,
-        };
         Listing {
-            rows: self.rows.into_iter().map(row).collect(),
+            rows: self.rows,
             more: false,
             revision: self.revision,
         }
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -32,6 +32,13 @@
     whole: bool,
 }
 
+impl State {
+    /// Whether the rows are kept for others, and learnt at present.
+    fn feeds(&self) -> bool {
+        self.whole && self.linked
+    }
+}
+
 impl Default for Table {
     fn default() -> Self {
         Self {
@@ -88,8 +95,7 @@
 
     /// Whether the rows are kept for others, and learnt at present.
     pub(super) fn feeds(&self) -> bool {
-        let state = *self.state.borrow();
-        state.whole && state.linked
+        self.state.borrow().feeds()
     }
 
     /// Nothing is learnt at present.
@@ -105,7 +111,7 @@
     /// Waits at most `hold` until others can be fed.
     pub(super) async fn wait_feeds(&self, hold: Millis) {
         let mut state = self.state.subscribe();
-        let feeds = state.wait_for(|state| state.whole && state.linked);
+        let feeds = state.wait_for(State::feeds);
         let _ = tokio::time::timeout(hold.as_duration(), feeds).await;
     }
 
@@ -134,7 +140,7 @@
             age: now.since(state.confirmed),
             // What changed since may be among the rows, but not all of it.
             revision: state.revision,
-            rows: rows.into_iter().map(Into::into).collect(),
+            rows,
         })
     }
 
--- a/src/runner/give_back.rs
+++ b/src/runner/give_back.rs
@@ -1,16 +1,14 @@
 //! Gives bundles back that this runner has taken and does not run.
 
-use super::work::Work;
+use super::{
+    heartbeat::SHARED_WITHIN,
+    work::Work, //
+};
 use crate::{
-    base::Millis,
     batch::{Claim, WORK, WorkKey, encode, part_of},
     store::{Key, Outcome, Transaction}, //
 };
 
-/// How long a bundle is kept for what its runs showed of their engine to be written:
-/// some tries of a write.
-const SHARED_WITHIN: Millis = Millis(600);
-
 impl Work {
     /// Writes that nobody holds `bundle` any more, unless another runner runs it as well.
     ///
--- a/src/runner/heartbeat.rs
+++ b/src/runner/heartbeat.rs
@@ -14,9 +14,10 @@
 /// The time between heartbeats.
 const HEARTBEAT_EVERY: Millis = Millis(1_000);
 
-/// How long a heartbeat may wait for the crashes of its engine to be shared: some
-/// tries of a write, and less than makes others take this runner for gone.
-const SHARED_WITHIN: Millis = Millis(600);
+/// How long the word that an engine or a bundle is free may wait for the crashes of the
+/// engine to be shared: some tries of a write, and less than makes others take this runner
+/// for gone.
+pub(super) const SHARED_WITHIN: Millis = Millis(600);
 
 /// The wait before the first heartbeat is tried again.
 const FIRST_AGAIN: Millis = Millis(80);
--- a/src/store/row.rs
+++ b/src/store/row.rs
@@ -1,6 +1,10 @@
 //! Rows as they are read.
 
 use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Names a row within a part.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -22,7 +26,7 @@
 }
 
 /// A row and the revision that wrote it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
     pub part: String,
     pub key: String,
--- a/standins/tests/integration/relay.rs
+++ b/standins/tests/integration/relay.rs
@@ -3,7 +3,7 @@
 use hyper::Method;
 use redwing_standins::{
     relay::{Relay, Silence},
-    site::{Batch, Scene, Shape}, //
+    site::{Batch, Outage, Scene, Shape, StoreFaults}, //
 };
 use std::time::Duration;
 
@@ -115,7 +115,6 @@
 /// The store goes away and comes back: all hear of what changed meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_hear_of_changes_after_an_outage() {
-    use redwing_standins::site::{Outage, StoreFaults};
     for outage in [Outage::Busy, Outage::Reset, Outage::Silent] {
         let mut scene = open(9, 1).await;
         scene.store.set_faults(StoreFaults {
