Keep the address of a stand-in that is down, and show the log of test sites

The address is held now while the server is down; connections are refused as before.

With RUST_LOG a test site shows the log lines of its gateways and runners, told apart by their threads, so that a failing copy can be traced.

--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -22,7 +22,7 @@
     }, //
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::JoinHandle, //
 };
@@ -32,6 +32,9 @@
     /// The number of connections accepted so far.
     accepted: Arc<AtomicU64>,
     pub address: SocketAddr,
+    /// Holds the address while the server is down: without it, another program on the instance
+    /// can take the port, and answers the requests that are sent there.
+    _reserved: TcpSocket,
     task: JoinHandle<()>,
     /// Whether the server listens; false also closes its connections.
     up: Arc<watch::Sender<bool>>,
@@ -40,13 +43,15 @@
 impl Server {
     /// Listens at `address` and answers with `handler`. An error of the handler
     /// closes the connection without an answer.
+    #[expect(clippy::unused_async, reason = "all stand-ins are opened alike")]
     pub async fn open<H, Fut>(address: SocketAddr, handler: H) -> io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
         Fut: Future<Output = io::Result<Answer>> + Send + 'static,
     {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+        let reserved = bind_shared(address)?;
+        let address = reserved.local_addr()?;
+        let listener = listen(address)?;
         let (up, switch) = watch::channel(true);
         let accepted = Arc::default();
         let task = serve(listener, address, switch, handler, Arc::clone(&accepted));
@@ -54,6 +59,7 @@
         Ok(Self {
             accepted,
             address,
+            _reserved: reserved,
             task,
             up: Arc::new(up),
         })
@@ -93,6 +99,22 @@
     }
 }
 
+/// The most connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Binds a socket to `address`, which other sockets of this program may share.
+fn bind_shared(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Listens at `address`.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    bind_shared(address)?.listen(BACKLOG)
+}
+
 /// Accepts connections while the server is up, and listens again when it comes
 /// back.
 async fn serve<H, Fut>(
@@ -112,7 +134,7 @@
             if up.wait_for(|up| *up).await.is_err() {
                 return;
             }
-            listener = TcpListener::bind(address).await.ok();
+            listener = listen(address).ok();
             continue;
         };
         tokio::select! {
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -4,6 +4,7 @@
 
 mod engine;
 mod faults;
+mod log;
 mod plain;
 mod rows;
 mod store;
--- a/standins/src/site/test_site.rs
+++ b/standins/src/site/test_site.rs
@@ -7,7 +7,8 @@
     ItemResult,
     PlainServer,
     ResultPage,
-    Store, //
+    Store,
+    log::open_log, //
 };
 use crate::client::{
     Client, //
@@ -104,6 +105,7 @@
 
     /// Starts a site without a configuration; its gateways aren't ready until they get one.
     pub async fn open_unconfigured(options: SiteOptions) -> io::Result<Self> {
+        open_log();
         let store = Store::open().await?;
         let mut engines = Vec::new();
         for index in 0..options.engines {
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -11,6 +11,7 @@
     mod memory;
     mod relay;
     mod scenarios;
+    mod server;
     mod site;
     mod stage;
     mod usage;
