Count no crash against a request that its server had not read

Callers saw 503 (`quarantine`, Retry-After a minute) for a call that no server had ever run, after servers had ended three times while calls were on their way to them.

Cause: every connection that broke before a server was found gone counted as a crash by its request. Requests reach the queue of a listener whose process is ending already; the operating system resets them unread. On a crowded machine that window is tens of milliseconds long.

Evidence, from the log of a failing copy (new line `connection broke`): each counted break had reused=false age=25..27 unsent=false and a reset. So a reset before any byte of an answer, within a second, counts no more. What callers are told of a run stays as it was.

`a_call_that_no_server_has_read_is_not_quarantined` fails without the change (503 instead of 200). `a_call_to_a_server_that_is_gone_is_no_crash`, unchanged, ten copies beside each other: 2 of 60 and 1 of 100 failed before; now 0 of 200 in debug, in debug beside five busy processes, in release, and in release beside five busy processes.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -44,6 +44,8 @@
 pub(super) enum ServerStatus {
     /// The connection broke during the request, so the process may have ended.
     ConnectionLost,
+    /// As [`Self::ConnectionLost`], but the process had not read the request.
+    ConnectionReset,
     /// Nothing listens at the address, or a later incarnation does: the process has ended.
     Gone,
     /// The process answered.
@@ -56,6 +58,7 @@
     /// What `error` shows about the server.
     pub(super) fn from_error(error: &CallError) -> Self {
         match error {
+            CallError::Broken { unread: true, .. } => Self::ConnectionReset,
             CallError::Broken { .. } => Self::ConnectionLost,
             _ if error.is_refused() => Self::Gone,
             _ => Self::Unknown,
--- a/src/calls/crash_check.rs
+++ b/src/calls/crash_check.rs
@@ -98,14 +98,27 @@
     /// As [`Dispatcher::check_server`]. A server that was not in service any more when the attempt
     /// failed has ended as planned, which is no crash.
     async fn check_status(&self, server: &Server, status: ServerStatus, was_in_service: bool) {
+        let asked = self.site.now();
         let has_ended = match status {
-            ServerStatus::ConnectionLost => {
+            ServerStatus::ConnectionLost | ServerStatus::ConnectionReset => {
                 let peer = self.peer(server.address);
                 self.is_replaced(server) || peer.refuses_connections(CHECK_TIMEOUT).await
             }
             ServerStatus::Gone => true,
             ServerStatus::Alive | ServerStatus::Unknown => false,
         };
+        if status != ServerStatus::Alive {
+            let taken = self.site.now().since(asked).0;
+            let server = &server.incarnation.id;
+            tracing::info!(
+                server,
+                ?status,
+                has_ended,
+                was_in_service,
+                taken,
+                "checked whether a server has ended"
+            );
+        }
         if has_ended {
             self.record_crash(server, was_in_service);
         }
--- a/src/calls/server_records.rs
+++ b/src/calls/server_records.rs
@@ -47,10 +47,19 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostRequest {
     pub(super) sent_at: Millis,
+    /// What the failed attempt shows about the server.
+    pub(super) server_status: ServerStatus,
     /// Whether the server may have run it.
     pub(super) verdict: Verdict,
 }
 
+impl LostRequest {
+    /// Whether the server may be running the request, so that its crash counts against it.
+    fn may_be_running(self) -> bool {
+        self.verdict.may_have_run() && self.server_status != ServerStatus::ConnectionReset
+    }
+}
+
 /// The records of all servers, by incarnation.
 #[derive(Debug, Default)]
 pub(super) struct ServerRecords {
@@ -251,9 +260,14 @@
                 self.record_reply(server, request, sent_at);
                 false
             }
-            AttemptOutcome::Failed { verdict, .. } => {
+            AttemptOutcome::Failed {
+                server_status,
+                verdict,
+                ..
+            } => {
                 let lost = LostRequest {
                     sent_at,
+                    server_status: *server_status,
                     verdict: *verdict,
                 };
                 self.record_loss(server, request, lost, now)
@@ -262,9 +276,10 @@
     }
 
     /// Records that `server` did not answer `request`; true if the server may still be running
-    /// it. A request that did not run can't have crashed the server, nor can one that was sent
-    /// after the server was found to have ended, as it may only have reached the process while
-    /// that shut down. Such requests are no longer pending.
+    /// it. A request that did not run can't have crashed the server, nor can one that the
+    /// server had not read: it arrived while the process ended, and a crash counted against it
+    /// put calls into quarantine that no server had run. The same holds for one that was sent
+    /// after the server was found to have ended. Such requests are no longer pending.
     pub(super) fn record_loss(
         &mut self,
         server: &ServerIncarnation,
@@ -276,7 +291,7 @@
             return false;
         };
         let too_late = record.ended_at.is_some_and(|at| lost.sent_at >= at);
-        if too_late || !lost.verdict.may_have_run() {
+        if too_late || !lost.may_be_running() {
             record.remove_pending(request);
             return false;
         }
--- a/src/calls/stream_attempt.rs
+++ b/src/calls/stream_attempt.rs
@@ -59,6 +59,7 @@
         let now = self.dispatcher.site.now();
         let lost = LostRequest {
             sent_at: self.sent.sent_at,
+            server_status: status,
             verdict: error.verdict(),
         };
         self.record_loss(lost, now);
--- a/src/net/call_error.rs
+++ b/src/net/call_error.rs
@@ -5,7 +5,10 @@
     Verdict, //
 };
 use snafu::Snafu;
-use std::net::SocketAddr;
+use std::{
+    io,
+    net::SocketAddr, //
+};
 
 /// Why a request got no complete response from its peer.
 #[derive(Debug, Snafu)]
@@ -17,6 +20,10 @@
         address: SocketAddr,
         /// Whether the peer probably reset the connection because it has too many.
         over_limit: bool,
+        /// Whether the peer reset the connection before it began to answer. A process that
+        /// ends closes the connections whose requests it has read; the operating system
+        /// resets the others, also those that the process never accepted.
+        unread: bool,
         source: hyper::Error,
     },
     /// No connection could be opened or became free in time, so the peer never received the
@@ -72,3 +79,20 @@
         }
     }
 }
+
+/// Whether a connection failed because the peer reset it.
+pub(super) fn is_reset(error: &hyper::Error) -> bool {
+    let mut cause: Option<&dyn std::error::Error> = Some(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                io::ErrorKind::BrokenPipe
+                    | io::ErrorKind::ConnectionAborted
+                    | io::ErrorKind::ConnectionReset
+            );
+        }
+        cause = error.source();
+    }
+    false
+}
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -3,7 +3,7 @@
 use super::{
     CallError,
     StreamBody,
-    call_error::{BrokenSnafu, ConnectSnafu, TimeoutSnafu, TooLargeSnafu},
+    call_error::{BrokenSnafu, ConnectSnafu, TimeoutSnafu, TooLargeSnafu, is_reset},
     idle_connection::{closes_connection, usable_until},
     pool::{Grant, Place, Pool, Turn}, //
 };
@@ -75,6 +75,10 @@
 /// The idle time before the first TCP keepalive probe, and the time between probes.
 const TCP_KEEPALIVE_INTERVAL: std::time::Duration = std::time::Duration::from_secs(2);
 
+/// A machine that lost power resets its old connections once it is back, also those whose
+/// requests it had read. That takes longer than this.
+const MIN_REBOOT_TIME: Millis = Millis(1_000);
+
 /// The largest response body that is read into memory.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -305,17 +309,21 @@
                 continue;
             }
             progress.set_written(true);
+            let sent_at = self.pool.now();
             match sender.try_send_request(request).await {
                 Ok(answer) => return Ok(self.streaming_response(sender, answer)),
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) => request = unsent,
                     None => {
-                        let over_limit = false;
+                        let error = failed.into_error();
+                        let unread = self.is_unread(&error, sent_at);
+                        tracing::info!(server = %address, reused = true, unread, "connection broke");
                         let context = BrokenSnafu {
                             address,
-                            over_limit,
+                            over_limit: false,
+                            unread,
                         };
-                        return Err(failed.into_error()).context(context);
+                        return Err(error).context(context);
                     }
                 },
             }
@@ -328,26 +336,38 @@
             mut sender,
         } = self.connect(place).await?;
         progress.set_written(true);
+        let sent_at = self.pool.now();
         let mut failed = match sender.try_send_request(request).await {
             Ok(answer) => return Ok(self.streaming_response(sender, answer)),
             Err(failed) => failed,
         };
         let unsent = failed.take_message().is_some();
         let error = failed.into_error();
+        let unread = unsent || self.is_unread(&error, sent_at);
+        let age = self.pool.now().since(opened_at);
         let over_limit = self.pool.record_broken(BrokenConnection {
-            age: self.pool.now().since(opened_at),
+            age,
             others,
             reset: unsent || is_reset(&error),
         });
+        let age = age.0;
+        tracing::info!(server = %address, reused = false, age, unsent, unread, over_limit, "connection broke");
         match unsent && self.pool.is_limited() {
             true => not_connected(address, error.to_string(), over_limit).fail(),
             false => Err(error).context(BrokenSnafu {
                 address,
                 over_limit,
+                unread,
             }),
         }
     }
 
+    /// Whether the peer reset the connection without having read the request, which was given
+    /// to the connection at `sent_at`.
+    fn is_unread(&self, error: &hyper::Error, sent_at: Millis) -> bool {
+        is_reset(error) && self.pool.now().since(sent_at) < MIN_REBOOT_TIME
+    }
+
     /// Converts `answer`, whose body is still to be read over the connection of `sender`.
     fn streaming_response(
         &self,
@@ -426,23 +446,6 @@
     }
 }
 
-/// Whether a connection failed because the peer reset it.
-fn is_reset(error: &hyper::Error) -> bool {
-    let mut cause: Option<&dyn std::error::Error> = Some(error);
-    while let Some(error) = cause {
-        if let Some(error) = error.downcast_ref::<io::Error>() {
-            return matches!(
-                error.kind(),
-                io::ErrorKind::BrokenPipe
-                    | io::ErrorKind::ConnectionAborted
-                    | io::ErrorKind::ConnectionReset
-            );
-        }
-        cause = error.source();
-    }
-    false
-}
-
 /// Makes the operating system detect a peer that disappears without a reset: unacknowledged
 /// bytes time out, and idle connections are probed.
 fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
--- a/src/net/stream_body.rs
+++ b/src/net/stream_body.rs
@@ -2,8 +2,7 @@
 
 use super::{
     CallError,
-    call_error::BrokenSnafu,
-    call_error::TimeoutSnafu,
+    call_error::{BrokenSnafu, TimeoutSnafu},
     pool::Pool, //
 };
 use crate::base::Millis;
@@ -56,6 +55,7 @@
             let frame = frame.context(BrokenSnafu {
                 address,
                 over_limit: false,
+                unread: false,
             })?;
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -196,6 +196,13 @@
     Replaced,
 }
 
+impl RunEnd {
+    /// Whether the engine may have been running the item when the run ended.
+    pub(super) fn may_have_run(&self) -> bool {
+        !matches!(self, Self::Broken(CallError::Broken { unread: true, .. }))
+    }
+}
+
 /// Identifies the request of `item`, from a batch for `host`, in the crash records.
 pub(super) fn fingerprint(host: &str, item: &Item) -> Fingerprint {
     Fingerprint::of(FingerprintInput {
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -269,7 +269,7 @@
     }
 
     /// If the run ended because the engine crashed, counts the crash of `incarnation`
-    /// against `task` and returns true.
+    /// against `task`, unless the engine had not read the request, and returns true.
     async fn record_crash(
         &self,
         incarnation: &ServerIncarnation,
@@ -283,7 +283,9 @@
         };
         if has_crashed {
             self.last_crashed.send_replace(Some(incarnation.clone()));
-            self.crashes.record_crash(incarnation, &[task.fingerprint]);
+            if run.may_have_run() {
+                self.crashes.record_crash(incarnation, &[task.fingerprint]);
+            }
         }
         has_crashed
     }
@@ -385,12 +387,13 @@
         let ended = self.record_crash(incarnation, task, run).await;
         drop(guard);
         match run {
-            RunEnd::Broken(CallError::Broken { .. }) if !ended => self.add_broken_run(BrokenRun {
-                at: self.clock.now(),
-                attempt,
-                incarnation: incarnation.clone(),
-                request,
-            }),
+            RunEnd::Broken(CallError::Broken { unread: false, .. }) if !ended => self
+                .add_broken_run(BrokenRun {
+                    at: self.clock.now(),
+                    attempt,
+                    incarnation: incarnation.clone(),
+                    request,
+                }),
             _ => self.release_attempt(attempt),
         }
         if matches!(run, RunEnd::Whole | RunEnd::Failed | RunEnd::Unprocessable) {
--- a/standins/tests/integration/crashes.rs
+++ b/standins/tests/integration/crashes.rs
@@ -14,6 +14,7 @@
 };
 use redwingpond::base::Millis;
 use std::time::Duration;
+use tokio::net::TcpListener;
 
 /// The most servers that one request may crash within 5 s: after the third crash it is
 /// quarantined.
@@ -253,6 +254,34 @@
     assert_eq!(status, Some(200));
 }
 
+/// Servers end with a call in the queue of their listener, where no process has read it. A
+/// harmless call was quarantined after three of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_no_server_has_read_is_not_quarantined() {
+    let (site, _) = open_plain(1, 0).await;
+    for round in 0..2 * MAX_CRASHES {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let id = format!("ends-{round}");
+        site.announce(&id, "plain", listener.local_addr().unwrap(), "ready");
+        sleep(RESTART_DELAY).await;
+        let id = format!("unread-{round}");
+        let calling = call(&site, 0, "/safe/x", &id, "same");
+        let ending = async {
+            sleep(RESTART_DELAY).await;
+            drop(listener);
+        };
+        let (status, ()) = tokio::join!(calling, ending);
+        assert!(matches!(status, Some(502..=504)), "{id}: {status:?}");
+        site.store.put("servers", &format!("ends-{round}"), None);
+    }
+
+    let server = PlainServer::open("plain").await.unwrap();
+    site.announce("plain", "plain", server.address, "ready");
+    sleep(RESTART_DELAY).await;
+    let status = call(&site, 0, "/safe/x", "last", "same").await;
+    assert_eq!(status, Some(200));
+}
+
 /// A call crashes servers during an outage of the store. All gateways must learn of the
 /// crashes that one of them saw within seconds of the store's recovery, and a gateway that is
 /// started later must know them before it is ready.
