Run the dropped items of a held bundle again

Users saw harmless items at no engine for up to 20 s, until they were given up, though their engine was back and had room.

Cause: an item is dropped when its engine accepts no work, so that another runner can claim its bundle. The bundle stays claimed as long as one of its items runs or waits for admission, and an item in quarantine waits for as long as 20 s. Nobody ran the dropped ones meanwhile.

Evidence, from the log of a failing copy of `items_beside_several_that_end_engines_are_whole`: `fatal2x0x2` is dropped at 55.809, its bundle is kept, and it runs again at 59.657.

The runner that holds the bundle runs them again, with the texts that were saved, as soon as its engine accepts work; one attempt at a time is still claimed in the store. `items_beside_a_quarantined_one_run_again` fails without the change ("matesx0x0 was at no engine for 5000 ms").

--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -52,7 +52,7 @@
             return;
         };
         batch.own_bundles.insert(bundle, BundleState::Resuming);
-        let left = batch.unfinished(bundle);
+        let left = batch.waiting(bundle);
         let bundle = BundleId {
             batch: id.to_owned(),
             bundle,
@@ -155,7 +155,7 @@
         let Some(route) = self.route_of(batch) else {
             return;
         };
-        let left = batch.unfinished(bundle);
+        let left = batch.waiting(bundle);
         let found: Option<Vec<(u16, Item)>> = left
             .iter()
             .map(|index| {
@@ -210,6 +210,36 @@
         }
     }
 
+    /// Runs the dropped items of this runner's bundles again, with the texts that were saved.
+    /// The other items of a bundle may run or wait for admission for tens of seconds, and
+    /// nobody else runs the dropped ones as long as this runner holds the bundle.
+    pub(super) fn restart_dropped(&mut self) {
+        if !self.engine_accepts_work() || self.leaving || self.engine.is_isolating() {
+            return;
+        }
+        let mut dropped = Vec::new();
+        for (id, batch) in self.batches.iter().filter(|(_, batch)| !batch.is_over()) {
+            let bundles = batch.running_bundles().into_iter();
+            let mine =
+                bundles.filter(|bundle| batch.is_claimed_by(*bundle, &self.instance, self.token));
+            let waiting = mine
+                .filter(|bundle| !batch.handing.contains(bundle))
+                .filter(|bundle| !batch.waiting(*bundle).is_empty());
+            dropped.extend(waiting.map(|bundle| (id.clone(), bundle)));
+        }
+        for (id, bundle) in dropped {
+            tracing::info!(
+                batch = id,
+                bundle,
+                "running the dropped items of a bundle again"
+            );
+            if let Some(batch) = self.batches.get_mut(&id) {
+                batch.reclaimed.insert(bundle);
+            }
+            self.resume(&id, bundle);
+        }
+    }
+
     /// Calls [`Self::start`] for each bundle in state [`BundleState::Fetching`].
     pub(super) fn start_ready(&mut self, id: &str) {
         let bundles = self.batches.get(id).map(OpenBatch::fetching_bundles);
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -129,6 +129,13 @@
         bundle.items.iter().filter(open).copied().collect()
     }
 
+    /// The unfinished items of `bundle` that this runner does not run.
+    pub(super) fn waiting(&self, bundle: u16) -> Vec<u16> {
+        let mut items = self.unfinished(bundle);
+        items.retain(|index| !self.running.contains_key(index));
+        items
+    }
+
     /// Whether a result that is not in the log yet is in memory.
     fn has_result(&self, index: u16) -> bool {
         self.results.iter().any(|(done, _)| *done == index)
@@ -151,6 +158,15 @@
         fetching.map(|(bundle, _)| *bundle).collect()
     }
 
+    /// This runner's bundles whose runs have started.
+    pub(super) fn running_bundles(&self) -> Vec<u16> {
+        let running = self
+            .own_bundles
+            .iter()
+            .filter(|(_, state)| matches!(state, BundleState::Running));
+        running.map(|(bundle, _)| *bundle).collect()
+    }
+
     /// The number of unfinished items in this runner's bundles.
     pub(super) fn load(&self) -> usize {
         let bundles = self.own_bundles.keys();
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -258,6 +258,7 @@
         let standing = self.standing(now);
         self.update_home(&standing, now);
         self.plan_order(&standing, now);
+        self.restart_dropped();
         self.plan_claims(&standing, usual, now);
         self.settle_stopped_runs(usual);
         self.plan_sweep(now);
--- a/standins/tests/integration/crashes.rs
+++ b/standins/tests/integration/crashes.rs
@@ -12,7 +12,10 @@
     TestSite,
     server_entry, //
 };
-use redwingpond::base::Millis;
+use redwingpond::{
+    base::{Fingerprint, FingerprintInput, Millis},
+    batch::encode, //
+};
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -386,6 +389,55 @@
     );
 }
 
+/// A quarantined item waits in its bundle, which its runner therefore keeps. Harmless items of
+/// the bundle that lost their engine meanwhile ran nowhere until they were given up.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_beside_a_quarantined_one_run_again() {
+    let options = SiteOptions {
+        engines: 1,
+        ..SiteOptions::default()
+    };
+    let site = TestSite::open(options).await.unwrap();
+    let mut incarnations = engine_incarnations(&site);
+    site.engines[0].set_event_time(Millis(50));
+    let batch = Batch::new("mates", 1, 4, 40);
+    quarantine_item(&site, &batch, 3);
+    assert_eq!(site.submit(0, &batch).await, Some(202));
+    sleep(2 * RESTART_DELAY).await;
+    site.engines[0].switch().send_replace(false);
+    sleep(RESTART_DELAY).await;
+    restart_engines(&site, &mut incarnations);
+
+    let restarted_at = site.engines[0].now();
+    sleep(MAX_UNSERVED_TIME.0).await;
+    for item in &batch.item_ids()[..3] {
+        let runs = site.engines[0].runs();
+        let served = runs
+            .iter()
+            .any(|run| run.item == *item && run.at >= restarted_at);
+        assert!(served, "{item} was at no engine for {MAX_UNSERVED_TIME}");
+    }
+}
+
+/// Writes crashes of unknown servers for the item with this index in its batch. They are in
+/// the future, so that no trial is due.
+fn quarantine_item(site: &TestSite, batch: &Batch, index: usize) {
+    let (id, group) = (&batch.item_ids()[index], &batch.groups.concat());
+    let request = Fingerprint::of(FingerprintInput {
+        body: group[index].to_string().as_bytes(),
+        caller: &[],
+        host: "site.example",
+        id,
+        method: "POST",
+        path: &format!("/roll/run/{index}"),
+    });
+    let at = encode(&(site.clock.now() + Millis(60_000)));
+    for crash in 0..MAX_CRASHES {
+        let key = format!("{request}/1/unknown-{crash}");
+        site.store.put_row("crashes", "", &key, &at);
+    }
+}
+
 /// Several items, each in a batch of its own, crash engines at the same time. Harmless items
 /// share one engine after another with them; all of these must be completed, and no item may
 /// crash more engines than it would alone.
