Take only an answer asked for after a break for an engine's sign of life

Users saw an item end five engines, where four are the most.

Cause: a run whose connection broke is kept until a report shows whether its engine has ended. A report that arrived 100 ms after the break counted as a sign of life, whenever the engine had made it. A busy runner handles reports late: one from before the break cleared the engine, and its end was not counted against the item.

Evidence, from the log of a failing copy of `items_beside_several_that_end_engines_are_whole` (new lines `item with crashes admitted`, `engine checked after a broken run`): the run breaks at 54.601, the engine counts as alive 126 ms later, and four more engines end. Each attempt was claimed (`claimed=true`, `expected=0`), which rules out expired claims and runs without one. In another copy the process that was ending answered 34 ms after the break and refused connections after 300 ms.

A report counts now by when it was asked for, 250 ms after the break or later; so does the one that confirms an engine after a mismatch. The decision is a pure function with a table of cases.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 pub mod agent_queue;
 pub mod batch_age;
 pub mod bitmap;
+pub mod broken_run;
 pub mod call_queue;
 pub mod claim_choice;
 pub mod conditions;
--- a/src/runner/engine_state.rs
+++ b/src/runner/engine_state.rs
@@ -4,6 +4,7 @@
 use crate::{
     base::Millis,
     policy::{
+        broken_run::Sighting,
         engine_incarnation::{current_incarnation, is_caught_up},
         pace::{EngineKind, Pace}, //
     },
@@ -38,12 +39,13 @@
         let started = announced
             .as_ref()
             .map_or(Millis(0), |server| server.incarnation.started_at);
-        let fresh = self.report.as_ref().is_some_and(|(report, at)| {
+        let fresh = self.report.as_ref().is_some_and(|received| {
             // A report from before the announced start belongs to the previous
             // incarnation. Combined with the new id, it named an incarnation that never
             // existed and whose apparent crash counted against items just started.
-            let is_before = report.started_at.0 > 0 && report.started_at < started;
-            now.since(*at) < MAX_REPORT_AGE && !is_before
+            let reported_start = received.report.started_at;
+            let is_before = reported_start.0 > 0 && reported_start < started;
+            now.since(received.received_at) < MAX_REPORT_AGE && !is_before
         });
         let draining = |id: &str| {
             let directory = self.site.directory();
@@ -52,14 +54,17 @@
         let reported_start = self
             .report
             .as_ref()
-            .map_or(Millis(0), |(report, _)| report.started_at);
+            .map_or(Millis(0), |received| received.report.started_at);
         let id = present.filter(|id| fresh && !draining(id));
         let incarnation = id.map(|id| ServerIncarnation::new(id, reported_start));
         if mismatch.is_some_and(|mismatch| is_caught_up(announced_id, &mismatch)) {
             self.engine.mismatch.send_replace(None);
         }
-        if let (Some(present), Some((_, seen))) = (&incarnation, &self.report) {
-            self.engine.resolve_broken_runs(present, *seen);
+        if let (Some(present), Some(received)) = (&incarnation, &self.report) {
+            self.engine.resolve_broken_runs(Sighting {
+                asked_at: received.asked_at,
+                incarnation: present,
+            });
         }
         if incarnation.is_some() && self.last_incarnation != incarnation {
             self.reset_engine();
@@ -95,9 +100,10 @@
         *self.engine.pace() = Pace::default();
     }
 
-    /// Whether a report later than `at` lists only models of this runner's service.
+    /// Whether a report that was requested after `at` lists only models of this runner's
+    /// service.
     fn has_own_report_since(&self, at: Millis) -> bool {
-        let Some((report, seen)) = &self.report else {
+        let Some(received) = &self.report else {
             return false;
         };
         let config = self.site.config();
@@ -106,8 +112,8 @@
             return false;
         };
         let ours = |model: &str| service.models.iter().any(|ours| ours.name == model);
-        let shown = &report.weights;
-        *seen > at && !shown.is_empty() && shown.iter().all(|held| ours(&held.model))
+        let shown = &received.report.weights;
+        received.asked_at > at && !shown.is_empty() && shown.iter().all(|held| ours(&held.model))
     }
 
     /// Updates the engine's pace from the current runs; returns the usual pace of the
--- a/src/runner/engine_watch.rs
+++ b/src/runner/engine_watch.rs
@@ -1,8 +1,8 @@
 //! Polls the engine for its report.
 
-use super::event::Event;
+use super::event::{Event, ReceivedReport};
 use crate::{
-    base::Millis,
+    base::{Clock, Millis},
     net::Peer,
     platform::{read_report, report_request}, //
 };
@@ -16,8 +16,9 @@
 const REPORT_TIMEOUT: Millis = Millis(400);
 
 /// Sends the engine's reports to the work loop until the loop ends.
-pub(super) async fn poll_reports(peer: Peer, events: mpsc::Sender<Event>) {
+pub(super) async fn poll_reports(peer: Peer, clock: Clock, events: mpsc::Sender<Event>) {
     loop {
+        let asked_at = clock.now();
         let report = match peer.call(report_request(), REPORT_TIMEOUT).await {
             Ok(answer) => read_report(&answer),
             Err(error) => {
@@ -25,7 +26,12 @@
                 None
             }
         };
-        if events.send(Event::Report(report)).await.is_err() {
+        let received = report.map(|report| ReceivedReport {
+            asked_at,
+            received_at: clock.now(),
+            report,
+        });
+        if events.send(Event::Report(received)).await.is_err() {
             return;
         }
         tokio::time::sleep(REPORT_INTERVAL.as_duration()).await;
--- a/src/runner/event.rs
+++ b/src/runner/event.rs
@@ -5,6 +5,7 @@
     run_item::ItemEnd, //
 };
 use crate::{
+    base::Millis,
     batch::{Claim, Item, Log, Partial},
     platform::{EngineReport, OrderAnswer},
     relay::FollowEvent,
@@ -19,6 +20,15 @@
     pub(super) bundle: u16,
 }
 
+/// A report of the engine.
+pub(super) struct ReceivedReport {
+    /// When it was requested. What it says held at some time between this and its arrival.
+    pub(super) asked_at: Millis,
+    /// When it arrived.
+    pub(super) received_at: Millis,
+    pub(super) report: EngineReport,
+}
+
 /// A message from a background task to the work loop.
 pub(super) enum Event {
     /// An append of results to a batch's log has ended.
@@ -64,7 +74,7 @@
         version: u64,
     },
     /// The engine's report; `None` if it sent no usable one.
-    Report(Option<EngineReport>),
+    Report(Option<ReceivedReport>),
     /// A change of the work table, or of the connection to the store.
     Feed(FollowEvent),
 }
--- a/src/runner/handover.rs
+++ b/src/runner/handover.rs
@@ -109,7 +109,7 @@
             return false;
         };
         let report = self.report.as_ref();
-        let answers = report.is_some_and(|(_, at)| now.since(*at) < MAX_REPORT_AGE);
+        let answers = report.is_some_and(|report| now.since(report.received_at) < MAX_REPORT_AGE);
         answers && !self.handover.failed && now < started + drain
     }
 
--- a/src/runner/offers.rs
+++ b/src/runner/offers.rs
@@ -203,7 +203,7 @@
 
     /// The weight version that this runner's engine holds of `model`.
     pub(super) fn held_version(&self, model: &str) -> Option<u64> {
-        let (report, _) = self.report.as_ref()?;
+        let report = &self.report.as_ref()?.report;
         let weights = report.weights.iter().find(|held| held.model == model)?;
         Some(weights.version)
     }
--- a/src/runner/orders.rs
+++ b/src/runner/orders.rs
@@ -43,7 +43,7 @@
         let Some(incarnation) = self.incarnation.borrow().clone() else {
             return;
         };
-        let Some((report, _)) = &self.report else {
+        let Some(report) = self.report.as_ref().map(|received| &received.report) else {
             return;
         };
         if report.busy {
@@ -153,7 +153,8 @@
 
     /// Whether the engine is loading new weights, or may be.
     pub(super) fn is_loading(&self) -> bool {
-        let busy = self.report.as_ref().is_some_and(|(report, _)| report.busy);
+        let busy = self.report.as_ref();
+        let busy = busy.is_some_and(|received| received.report.busy);
         self.pending_order.is_some() || busy
     }
 
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -12,7 +12,10 @@
 use crate::{
     base::{Fingerprint, Millis},
     net::CallError,
-    policy::quarantine::QuarantineState,
+    policy::{
+        broken_run::{self, ServerFate, Sighting, is_later, server_fate},
+        quarantine::QuarantineState, //
+    },
     routing::ServerIncarnation,
     view::{ClaimResult, ClaimedAttempt}, //
 };
@@ -130,19 +133,9 @@
     request: Fingerprint,
 }
 
-/// The longest time from the making of a report by the engine to its arrival here.
-const MAX_REPORT_DELAY: Millis = Millis(100);
-
 /// The most broken runs that are kept: a few times what an engine runs at once.
 const MAX_BROKEN_RUNS: usize = 64;
 
-/// Whether `next` started after `incarnation`. Engines that don't report their start time
-/// are told apart by their ids.
-fn is_later(next: &ServerIncarnation, incarnation: &ServerIncarnation) -> bool {
-    let by_id = next.started_at == Millis(0) && next.id != incarnation.id;
-    next.started_at > incarnation.started_at || by_id
-}
-
 /// What to do with an item after a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum AfterRun {
@@ -191,14 +184,20 @@
             // A run that ended during the wait may have changed the state.
             let state = self.crashes.quarantine_state(request);
             match guard {
-                Some(guard) if guard.permits(state) => match self
-                    .claim_attempt(request, state)
-                    .await
-                {
-                    AttemptClaim::Granted(attempt) => return Some(Admission { attempt, guard }),
-                    AttemptClaim::Retry => continue,
-                    AttemptClaim::Denied => {}
-                },
+                Some(guard) if guard.permits(state) => {
+                    match self.claim_attempt(request, state).await {
+                        AttemptClaim::Granted(attempt) => {
+                            if state != QuarantineState::Clear {
+                                let (item, claimed) = (&task.item.id, attempt.is_some());
+                                let ended = self.crashes.crash_count(request);
+                                tracing::info!(item, %request, verdict = ?state, ended, claimed, "item with crashes admitted");
+                            }
+                            return Some(Admission { attempt, guard });
+                        }
+                        AttemptClaim::Retry => continue,
+                        AttemptClaim::Denied => {}
+                    }
+                }
                 Some(_) if state != QuarantineState::Barred => continue,
                 Some(_) | None => {}
             }
@@ -306,25 +305,30 @@
         }
     }
 
-    /// Decides for each broken run whether its engine has crashed, given that a report of
-    /// the incarnation `present` arrived at `seen`. If that is the run's own incarnation
-    /// and the report was made after the connection broke, the engine has not crashed. If
-    /// it is a later one, the run's incarnation has ended, and has crashed unless it was
-    /// draining. A run is kept while the report shows neither.
+    /// Decides for each broken run whether its engine has ended, given a report of the engine.
+    /// The end counts as a crash unless the engine was draining. A run is kept while the report
+    /// doesn't show what became of its engine.
     ///
     /// An engine that restarts at once looks as if it had not ended. The run's attempt
     /// stays claimed until this is decided: another attempt could crash another engine.
-    pub(super) fn resolve_broken_runs(&self, present: &ServerIncarnation, seen: Millis) {
+    pub(super) fn resolve_broken_runs(&self, seen: Sighting<'_>) {
         self.broken_runs().retain(|run| {
-            let alive = run.incarnation == *present && seen > run.at + MAX_REPORT_DELAY;
-            let ended = is_later(present, &run.incarnation);
-            if ended && self.is_draining(&run.incarnation) != Some(true) {
-                self.crashes.record_crash(&run.incarnation, &[run.request]);
-            }
-            if alive || ended {
-                self.release_attempt(run.attempt);
+            let incarnation = &run.incarnation;
+            let broken = broken_run::BrokenRun {
+                at: run.at,
+                incarnation,
+            };
+            let Some(fate) = server_fate(broken, seen) else {
+                return true;
+            };
+            let (request, server) = (run.request, &incarnation.id);
+            let waited = self.clock.now().since(run.at).0;
+            tracing::info!(%request, server, ?fate, waited, "engine checked after a broken run");
+            if fate == ServerFate::Ended && self.is_draining(incarnation) != Some(true) {
+                self.crashes.record_crash(incarnation, &[request]);
             }
-            !alive && !ended
+            self.release_attempt(run.attempt);
+            false
         });
     }
 
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -1,7 +1,7 @@
 //! The work loop: the runner's state, changed only by one task in response to events.
 
 use super::{
-    event::{EVENT_CAPACITY, Event},
+    event::{EVENT_CAPACITY, Event, ReceivedReport},
     handover::HandoverState,
     heartbeat::{HeartbeatState, first_heartbeat},
     heartbeats::Heartbeats,
@@ -13,7 +13,7 @@
     base::{Clock, Millis},
     batch::WORK,
     duty::{Context, Phase},
-    platform::{EngineReport, Store},
+    platform::Store,
     policy::{load_features::LoadFeatures, pace::EngineKind},
     relay::{DEFAULT_HOLD, FollowEvent, FollowOptions, MAX_BACKOFF, Relay, follow},
     routing::ServerIncarnation,
@@ -73,8 +73,8 @@
     pub(super) overlapping: HashSet<String>,
     /// The engine's pace, in ms per event; 0 before enough is known.
     pub(super) pace: f64,
-    /// The engine's last report and when it arrived.
-    pub(super) report: Option<(EngineReport, Millis)>,
+    /// The engine's last report.
+    pub(super) report: Option<ReceivedReport>,
     /// How long a finished batch must stay readable.
     pub(super) retention: Millis,
     /// The engine's current incarnation; `None` while it accepts no work.
@@ -127,11 +127,16 @@
         };
         tracing::info!(
             instance = setup.instance,
+            engine = %setup.engine_address,
             token,
             ?home,
             "runner got its token"
         );
-        let polling = super::engine_watch::poll_reports(setup.engine.peer.clone(), events.clone());
+        let polling = super::engine_watch::poll_reports(
+            setup.engine.peer.clone(),
+            setup.clock,
+            events.clone(),
+        );
         tokio::spawn(polling);
         tokio::spawn(follow_work(setup.relay, events.clone()));
 
@@ -225,9 +230,9 @@
                 version,
             } => self.on_order_answered(answer, &model, version),
             Event::PartialsRead { bundle, partials } => self.on_partials_read(bundle, partials),
-            Event::Report(report) => {
-                if let Some(report) = report {
-                    self.report = Some((report, now));
+            Event::Report(received) => {
+                if received.is_some() {
+                    self.report = received;
                 }
             }
             Event::Feed(FollowEvent::Changes { changes, .. }) => {
--- a/src/view/crashes.rs
+++ b/src/view/crashes.rs
@@ -208,7 +208,7 @@
                     // attempt.
                     self.refresh(request).await;
                     let ended = self.crash_count(request);
-                    tracing::info!(%request, ended, "attempt claimed");
+                    tracing::info!(%request, ended, revision, expected, "attempt claimed");
                     return ClaimResult::Here(ClaimedAttempt { request, revision });
                 }
                 Ok(TransactionOutcome::Conflict { rows }) => rows,
--- a/tests/integration/quarantine.rs
+++ b/tests/integration/quarantine.rs
@@ -2,7 +2,10 @@
 
 use redwingpond::{
     base::{Fingerprint, FingerprintInput, Millis},
-    policy::quarantine::{CRASH_RETENTION, Quarantine, QuarantineState},
+    policy::{
+        broken_run::{BrokenRun, ServerFate, Sighting, server_fate},
+        quarantine::{CRASH_RETENTION, Quarantine, QuarantineState}, //
+    },
     routing::ServerIncarnation, //
 };
 
@@ -202,3 +205,60 @@
         assert_ne!(Fingerprint::of(other), name, "{other:?}");
     }
 }
+
+/// A report from before an engine's end, handled late by a busy instance, was taken for a
+/// sign of life: the end did not count, and the item ended one engine more.
+#[test]
+fn only_answers_asked_for_after_a_break_show_a_living_server() {
+    struct Test {
+        asked_at: u64,
+        /// The start of the incarnation that answered; the run's own started at 7.
+        started_at: u64,
+        fate: Option<ServerFate>,
+    }
+
+    let broke_at = Millis(1_000);
+    for test in [
+        Test {
+            asked_at: 990,
+            started_at: 7,
+            fate: None,
+        },
+        Test {
+            asked_at: 1_250,
+            started_at: 7,
+            fate: None,
+        },
+        Test {
+            asked_at: 1_251,
+            started_at: 7,
+            fate: Some(ServerFate::Alive),
+        },
+        Test {
+            asked_at: 990,
+            started_at: 8,
+            fate: Some(ServerFate::Ended),
+        },
+        Test {
+            asked_at: 1_200,
+            started_at: 8,
+            fate: Some(ServerFate::Ended),
+        },
+        Test {
+            asked_at: 1_200,
+            started_at: 6,
+            fate: None,
+        },
+    ] {
+        let run = BrokenRun {
+            at: broke_at,
+            incarnation: &incarnation(7),
+        };
+        let seen = Sighting {
+            asked_at: Millis(test.asked_at),
+            incarnation: &incarnation(test.started_at),
+        };
+        let (asked_at, started_at) = (test.asked_at, test.started_at);
+        assert_eq!(server_fate(run, seen), test.fate, "{asked_at} {started_at}");
+    }
+}
