Give no work to an engine whose end a run has found

Users saw items wait longer than needed after their engine's end: a bundle was claimed for it, its items passed admission, each with a turn and two calls to the store, and all were dropped again.

Cause: a run that found the engine's end told only the other runs. The work loop relied on the engine's last report for 900 ms more. An item looked at the end only after its admission, so it claimed an attempt and, on its next try, found its own claim in the way for 500 ms.

Evidence, from the log of a failing copy of `items_beside_several_that_end_engines_are_whole`: an end is found at 3.699, a bundle is claimed at 4.098, the work loop notices at 4.402; in another cycle six items are admitted 140 to 200 ms after the end.

The engine accepts no work from then on until a report that was requested later shows the same incarnation, which also ends a detection that was wrong, or another one. Items look before their admission.

--- a/src/runner/engine_state.rs
+++ b/src/runner/engine_state.rs
@@ -57,6 +57,7 @@
             .map_or(Millis(0), |received| received.report.started_at);
         let id = present.filter(|id| fresh && !draining(id));
         let incarnation = id.map(|id| ServerIncarnation::new(id, reported_start));
+        let incarnation = incarnation.filter(|present| !self.has_crashed_since_report(present));
         if mismatch.is_some_and(|mismatch| is_caught_up(announced_id, &mismatch)) {
             self.engine.mismatch.send_replace(None);
         }
@@ -66,6 +67,12 @@
                 incarnation: present,
             });
         }
+        if let Some(present) = incarnation.as_ref()
+            && self.engine.has_detected_crash(present)
+        {
+            tracing::info!(server = present.id, "engine answers after a detected crash");
+            self.engine.last_crash.send_replace(None);
+        }
         if incarnation.is_some() && self.last_incarnation != incarnation {
             self.reset_engine();
             self.last_incarnation.clone_from(&incarnation);
@@ -91,6 +98,17 @@
         });
     }
 
+    /// Whether a run detected a crash of `present` after the last report was requested. Without
+    /// this, bundles were claimed for an engine that was known to be gone, until its last
+    /// report was too old.
+    fn has_crashed_since_report(&self, present: &ServerIncarnation) -> bool {
+        let asked_at = self.report.as_ref().map(|received| received.asked_at);
+        let crash = self.engine.last_crash.borrow();
+        crash.as_ref().is_some_and(|crash| {
+            crash.incarnation == *present && asked_at.is_none_or(|asked_at| asked_at <= crash.at)
+        })
+    }
+
     /// Resets what was learnt about the engine's previous incarnation: the next one
     /// knows nothing of a pending order, and may be faster or slower.
     fn reset_engine(&mut self) {
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -57,8 +57,8 @@
     pub(super) crashes: Arc<Crashes>,
     /// Whether the streams of unneeded runs may be read to their end.
     pub(super) drains_runs: bool,
-    /// The incarnation whose crash a run detected last.
-    pub(super) last_crashed: watch::Sender<Option<ServerIncarnation>>,
+    /// The crash that a run detected last; `None` once the engine was seen alive after it.
+    pub(super) last_crash: watch::Sender<Option<DetectedCrash>>,
     /// The last refusal by another incarnation than the one that was addressed.
     pub(super) mismatch: watch::Sender<Option<Mismatch>>,
     /// The engine's pace, measured by all runs.
@@ -77,6 +77,13 @@
     pub(super) waiting_items: Arc<AtomicUsize>,
 }
 
+/// A crash of the engine that a run has detected.
+#[derive(Clone, Debug)]
+pub(super) struct DetectedCrash {
+    pub(super) at: Millis,
+    pub(super) incarnation: ServerIncarnation,
+}
+
 impl Engine {
     /// Locks the engine's pace; callers hold the lock only briefly.
     pub(super) fn pace(&self) -> MutexGuard<'_, Pace> {
@@ -223,6 +230,11 @@
     let mut failures = 0;
     let mut wait = RETRY_DELAY;
     loop {
+        // Checked first, as admission takes calls to the store and turns that others wait for.
+        engine.wait_crash_noticed().await;
+        if engine.incarnation.borrow().is_none() {
+            return ItemEnd::Dropped;
+        }
         // An item that crashes every engine goes from runner to runner; they count the
         // crashes together, and the admission below reads that count.
         let Some(Admission { attempt, guard }) = engine.admit(&task).await else {
@@ -234,12 +246,11 @@
             engine.release_attempt(attempt);
             return ItemEnd::Dropped;
         };
-        if engine.last_crashed.borrow().as_ref() == Some(&incarnation) {
+        // A run started now would meet an engine that is closing down, and the crash would
+        // count against the item.
+        if engine.has_detected_crash(&incarnation) {
             engine.release_attempt(attempt);
             drop(guard);
-            // The work loop has not noticed the crash yet. A run started now would meet an
-            // engine that is closing down, and the crash would count against the item.
-            engine.wait_until_noticed(&incarnation).await;
             continue;
         }
         let begun = text.events.len();
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -95,7 +95,7 @@
                 clock,
                 crashes: crashes.clone(),
                 drains_runs: common.features.connections,
-                last_crashed: watch::Sender::new(None),
+                last_crash: watch::Sender::new(None),
                 mismatch: watch::Sender::new(None),
                 pace: Arc::default(),
                 peer: Peer::open_as("engine", settings.engine, clock),
--- a/src/runner/suspects.rs
+++ b/src/runner/suspects.rs
@@ -5,6 +5,7 @@
 //! it. After three it is in quarantine.
 
 use super::run_item::{
+    DetectedCrash,
     Engine,
     RunEnd,
     Task, //
@@ -281,7 +282,10 @@
             _ => false,
         };
         if has_crashed {
-            self.last_crashed.send_replace(Some(incarnation.clone()));
+            self.last_crash.send_replace(Some(DetectedCrash {
+                at: self.clock.now(),
+                incarnation: incarnation.clone(),
+            }));
             if run.may_have_run() {
                 self.crashes.record_crash(incarnation, &[task.fingerprint]);
             }
@@ -293,7 +297,7 @@
     async fn has_crashed(&self, incarnation: &ServerIncarnation) -> bool {
         // Several runs lose their engine at once: what one of them has detected holds for
         // all, even if the engine listens again by now.
-        let found = self.last_crashed.borrow().as_ref() == Some(incarnation);
+        let found = self.has_detected_crash(incarnation);
         let present = self.incarnation.borrow().clone();
         match present {
             Some(present) if present == *incarnation => {
@@ -360,6 +364,22 @@
         directory.get(&incarnation.id).map(|known| known.draining)
     }
 
+    /// Whether a run has detected that `incarnation` has crashed.
+    pub(super) fn has_detected_crash(&self, incarnation: &ServerIncarnation) -> bool {
+        let crash = self.last_crash.borrow();
+        crash
+            .as_ref()
+            .is_some_and(|crash| crash.incarnation == *incarnation)
+    }
+
+    /// Waits until the work loop has noticed the crash that a run has detected, if any.
+    pub(super) async fn wait_crash_noticed(&self) {
+        let present = self.incarnation.borrow().clone();
+        if let Some(present) = present.filter(|present| self.has_detected_crash(present)) {
+            self.wait_until_noticed(&present).await;
+        }
+    }
+
     /// Waits until the work loop has noticed the end of `incarnation`.
     pub(super) async fn wait_until_noticed(&self, incarnation: &ServerIncarnation) {
         let mut known = self.incarnation.clone();
