Answer 503 for a batch whose head is damaged

A trainer was told 404, no such batch, and takes that for the batch's end; a damaged log is answered 503. Cause: a head that could not be decoded was taken for none.

--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -359,7 +359,11 @@
     }
 
     /// Reads a batch's head from the cache or else from the store; `None` when the batch
-    /// does not exist or its head is damaged.
+    /// does not exist.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] when the store did not answer, or holds a damaged head.
     async fn read_head(&self, id: &str) -> Result<Option<Arc<Head>>, StoreError> {
         let known = self.cached_heads().get(id).cloned();
         if known.is_some() {
@@ -367,11 +371,14 @@
         }
         let key = Key::new(WORK, batch_part(id), WorkKey::Head.to_string());
         let row = self.with_retries(|| self.store.row(&key)).await?;
-        let value = row.and_then(|row| row.value);
-        let head: Option<Head> = value.and_then(|value| decode("head", &value));
-        let Some(head) = head.map(Arc::new) else {
+        let Some(value) = row.and_then(|row| row.value) else {
             return Ok(None);
         };
+        let head: Option<Head> = decode("head", &value);
+        let Some(head) = head.map(Arc::new) else {
+            let message = format!("the head of batch `{id}` is damaged");
+            return Err(StoreError::InvalidMessage { message });
+        };
         let mut heads = self.cached_heads();
         if heads.len() >= MAX_CACHED_HEADS
             && let Some(oldest) = heads.iter().min_by_key(|(_, head)| head.accepted)
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -1003,3 +1003,30 @@
 /// How long after the store's recovery a trainer may wait for results that were complete
 /// before: results count as in time for 0.7 s after they are due.
 const MAX_READ_DELAY: Millis = Millis(700);
+
+/// The head of a batch is damaged in the store. Its trainer was told that there is no such
+/// batch, which it takes for its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_with_a_damaged_head_is_not_unknown() {
+    struct Test {
+        batch: &'static str,
+        status: u16,
+    }
+
+    let site = TestSite::open(SiteOptions::default()).await.unwrap();
+    site.store.put_row("work", "batch-torn", "head", b"\xff");
+    for test in [
+        Test {
+            batch: "torn",
+            status: 503,
+        },
+        Test {
+            batch: "missing",
+            status: 404,
+        },
+    ] {
+        let path = format!("/redwingpond/lots/{}?startAfter=0", test.batch);
+        let answer = site.send(0, Method::GET, &path, &[], "").await;
+        assert_eq!(answer.unwrap().status, test.status, "{path}");
+    }
+}
