--- a/src/calls/server_records.rs
+++ b/src/calls/server_records.rs
@@ -277,9 +277,9 @@
 
     /// Records that `server` did not answer `request`; true if the server may still be running
     /// it. A request that did not run can't have crashed the server, nor can one that the
-    /// server had not read: it arrived while the process ended, and a crash counted against it
-    /// put calls into quarantine that no server had run. The same holds for one that was sent
-    /// after the server was found to have ended. Such requests are no longer pending.
+    /// server had not read. The same holds for one that was sent after the server was found to
+    /// have ended, as it may only have reached the process while that shut down. Such requests
+    /// are no longer pending.
     pub(super) fn record_loss(
         &mut self,
         server: &ServerIncarnation,
--- a/src/policy/broken_run.rs
+++ b/src/policy/broken_run.rs
@@ -51,7 +51,7 @@
 }
 
 /// Whether `next` started after `incarnation`. Servers that don't report their start time
-/// are told apart by their ids.
+/// are distinguished by their ids.
 pub fn is_later(next: &ServerIncarnation, incarnation: &ServerIncarnation) -> bool {
     let by_id = next.started_at == Millis(0) && next.id != incarnation.id;
     next.started_at > incarnation.started_at || by_id
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -104,7 +104,10 @@
 
 /// Binds a socket to `address`, which other sockets of this program may share.
 fn bind_shared(address: SocketAddr) -> io::Result<TcpSocket> {
-    let socket = TcpSocket::new_v4()?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
     socket.set_reuseport(true)?;
     socket.bind(address)?;
     Ok(socket)
--- a/standins/src/site/log.rs
+++ b/standins/src/site/log.rs
@@ -3,8 +3,8 @@
 use tracing_subscriber::EnvFilter;
 
 /// Sends the log lines of all gateways and runners in this process to standard error, filtered
-/// by the variable `RUST_LOG`; without it, nothing is logged. The id of a line's thread tells
-/// the gateways and runners apart: each logs its name once at its start.
+/// by the variable `RUST_LOG`; without it, nothing is logged. The thread id
+/// of a line identifies its gateway or runner: each logs its name once at its start.
 pub(super) fn open_log() {
     let Ok(filter) = EnvFilter::try_from_default_env() else {
         return;
