Review, case 1: items that lose four engines to other crashes are never run again

Each crash of an engine counts against all items that it was running. After three an item waits 5 s for one trial; if that engine crashes as well, the item is barred for 10 minutes, also in the later steps in which its group comes again. The trainer's steps then run out of time in calm.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -11,4 +11,4 @@
 if [[ ! -x target/review/review ]]; then
     bash review/build.sh || exit 2
 fi
-exec target/review/review second-run review/1/record.txt
+exec target/review/review left-lying review/1/record.txt
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -45,6 +45,7 @@
         exit(2);
     });
     let outcome = match case.as_str() {
+        "left-lying" => cases::left_lying(has_trouble, &record),
         "two-positions" => cases::two_positions(has_trouble, &record),
         "two-versions" => cases::two_versions(has_trouble, &record),
         "foreign-text" => cases::foreign_text(has_trouble, &record),
--- a/review/standins/process.rs
+++ b/review/standins/process.rs
@@ -8,6 +8,7 @@
     os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -133,14 +134,28 @@
     })
 }
 
-/// Four ports that are free at present.
+/// The ports that programs listen at. They lie below those that the system gives to outgoing
+/// channels, so that none of these takes the port of a program that is about to start.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+
+/// Four ports that are free at present. Scripts that run at the same time search from
+/// different places.
 fn free_ports() -> io::Result<[SocketAddr; 4]> {
-    let listeners: io::Result<Vec<TcpListener>> =
-        (0..4).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
-    let addresses: io::Result<Vec<SocketAddr>> =
-        listeners?.iter().map(TcpListener::local_addr).collect();
-    let addresses = addresses?;
-    Ok([addresses[0], addresses[1], addresses[2], addresses[3]])
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    let mut free = Vec::new();
+    for _ in PORTS {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            free.push(address);
+        }
+        if let [a, b, c, d] = free[..] {
+            return Ok([a, b, c, d]);
+        }
+    }
+    Err(io::Error::other("no free port"))
 }
 
 /// Whether a gateway counts as ready, by the platform's question.
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -82,6 +82,18 @@
     }
 }
 
+impl Store {
+    /// Removes a sampler's entry.
+    pub fn remove_server(&self, id: &str) {
+        let name = ("servers".to_owned(), String::new(), id.to_owned());
+        let mut state = self.shared.state();
+        state.ver += 1;
+        let ver = state.ver;
+        state.rows.insert(name, (None, ver));
+        self.shared.changed.notify_all();
+    }
+}
+
 impl Shared {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no call panics")
