--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -435,6 +435,10 @@
         return RunEnd::Refused;
     }
 
+    if let Some(after) = text.last_id {
+        let (item, versions) = (&task.item.id, &text.versions);
+        tracing::info!(item, after, version, ?versions, "run continues a text");
+    }
     text.first_at = None;
     stream.open(body);
     let mut events = EventReader::default();
@@ -449,7 +453,11 @@
             Err(error) => return RunEnd::Broken(error),
         }
         while let Some(event) = events.next_event() {
-            version = event.version.unwrap_or(version);
+            if let Some(new) = event.version.filter(|new| *new != version) {
+                let (item, before) = (&task.item.id, version);
+                tracing::info!(item, event = ?event.id, before, version = new, "weights changed during a run");
+                version = new;
+            }
             let next = text.last_id.map_or(event.id, |last| Some(last + 1));
             if event.id.is_none() || event.id != next {
                 tracing::warn!(item = task.item.id, ?event.id, ?next, "stream event out of order");
--- a/src/runner/sweep.rs
+++ b/src/runner/sweep.rs
@@ -78,7 +78,18 @@
             .map(|(index, item)| (index as u16, terminated(&item.id)))
             .collect();
         let count = self.results.len();
-        tracing::warn!(batch = id, count, "giving items up: their time is over");
+        let ids: Vec<&str> = self
+            .results
+            .iter()
+            .map(|(_, sample)| sample.id.as_str())
+            .collect();
+        let items = ids.join(" ");
+        tracing::warn!(
+            batch = id,
+            items,
+            count,
+            "giving items up: their time is over"
+        );
     }
 }
 
