List each item once, also when it is given up while its run goes on

What callers saw: a trainer read 20 results for a batch of 16 items.

Cause: the results that wait for the store were a plain list with two writers. The log's invariant, an item at most once, was checked by nobody.

Why this works: an item has one result, the first one. All of a runner's results go through `OpenBatch::add_result`, which refuses a second one and stops the item's run, so that the engine stops it too. `Log::list` is the only way to add to a log and adds no item again, whatever a runner appends.

--- a/src/batch/log.rs
+++ b/src/batch/log.rs
@@ -17,7 +17,7 @@
     /// Whether the trainer has ended the batch: no more results are wanted.
     pub ended: bool,
     /// The indices of the listed items, by the position of their results.
-    pub listed: Vec<u16>,
+    listed: Vec<u16>,
 }
 
 impl Log {
@@ -25,4 +25,19 @@
     pub fn contains(&self, index: u16) -> bool {
         self.listed.contains(&index)
     }
+
+    /// The indices of the listed items, by the position of their results.
+    pub fn listed(&self) -> &[u16] {
+        &self.listed
+    }
+
+    /// Lists the item at `index` and returns the position of its result; `None` if it is
+    /// listed already.
+    pub fn list(&mut self, index: u16) -> Option<usize> {
+        if self.contains(index) {
+            return None;
+        }
+        self.listed.push(index);
+        Some(self.listed.len() - 1)
+    }
 }
--- a/src/batch/writes.rs
+++ b/src/batch/writes.rs
@@ -89,9 +89,8 @@
 
 /// Lists `samples`, given with their items' indices, after the results in `log`.
 /// Returns the new log and the transaction that writes it, which is conditional on the
-/// log's row still having `revision`.
-///
-/// The caller must leave out items that `log` lists already.
+/// log's row still having `revision`. Leaves out each result of an item that is listed
+/// already, by `log` or by an earlier one of the `samples`.
 pub fn append_transaction(
     id: &str,
     log: &Log,
@@ -103,9 +102,9 @@
     let mut next = log.clone();
     let mut set = Vec::new();
     for (index, sample) in samples {
-        let position = next.listed.len();
-        next.listed.push(*index);
-        set.extend(result_rows(&part, position, sample));
+        if let Some(position) = next.list(*index) {
+            set.extend(result_rows(&part, position, sample));
+        }
     }
     set.push((log_key.clone(), encode(&next)));
     let transaction = Transaction {
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -345,7 +345,7 @@
             };
             match self.store.transact(&transaction).await {
                 Ok(TransactionOutcome::Done { .. }) => {
-                    let listed = log.listed.len();
+                    let listed = log.listed().len();
                     tracing::info!(batch = id, listed, "batch ended by its trainer");
                     return reply::status(StatusCode::OK, "ended");
                 }
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -30,6 +30,7 @@
 mod suspects;
 mod sweep;
 mod text;
+mod waiting_results;
 mod work;
 
 pub use runner_handle::Runner;
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -2,7 +2,8 @@
 
 use super::{
     progress::Progress,
-    run_handle::RunHandle, //
+    run_handle::RunHandle,
+    waiting_results::WaitingResults, //
 };
 use crate::{
     base::Millis,
@@ -68,8 +69,8 @@
     start_order: Vec<u16>,
     /// Bundles that some runner had claimed before this runner claimed them.
     pub(super) reclaimed: BTreeSet<u16>,
-    /// Results that are not in the log yet, with their item indices.
-    pub(super) results: Vec<(u16, Sample)>,
+    /// Results that are not in the log yet.
+    pub(super) results: WaitingResults,
     /// The item runs in progress, by item index.
     pub(super) running: HashMap<u16, RunHandle>,
     /// Runs that nobody needs any more, to be drained or cut.
@@ -107,7 +108,7 @@
             own_bundles: BTreeMap::new(),
             start_order,
             reclaimed: BTreeSet::new(),
-            results: Vec::new(),
+            results: WaitingResults::default(),
             running: HashMap::new(),
             stopped: Vec::new(),
             seen_at: now,
@@ -117,7 +118,7 @@
 
     /// Whether no more results are needed.
     pub(super) fn is_over(&self) -> bool {
-        self.log.ended || self.log.listed.len() >= self.head.items.len()
+        self.log.ended || self.log.listed().len() >= self.head.items.len()
     }
 
     /// The items of `bundle` without a result in the log or in memory.
@@ -125,7 +126,7 @@
         let Some(bundle) = self.head.bundles.get(usize::from(bundle)) else {
             return Vec::new();
         };
-        let open = |index: &&u16| !self.log.contains(**index) && !self.has_result(**index);
+        let open = |index: &&u16| !self.has_result(**index);
         bundle.items.iter().filter(open).copied().collect()
     }
 
@@ -136,9 +137,22 @@
         items
     }
 
-    /// Whether a result that is not in the log yet is in memory.
-    fn has_result(&self, index: u16) -> bool {
-        self.results.iter().any(|(done, _)| *done == index)
+    /// Whether the item at `index` has a result, in the log or in memory.
+    pub(super) fn has_result(&self, index: u16) -> bool {
+        self.log.contains(index) || self.results.contains(index)
+    }
+
+    /// Keeps the result of the item at `index` until it is listed, and stops the item's run.
+    /// Returns false, and changes nothing, if the item has a result already or the batch is
+    /// over.
+    pub(super) fn add_result(&mut self, index: u16, sample: Sample) -> bool {
+        if self.is_over() || self.has_result(index) {
+            return false;
+        }
+        self.results.add(index, sample);
+        let run = self.running.remove_entry(&index);
+        self.stop_runs(run.into_iter().collect());
+        true
     }
 
     /// The position of `bundle` in the order in which bundles should start.
@@ -180,8 +194,7 @@
         }
         self.log = log;
         self.log_revision = revision;
-        let log = &self.log;
-        self.results.retain(|(index, _)| !log.contains(*index));
+        self.results.remove_listed(&self.log);
         let over = self.is_over();
         let unneeded = |index: &u16, _: &mut RunHandle| over || self.log.contains(*index);
         let unneeded: Vec<_> = self.running.extract_if(unneeded).collect();
@@ -272,10 +285,8 @@
         let mut released = Vec::new();
         let running = &self.running;
         let head = &self.head;
-        let log = &self.log;
-        let results = &self.results;
-        let is_finished =
-            |index: &u16| log.contains(*index) || results.iter().any(|(of, _)| of == index);
+        let (log, results) = (&self.log, &self.results);
+        let is_finished = |index: &u16| log.contains(*index) || results.contains(*index);
         self.own_bundles.retain(|bundle, state| {
             let waits = !matches!(state, BundleState::Running);
             let items = head.bundles.get(usize::from(*bundle));
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -7,16 +7,11 @@
 };
 use crate::{
     base::Millis,
-    batch::{Log, Sample, WORK, WorkKey, append_transaction, batch_part, decode},
+    batch::{Log, WORK, WorkKey, append_transaction, batch_part, decode},
     platform::Store,
     store::{Key, StoreError, Transaction, TransactionOutcome}, //
 };
 
-/// The most results in one transaction, and the most bytes of their texts: the store
-/// limits the size of a transaction.
-const MAX_APPEND_RESULTS: usize = 24;
-const MAX_APPEND_BYTES: usize = 400 * 1024;
-
 /// The wait after a failed write before the log is read to learn its outcome.
 const READ_BACK_DELAY: Millis = Millis(80);
 
@@ -30,8 +25,9 @@
         batch.running.remove(&index);
         match end {
             ItemEnd::Done(sample) => {
-                if !batch.is_over() && !batch.log.contains(index) {
-                    batch.results.push((index, sample));
+                let (item, state) = (sample.id.clone(), sample.state);
+                if !batch.add_result(index, sample) {
+                    tracing::info!(batch = batch_id, item, ?state, "result not needed");
                 }
             }
             ItemEnd::Dropped => {
@@ -53,25 +49,12 @@
             if batch.appending || batch.results.is_empty() || batch.log_revision == 0 {
                 continue;
             }
-            let mut bytes = 0;
-            let fits = |(_, sample): &&(u16, Sample)| {
-                bytes += sample.text.len();
-                bytes <= MAX_APPEND_BYTES
-            };
-            let mut samples: Vec<(u16, Sample)> = batch
-                .results
-                .iter()
-                .take(MAX_APPEND_RESULTS)
-                .take_while(fits)
-                .cloned()
-                .collect();
-            if samples.is_empty() {
-                samples.extend(batch.results.first().cloned());
-            }
+            let samples = batch.results.next_append();
             batch.appending = true;
-            let count = samples.len();
+            let before = batch.log.listed().len();
             let (log, transaction) =
                 append_transaction(id, &batch.log, batch.log_revision, &samples);
+            let count = log.listed().len() - before;
             let (store, events, batch) = (self.store.clone(), self.events.clone(), id.clone());
             tokio::spawn(async move {
                 let outcome = transact_or_read(&store, &batch, &transaction).await;
@@ -102,8 +85,9 @@
         match outcome {
             Ok(TransactionOutcome::Done { revision }) => {
                 // Counted from `log`: the feed may have set the batch's log to it already.
-                let new = &log.listed[log.listed.len().saturating_sub(count)..];
-                let (count, total) = (log.listed.len(), batch.head.items.len());
+                let listed = log.listed();
+                let new = &listed[listed.len().saturating_sub(count)..];
+                let (count, total) = (listed.len(), batch.head.items.len());
                 let ids = new
                     .iter()
                     .map(|index| batch.head.items[usize::from(*index)].id.as_str());
--- a/src/runner/sweep.rs
+++ b/src/runner/sweep.rs
@@ -51,8 +51,8 @@
                 ttl: route.map_or(DEFAULT_ITEM_TTL, |route| route.item_ttl),
             };
             match decide(age) {
-                Action::GiveUp if batch.results.is_empty() => batch.give_up_items(id),
-                Action::GiveUp | Action::Keep => {}
+                Action::GiveUp => batch.give_up_items(id),
+                Action::Keep => {}
                 Action::Remove => old.push(id.clone()),
             }
         }
@@ -69,21 +69,19 @@
 }
 
 impl OpenBatch {
-    /// Sets the result of every item that is not listed to "given up". Must be called only
-    /// while no results wait to be listed: it would replace them.
+    /// Sets the result of every item that has none to "given up".
     fn give_up_items(&mut self, id: &str) {
-        let items = self.head.items.iter().enumerate();
-        let open = items.filter(|(index, _)| !self.log.contains(*index as u16));
-        self.results = open
-            .map(|(index, item)| (index as u16, terminated(&item.id)))
-            .collect();
-        let count = self.results.len();
-        let ids: Vec<&str> = self
-            .results
-            .iter()
-            .map(|(_, sample)| sample.id.as_str())
-            .collect();
-        let items = ids.join(" ");
+        let head = self.head.clone();
+        let mut given_up = Vec::new();
+        for (index, item) in head.items.iter().enumerate() {
+            if self.add_result(index as u16, terminated(&item.id)) {
+                given_up.push(item.id.as_str());
+            }
+        }
+        if given_up.is_empty() {
+            return;
+        }
+        let (items, count) = (given_up.join(" "), given_up.len());
         tracing::warn!(
             batch = id,
             items,
--- a/standins/src/site/test_site.rs
+++ b/standins/src/site/test_site.rs
@@ -237,7 +237,7 @@
 
     /// Submits a batch; returns the status, or `None` if there was no answer.
     pub async fn submit(&self, gateway: usize, batch: &Batch) -> Option<u16> {
-        let path = format!("/roll/{}", batch.id);
+        let path = format!("{}{}", batch.prefix, batch.id);
         let headers = [("x-attempt-id", batch.id.as_str())];
         let answer = self.send(gateway, Method::POST, &path, &headers, batch.body());
         Some(answer.await?.status.as_u16())
--- a/standins/src/site/trainer.rs
+++ b/standins/src/site/trainer.rs
@@ -18,6 +18,8 @@
     /// The lowest weight version that may generate the items' results.
     pub least_version: u64,
     pub model: String,
+    /// The prefix of the path that the batch is submitted under, which selects its route.
+    pub prefix: String,
     /// Whether each item has a scorer.
     pub scored: bool,
     /// The number of the training step.
@@ -33,6 +35,7 @@
             id: id.to_owned(),
             least_version: 1,
             model: "m0".to_owned(),
+            prefix: "/roll/".to_owned(),
             scored: true,
             step: 0,
         }
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -7,6 +7,7 @@
     mod conditions;
     mod connections;
     mod crashes;
+    mod given_up_items;
     mod handover;
     mod memory;
     mod relay;
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -60,7 +60,7 @@
 }
 
 /// Submits a batch through the gateways in turn until one of them accepts it.
-async fn submit_until_accepted(site: &TestSite, batch: &Batch) {
+pub(super) async fn submit_until_accepted(site: &TestSite, batch: &Batch) {
     for attempt in 0..100 {
         let gateway = attempt % site.gateways.len();
         if site.submit(gateway, batch).await == Some(202) {
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -316,6 +316,49 @@
     assert!(!is_heartbeat_part(&batch_part("heartbeats")));
 }
 
+/// Guards against a second position of an item in the log, whatever a runner appends.
+#[test]
+fn an_append_lists_an_item_once() {
+    struct Test {
+        append: &'static [u16],
+        before: &'static [u16],
+        listed: &'static [u16],
+        name: &'static str,
+    }
+
+    for test in [
+        Test {
+            append: &[2, 0],
+            before: &[1],
+            listed: &[1, 2, 0],
+            name: "new items",
+        },
+        Test {
+            append: &[1, 2],
+            before: &[1],
+            listed: &[1, 2],
+            name: "an item that is listed",
+        },
+        Test {
+            append: &[2, 3, 2],
+            before: &[1],
+            listed: &[1, 2, 3],
+            name: "two results of an item",
+        },
+    ] {
+        let samples = |items: &[u16]| -> Vec<(u16, Sample)> {
+            let with_sample = |index: &u16| (*index, sample(usize::from(*index), 10));
+            items.iter().map(with_sample).collect()
+        };
+        let (log, _) = append_transaction("b", &Log::default(), 1, &samples(test.before));
+        let (log, transaction) = append_transaction("b", &log, 2, &samples(test.append));
+        assert_eq!(log.listed(), test.listed, "{}", test.name);
+        let results = transaction.set.iter().filter(|(key, _)| key.key != "log");
+        let new = test.listed.len() - test.before.len();
+        assert_eq!(results.count(), new, "{}: rows", test.name);
+    }
+}
+
 proptest! {
     /// Results that are appended in any portions are read back in order from any
     /// position, large ones included, each completely or not at all.
@@ -338,7 +381,7 @@
             log = next;
             rows.extend(transaction.set.into_iter().map(|(key, value)| (key.key, value)));
         }
-        prop_assert_eq!(log.listed.len(), samples.len());
+        prop_assert_eq!(log.listed().len(), samples.len());
         rows.remove("log");
 
         let first = format!("{from:06}/");
