Test that runs are completed after their items were given up

The cases in which items are generating did not show the fault on the code before the fix: their texts were complete only once their time was over, and were not scored then. They have no scorer now. All cases report what is wrong, not only the first one.

--- a/standins/tests/integration/given_up_items.rs
+++ b/standins/tests/integration/given_up_items.rs
@@ -63,9 +63,9 @@
     site.engines.iter().map(Engine::ended_runs).sum()
 }
 
-/// Reads a batch once all its items are listed; checks that each item has one result, and
-/// that the results are the same when they are read again.
-async fn read_once(site: &TestSite, batch: &Batch) -> Vec<ItemResult> {
+/// Reads a batch once all its items are listed, and again. Returns the results, and what is
+/// wrong with them: each item must have one, and the second read must find the same.
+async fn read_twice(site: &TestSite, batch: &Batch) -> (Vec<ItemResult>, Vec<String>) {
     let items = batch.item_ids();
     let listed = site.read_results(batch, items.len(), RESULTS_TIMEOUT).await;
     sleep(500).await;
@@ -74,11 +74,17 @@
     for result in &again.results {
         states.entry(&result.id).or_default().push(&result.state);
     }
-    let twice: Vec<_> = states.iter().filter(|(_, of)| of.len() > 1).collect();
-    assert!(twice.is_empty(), "{}: listed twice: {twice:?}", batch.id);
-    assert_eq!(states.len(), items.len(), "{}: items listed", batch.id);
-    assert_eq!(again.results, listed, "{}: results changed", batch.id);
-    listed
+    let twice = states.iter().filter(|(_, of)| of.len() > 1);
+    let mut faults: Vec<String> = twice
+        .map(|(item, of)| format!("{item} is {of:?}"))
+        .collect();
+    if states.len() != items.len() {
+        faults.push(format!("{}: {} items are listed", batch.id, states.len()));
+    }
+    if faults.is_empty() && again.results != listed {
+        faults.push(format!("{}: the results have changed", batch.id));
+    }
+    (listed, faults)
 }
 
 /// What an item is waiting for when it is given up.
@@ -95,13 +101,16 @@
 }
 
 impl Test {
-    /// Gives up the items of a batch while the store fails, then lets their runs end.
-    async fn check(self) {
+    /// Gives up the items of a batch while the store fails, then lets their runs end. Returns
+    /// what is wrong with the results.
+    async fn check(self) -> Vec<String> {
         let site = open_site(2).await;
-        let batch = short_batch(self.name, 4, 200);
+        let mut batch = short_batch(self.name, 4, 200);
         let items = batch.item_ids().len();
         match self.stage {
             Stage::Generating => {
+                // A text is not scored any more once its time is over.
+                batch.scored = false;
                 for engine in &site.engines {
                     engine.set_event_time(Millis(1_000));
                 }
@@ -131,7 +140,7 @@
         }
         sleep(2_000).await;
         site.store.set_faults(StoreFaults::default());
-        read_once(&site, &batch).await;
+        read_twice(&site, &batch).await.1
     }
 }
 
@@ -184,7 +193,9 @@
             stage: Stage::Scoring,
         },
     ];
-    futures_util::future::join_all(tests.map(Test::check)).await;
+    let faults = futures_util::future::join_all(tests.map(Test::check)).await;
+    let faults = faults.concat();
+    assert!(faults.is_empty(), "{faults:#?}");
 }
 
 /// Guards against runs that go on at their engine, or begin there, although their items were
@@ -213,7 +224,8 @@
     }
     let runs = begun_runs(&site);
     site.store.set_faults(StoreFaults::default());
-    let results = read_once(&site, &batch).await;
+    let (results, faults) = read_twice(&site, &batch).await;
+    assert!(faults.is_empty(), "{faults:#?}");
     let given_up = results.iter().filter(|result| result.state == "terminated");
     assert_eq!(given_up.count(), 4);
     assert_eq!(begun_runs(&site), runs, "an item ran after it was given up");
