Keep to one weight version in a text where its route allows one

Cause: whether a text may have several versions was looked at only after a run that did not end whole, and only if the text had several already. A text of one version went on under any other; events after the first, and runs that ended whole, were not checked. `minVersion` was compared with the answer's head only.

Evidence: the log of a failing run names version 2 for the rest of a text with versions {1} (`run continues a text`), and has no `weights changed during a run`. Tests of the related paths found the same result after a break and after a restart under newer weights and after a late order that changes the weights during the run, and events older than `minVersion` after such an order.

Why this works: the rule is in `policy/version_rule.rs`, and `Text` keeps it. `Text::push` is the only way to add an event and checks its version, `Text::resume` checks a saved text. An engine with another version is left, and the text starts again. As this has its price, a text goes on wherever its version is held: saved texts were never used on such routes, and are now, after a crash, a handover or a second run. A text whose events are all there needs no engine with its version.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -52,4 +52,5 @@
 pub mod typical;
 pub mod usage;
 pub mod version_plan;
+pub mod version_rule;
 pub mod wave;
--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -13,6 +13,7 @@
     base::Millis,
     batch::{BODIES, Item, PARTIALS, Partial, batch_part, chunk_key, decode, partial_key},
     platform::Store,
+    policy::version_rule::VersionRule,
     store::{Key, StoreError}, //
 };
 use std::{
@@ -181,11 +182,9 @@
         batch.own_bundles.insert(bundle, BundleState::Running);
         for (index, item) in items {
             let partial = batch.partials.remove(&index);
-            let partial = partial.filter(|_| !route.single_version);
             let fingerprint = run_item::fingerprint(&head.host, &item);
-            let resumed = partial.as_ref().map_or(0, |partial| partial.events.len());
             let handover = self.features.handover && self.drain.is_some();
-            let progress = handover.then(|| Arc::new(Progress::new(fingerprint, resumed)));
+            let progress = handover.then(|| Arc::new(Progress::new(fingerprint)));
             if let Some(progress) = &progress {
                 batch.progress.insert(index, Arc::downgrade(progress));
             }
@@ -197,11 +196,13 @@
                 host: head.host.clone(),
                 index,
                 item,
-                least_version: head.least_version,
                 max_failures: route.max_attempts,
                 priority: head.priority.or(route.priority),
                 reclaimed: batch.reclaimed.contains(&bundle),
-                single_version: route.single_version,
+                versions: VersionRule {
+                    least: head.least_version,
+                    single: route.single_version,
+                },
                 deadline: now + MAX_RUN_TIME.min(route.item_ttl),
                 workspace: head.workspace.clone(),
             };
--- a/src/runner/progress.rs
+++ b/src/runner/progress.rs
@@ -20,23 +20,29 @@
     events: AtomicUsize,
     /// Identifies the request in the crash records.
     pub(super) fingerprint: Fingerprint,
-    /// The number of events that an earlier run saved.
-    resumed: usize,
+    /// The number of events that an earlier run saved, if the text continues them.
+    resumed: AtomicUsize,
     /// Gets the text at its next event.
     request: Mutex<Option<oneshot::Sender<Partial>>>,
 }
 
 impl Progress {
-    /// The progress of a run that continues after `resumed` saved events.
-    pub(super) fn new(fingerprint: Fingerprint, resumed: usize) -> Self {
+    /// The progress of a run that has not begun.
+    pub(super) fn new(fingerprint: Fingerprint) -> Self {
         Self {
-            events: AtomicUsize::new(resumed),
+            events: AtomicUsize::new(0),
             fingerprint,
-            resumed,
+            resumed: AtomicUsize::new(0),
             request: Mutex::default(),
         }
     }
 
+    /// Records that the run begins with `text`, whose events were saved by an earlier run.
+    pub(super) fn begin(&self, text: &Text) {
+        self.resumed.store(text.len(), Ordering::Relaxed);
+        self.events.store(text.len(), Ordering::Relaxed);
+    }
+
     /// The number of events of the text so far.
     pub(super) fn events(&self) -> usize {
         self.events.load(Ordering::Relaxed)
@@ -44,12 +50,12 @@
 
     /// Whether the run has added no event to the text that was saved before.
     pub(super) fn is_unchanged(&self) -> bool {
-        self.events() == self.resumed
+        self.events() == self.resumed.load(Ordering::Relaxed)
     }
 
     /// Records that an event was added to `text`, and hands out a copy if one was requested.
     pub(super) fn record(&self, text: &Text) {
-        self.events.store(text.events.len(), Ordering::Relaxed);
+        self.events.store(text.len(), Ordering::Relaxed);
         if let Some(receiver) = self.request().take() {
             // A dropped receiver needs the text no more.
             let _ = text.partial().map(|partial| receiver.send(partial));
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -5,7 +5,7 @@
     run_handle::RunStream,
     score::{ScoreEnd, ScorerClient},
     suspects::{Admission, AfterRun, BrokenRun},
-    text::Text, //
+    text::{EventError, Text}, //
 };
 use crate::{
     base::{Clock, Fingerprint, FingerprintInput, Millis},
@@ -14,7 +14,9 @@
     platform::{
         EngineRequest, EventReader, Store, answering_server, initial_weight_version, not_executed,
     },
-    policy::{engine_incarnation::Mismatch, pace::Pace, step_mode::Rate},
+    policy::{
+        engine_incarnation::Mismatch, pace::Pace, step_mode::Rate, version_rule::VersionRule,
+    },
     routing::ServerIncarnation,
     view::Crashes, //
 };
@@ -153,16 +155,14 @@
     /// Its index in the batch.
     pub(super) index: u16,
     pub(super) item: Item,
-    /// The oldest weight version that may generate its tokens.
-    pub(super) least_version: u64,
     /// The number of failures answered by engines after which the item is given up.
     pub(super) max_failures: u32,
     /// Whether a runner had claimed its bundle before; engines may have crashed there.
     pub(super) reclaimed: bool,
-    /// Whether all its tokens must come from one weight version.
-    pub(super) single_version: bool,
     /// How urgent it is; 0 is the most urgent.
     pub(super) priority: Option<u32>,
+    /// The weight versions that may generate its text.
+    pub(super) versions: VersionRule,
     /// No attempt starts after this time.
     pub(super) deadline: Millis,
     /// The workspace whose batch it belongs to.
@@ -201,6 +201,8 @@
     Broken(CallError),
     /// The engine has restarted, and the run is lost with its previous incarnation.
     Replaced,
+    /// The engine has another weight version than the text must keep.
+    Reweighted(u64),
 }
 
 impl RunEnd {
@@ -226,7 +228,7 @@
 /// `stream` while it is read.
 pub(super) async fn run(engine: Engine, task: Task, stream: &mut RunStream) -> ItemEnd {
     let now = engine.clock.now();
-    let mut text = Text::resume(task.partial.clone(), now);
+    let mut text = resume_text(&task, now);
     let mut failures = 0;
     let mut wait = RETRY_DELAY;
     loop {
@@ -253,7 +255,7 @@
             drop(guard);
             continue;
         }
-        let begun = text.events.len();
+        let begun = text.len();
         let running = async {
             tokio::select! {
                 run = run_once(&engine, &task, &incarnation, &mut text, stream) => run,
@@ -268,7 +270,7 @@
         }
         match run {
             RunEnd::Whole => {
-                let (item, events, server) = (&task.item.id, text.events.len(), &incarnation.id);
+                let (item, events, server) = (&task.item.id, text.len(), &incarnation.id);
                 let taken = engine.clock.now().since(now).0;
                 let waited = text.first_at.map_or(taken, |first| first.since(now).0);
                 if begun == 0 {
@@ -297,13 +299,18 @@
             RunEnd::Unprocessable => failures = task.max_failures,
             RunEnd::Refused => {}
             RunEnd::Replaced => {
-                let events = text.events.len();
+                let events = text.len();
                 let (request, server) = (task.fingerprint, &incarnation.id);
                 tracing::info!(item = task.item.id, %request, server, events, "run lost: the engine restarted");
                 wait = RETRY_DELAY;
             }
+            RunEnd::Reweighted(version) => {
+                restart_text(&task, &mut text, version, engine.clock.now());
+                wait = RETRY_DELAY;
+                continue;
+            }
             RunEnd::Broken(error) => {
-                let events = text.events.len();
+                let events = text.len();
                 let (request, server) = (task.fingerprint, &incarnation.id);
                 tracing::info!(item = task.item.id, %request, server, events, %error, "run interrupted");
             }
@@ -313,9 +320,6 @@
             let sample = terminated(&task.item.id);
             return ItemEnd::Done(sample);
         }
-        if task.single_version && text.versions.len() > 1 {
-            text = Text::default();
-        }
         tokio::time::sleep(wait.as_duration()).await;
         wait = Millis((wait.0 * 2).min(MAX_RETRY_DELAY.0));
     }
@@ -323,6 +327,36 @@
     finish(&engine, task, text).await
 }
 
+/// The text that an earlier run saved, or an empty one.
+fn resume_text(task: &Task, now: Millis) -> Text {
+    let text = Text::resume(task.partial.clone(), task.versions, now);
+    if let Some(partial) = task.partial.as_ref().filter(|_| text.last_id().is_none()) {
+        let (item, versions) = (&task.item.id, &partial.versions);
+        tracing::info!(item, ?versions, "saved partial text not used");
+    }
+    if let Some(progress) = &task.progress {
+        progress.begin(&text);
+    }
+    text
+}
+
+/// Discards a text that can't be continued, as the engine has the weights `version`.
+fn restart_text(task: &Task, text: &mut Text, version: u64, now: Millis) {
+    let (item, events, versions) = (&task.item.id, text.len(), text.versions());
+    tracing::info!(
+        item,
+        events,
+        ?versions,
+        version,
+        "text started again: it must keep its weight version"
+    );
+    metrics::counter!("redwing_texts_restarted_total").increment(1);
+    *text = Text::new(task.versions, now);
+    if let Some(progress) = &task.progress {
+        progress.begin(text);
+    }
+}
+
 /// Has a complete text scored and builds the item's result.
 async fn finish(engine: &Engine, task: Task, text: Text) -> ItemEnd {
     let score = match &task.item.scorer {
@@ -336,14 +370,7 @@
             ScoreEnd::TimedOut => return ItemEnd::Dropped,
         },
     };
-    let sample = Sample {
-        id: task.item.id,
-        score,
-        state: SampleState::Succeeded,
-        text: text.events.join("\n"),
-        versions: text.versions.into_iter().collect(),
-    };
-    ItemEnd::Done(sample)
+    ItemEnd::Done(text.into_sample(task.item.id, score))
 }
 
 /// The result of an item that is given up.
@@ -366,7 +393,7 @@
     stream: &mut RunStream,
 ) -> RunEnd {
     let request = EngineRequest {
-        after: text.last_id,
+        after: text.last_id(),
         host: &task.host,
         item: &task.item,
         timeout: task.deadline.since(engine.clock.now()),
@@ -409,6 +436,17 @@
     while let Ok(Some(_)) = opened.body.next(REFUSAL_BODY_TIMEOUT).await {}
 }
 
+/// How a run ends whose next event can't be added to its text.
+fn unusable_event(task: &Task, error: EventError) -> RunEnd {
+    match error {
+        EventError::OtherVersion { version } => RunEnd::Reweighted(version),
+        EventError::OutOfOrder { .. } | EventError::TooOld { .. } => {
+            tracing::warn!(item = task.item.id, %error, "stream not usable");
+            RunEnd::Refused
+        }
+    }
+}
+
 /// Reads events into `text` until the stream ends. Only complete events count: after an
 /// interruption the next attempt continues after the last of them.
 async fn read_stream(
@@ -426,7 +464,7 @@
         );
         return RunEnd::Refused;
     };
-    if version < task.least_version {
+    if version < task.versions.least {
         tracing::warn!(
             item = task.item.id,
             version,
@@ -434,9 +472,9 @@
         );
         return RunEnd::Refused;
     }
-
-    if let Some(after) = text.last_id {
-        let (item, versions) = (&task.item.id, &text.versions);
+    // Another version is refused only with an event: a text that is complete keeps its own.
+    if let Some(after) = text.last_id() {
+        let (item, versions) = (&task.item.id, text.versions());
         tracing::info!(item, after, version, ?versions, "run continues a text");
     }
     text.first_at = None;
@@ -458,10 +496,8 @@
                 tracing::info!(item, event = ?event.id, before, version = new, "weights changed during a run");
                 version = new;
             }
-            let next = text.last_id.map_or(event.id, |last| Some(last + 1));
-            if event.id.is_none() || event.id != next {
-                tracing::warn!(item = task.item.id, ?event.id, ?next, "stream event out of order");
-                return RunEnd::Refused;
+            if let Err(error) = text.push(event, version) {
+                return unusable_event(task, error);
             }
             let now = engine.clock.now();
             match text.first_at {
@@ -469,10 +505,7 @@
                 None => text.first_at = Some(now),
             }
             text.newest_at = now;
-            text.last_id = event.id;
-            text.versions.insert(version);
-            text.events.push(event.data);
-            stream.set_events(text.events.len());
+            stream.set_events(text.len());
             text.save_if_due(engine, task);
             if let Some(progress) = &task.progress {
                 progress.record(text);
--- a/src/runner/text.rs
+++ b/src/runner/text.rs
@@ -6,9 +6,12 @@
 };
 use crate::{
     base::Millis,
-    batch::{PARTIALS, Partial, batch_part, encode, partial_key},
+    batch::{PARTIALS, Partial, Sample, SampleState, batch_part, encode, partial_key},
+    platform::Event,
+    policy::version_rule::{VersionFit, VersionRule},
     store::{Key, Transaction}, //
 };
+use snafu::Snafu;
 use std::collections::BTreeSet;
 
 /// How often a growing text is saved, so that another engine can continue it. Most items
@@ -23,35 +26,115 @@
 const MAX_SAVED_BYTES: usize = 44 * 1024;
 
 /// The events that were generated so far, over all attempts.
-#[derive(Default)]
+///
+/// # Invariants
+///
+/// The events are in order without a gap, and the versions that generated them obey the item's
+/// rule.
 pub(super) struct Text {
     /// The data of each event.
-    pub(super) events: Vec<String>,
+    events: Vec<String>,
     /// When the latest attempt's first event arrived.
     pub(super) first_at: Option<Millis>,
     /// When the newest event arrived.
     pub(super) newest_at: Millis,
     /// The number of the newest event.
-    pub(super) last_id: Option<u64>,
+    last_id: Option<u64>,
+    rule: VersionRule,
     /// When the text was last saved.
     saved_at: Millis,
     /// How many events the text had when it was last saved.
     saved_events: usize,
     /// The weight versions that generated its events.
-    pub(super) versions: BTreeSet<u64>,
+    versions: BTreeSet<u64>,
+}
+
+/// Why an event can't be the next one of a text.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub(super) enum EventError {
+    #[snafu(display("version {version} generated the event, but the text has another one"))]
+    OtherVersion { version: u64 },
+    #[snafu(display("event {id:?} arrived where {next:?} was due"))]
+    OutOfOrder { id: Option<u64>, next: Option<u64> },
+    #[snafu(display("version {version} is older than {least}, which the item requires"))]
+    TooOld { least: u64, version: u64 },
 }
 
 impl Text {
-    /// Continues the text that an earlier run saved, or starts an empty one.
-    pub(super) fn resume(partial: Option<Partial>, now: Millis) -> Self {
-        let partial = partial.unwrap_or_default();
+    /// An empty text.
+    pub(super) fn new(rule: VersionRule, now: Millis) -> Self {
         Self {
+            events: Vec::new(),
+            first_at: None,
+            newest_at: Millis(0),
+            last_id: None,
+            rule,
             saved_at: now,
-            saved_events: partial.events.len(),
-            last_id: (!partial.events.is_empty()).then_some(partial.last),
-            versions: partial.versions.into_iter().collect(),
-            events: partial.events,
-            ..Self::default()
+            saved_events: 0,
+            versions: BTreeSet::new(),
+        }
+    }
+
+    /// Continues the text that an earlier run saved, or starts an empty one if there is none
+    /// or `rule` doesn't permit its versions.
+    pub(super) fn resume(partial: Option<Partial>, rule: VersionRule, now: Millis) -> Self {
+        let mut text = Self::new(rule, now);
+        let Some(partial) = partial.filter(|partial| !partial.events.is_empty()) else {
+            return text;
+        };
+        text.versions = partial.versions.into_iter().collect();
+        if !rule.permits(&text.versions) {
+            return Self::new(rule, now);
+        }
+        text.saved_events = partial.events.len();
+        text.last_id = Some(partial.last);
+        text.events = partial.events;
+        text
+    }
+
+    /// The number of events.
+    pub(super) fn len(&self) -> usize {
+        self.events.len()
+    }
+
+    /// The number of the newest event.
+    pub(super) fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// The weight versions that generated the events.
+    pub(super) fn versions(&self) -> &BTreeSet<u64> {
+        &self.versions
+    }
+
+    /// Adds an event that `version` generated. The text is unchanged if it returns an error.
+    pub(super) fn push(&mut self, event: Event, version: u64) -> Result<(), EventError> {
+        let next = self.last_id.map_or(event.id, |last| Some(last + 1));
+        if event.id.is_none() || event.id != next {
+            return Err(EventError::OutOfOrder { id: event.id, next });
+        }
+        match self.rule.check(version, &self.versions) {
+            VersionFit::Fits => {}
+            VersionFit::OtherVersion => return Err(EventError::OtherVersion { version }),
+            VersionFit::TooOld => {
+                let least = self.rule.least;
+                return Err(EventError::TooOld { least, version });
+            }
+        }
+        self.last_id = event.id;
+        self.versions.insert(version);
+        self.events.push(event.data);
+        Ok(())
+    }
+
+    /// The result of the item with this id, whose text is complete.
+    pub(super) fn into_sample(self, id: String, score: Option<String>) -> Sample {
+        Sample {
+            id,
+            score,
+            state: SampleState::Succeeded,
+            text: self.events.join("\n"),
+            versions: self.versions.into_iter().collect(),
         }
     }
 
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -36,12 +36,16 @@
     /// A cut run ends its response normally instead of breaking the connection; only the
     /// incomplete last event shows the cut.
     pub cut_cleanly: bool,
+    /// The ids of items whose next run breaks off after some of its events, once each.
+    pub broken_items: Vec<String>,
     /// The engine goes down one event time after it starts a run with this body.
     pub fatal_body: Option<String>,
     /// The ids of items that are answered with 500.
     pub failing_items: Vec<String>,
     /// The ids of items that are answered with 422.
     pub rejected_items: Vec<String>,
+    /// The ids of items whose next run breaks off after its last event, once each.
+    pub unended_items: Vec<String>,
     /// Orders get no answer and are applied after this delay.
     pub order_delay: Option<Millis>,
 }
@@ -94,13 +98,32 @@
     model: String,
     /// The accepted orders: holder, fencing token and weight version.
     orders: Vec<(String, u64, u64)>,
+    /// The number of runs in progress in the current incarnation.
+    running: usize,
     runs: Vec<Run>,
     version: u64,
+    /// The ordered version that is loaded once all runs have ended.
+    waiting_version: Option<u64>,
+}
+
+impl State {
+    /// Whether an order is being carried out.
+    fn is_busy(&self, now: Millis) -> bool {
+        now < self.loading_until || self.waiting_version.is_some()
+    }
+
+    fn load(&mut self, version: u64, now: Millis) {
+        self.loading_until = now + LOAD_TIME;
+        self.version = version;
+    }
 }
 
 /// When the first incarnation of every engine started, in Unix ms.
 const FIRST_START: u64 = 1_764_720_000_000;
 
+/// The time between the last event of a run and the break of its connection.
+const LAST_EVENT_DELAY: Millis = Millis(100);
+
 /// The duration of a weight load.
 const LOAD_TIME: Millis = Millis(150);
 
@@ -119,8 +142,10 @@
                 loading_until: Millis(0),
                 model: model.to_owned(),
                 orders: Vec::new(),
+                running: 0,
                 runs: Vec::new(),
                 version: 1,
+                waiting_version: None,
             }),
             switch: OnceLock::new(),
         });
@@ -161,6 +186,14 @@
         incarnation.clone_into(&mut state.incarnation);
         model.clone_into(&mut state.model);
         state.orders.clear();
+        state.running = 0;
+        state.waiting_version = None;
+    }
+
+    /// Changes the weight version at once. Runs continue under it, as if a late order of an
+    /// earlier holder were carried out.
+    pub fn set_version(&self, version: u64) {
+        self.inner.state().version = version;
     }
 
     /// When the current incarnation started, in Unix ms.
@@ -236,7 +269,7 @@
             "stage": "both",
             "born": state.started_at.0,
             "models": [{"name": state.model, "version": state.version, "adapters": []}],
-            "busy": now < state.loading_until,
+            "busy": state.is_busy(now),
             "sequence": state.orders.len(),
             "numWaiting": 0,
             "numRunning": 0,
@@ -261,14 +294,14 @@
 
     /// Starts to load the ordered version and answers 202. Answers 409 if another load is in
     /// progress or the number of accepted orders isn't the expected one, and 200 if the engine
-    /// has the version already.
+    /// has the version already. An order in mode `wait` lets the runs end before the load.
     fn apply_order(&self, wire: &serde_json::Value) -> StatusCode {
         let now = self.clock.now();
         let mut state = self.state();
         let version = wire["version"].as_u64().unwrap_or(0);
         let expected = wire["expectedRev"].as_u64();
         let conflicts = expected.is_some_and(|expected| expected != state.orders.len() as u64);
-        if now < state.loading_until || conflicts {
+        if state.is_busy(now) || conflicts {
             return StatusCode::CONFLICT;
         }
         if version == state.version {
@@ -277,8 +310,10 @@
         let holder = wire["holder"].as_str().unwrap_or_default().to_owned();
         let fence = wire["fencingToken"].as_u64().unwrap_or(0);
         state.orders.push((holder, fence, version));
-        state.loading_until = now + LOAD_TIME;
-        state.version = version;
+        match wire["mode"] == "wait" && state.running > 0 {
+            true => state.waiting_version = Some(version),
+            false => state.load(version, now),
+        }
         StatusCode::ACCEPTED
     }
 
@@ -292,7 +327,7 @@
         if state.faults.rejected_items.contains(&item) {
             return text(StatusCode::UNPROCESSABLE_ENTITY, "text/plain", "");
         }
-        if now < state.loading_until {
+        if state.is_busy(now) {
             let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "");
             answer
                 .headers_mut()
@@ -316,7 +351,12 @@
         let cut_after = state.faults.cut_after;
         let cut_cleanly = state.faults.cut_cleanly;
         let started_at = state.started_at;
+        state.running += 1;
         drop(state);
+        let open = OpenRun {
+            engine: self.clone(),
+            started_at,
+        };
         if fatal {
             let engine = self.clone();
             tokio::spawn(async move {
@@ -337,6 +377,7 @@
             next: first,
             cut_cleanly,
             version,
+            _open: open,
         };
         let frames = stream::unfold(run, RunStream::next_frame);
         let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
@@ -354,6 +395,29 @@
     }
 }
 
+/// Counts a run as in progress until this is dropped.
+struct OpenRun {
+    engine: Arc<Inner>,
+    /// The start of the incarnation that executes the run.
+    started_at: Millis,
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        let now = self.engine.clock.now();
+        let mut state = self.engine.state();
+        if state.started_at != self.started_at {
+            return;
+        }
+        state.running -= 1;
+        if state.running == 0
+            && let Some(version) = state.waiting_version.take()
+        {
+            state.load(version, now);
+        }
+    }
+}
+
 /// A run whose remaining events are still to be sent.
 struct RunStream {
     /// The start of the incarnation that executes the run.
@@ -371,12 +435,32 @@
     cut_cleanly: bool,
     /// The weight version last sent to the receiver.
     version: u64,
+    _open: OpenRun,
 }
 
 impl RunStream {
+    /// Whether the run breaks off here, see [`EngineFaults::broken_items`] and
+    /// [`EngineFaults::unended_items`].
+    fn is_broken_off(&self) -> bool {
+        let mut state = self.engine.state();
+        let faults = &mut state.faults;
+        let items = match self.next {
+            0 => return false,
+            next if next < self.events => &mut faults.broken_items,
+            _ => &mut faults.unended_items,
+        };
+        let due = items.iter().position(|item| *item == self.item);
+        due.map(|due| items.remove(due)).is_some()
+    }
+
     /// Sends the next event, or the part of it up to the cut; `None` ends the response.
     async fn next_frame(mut self) -> Option<(io::Result<Frame<Bytes>>, Self)> {
         if self.next >= self.events {
+            if self.is_broken_off() {
+                // The last event is sent before the connection breaks.
+                tokio::time::sleep(LAST_EVENT_DELAY.as_duration()).await;
+                return Some((Err(broken_off()), self));
+            }
             self.engine.state().ended_runs += 1;
             return None;
         }
@@ -388,6 +472,9 @@
         if self.engine.state().started_at != self.started_at {
             std::future::pending::<()>().await;
         }
+        if self.is_broken_off() {
+            return Some((Err(broken_off()), self));
+        }
         if self.cut_at == Some(self.next + 1) {
             self.cut_at = Some(self.next);
             let torn = Bytes::from(format!("id: {}\ndata: torn", self.next));
@@ -415,6 +502,11 @@
     }
 }
 
+/// The error of a response that breaks off.
+fn broken_off() -> io::Error {
+    io::Error::other("response broken off by an injected fault")
+}
+
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     let value = headers.get(name)?.to_str().ok()?;
     Some(value.to_owned())
--- a/standins/src/site/rows.rs
+++ b/standins/src/site/rows.rs
@@ -80,6 +80,12 @@
         (rows.filter_map(|key| self.row(key)).collect(), more)
     }
 
+    /// The number of rows in a part of `table`.
+    pub fn rows_in_table(&self, table: &str, part: &str) -> usize {
+        let within = |key: &&RowKey| key.0 == table && key.1 == part;
+        self.current.keys().filter(within).count()
+    }
+
     /// The number of rows in a part, over all tables.
     pub fn rows_in_part(&self, part: &str) -> usize {
         self.current.keys().filter(|key| key.1 == part).count()
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -144,6 +144,11 @@
         lock(&self.inner.rows).rows_in_part(part)
     }
 
+    /// The number of rows in a part of `table`.
+    pub fn rows_in_table(&self, table: &str, part: &str) -> usize {
+        lock(&self.inner.rows).rows_in_table(table, part)
+    }
+
     /// The number of GET requests so far, answered or not.
     pub fn reads(&self) -> u64 {
         self.inner.reads.load(Ordering::Relaxed)
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -13,6 +13,7 @@
     mod relay;
     mod scenarios;
     mod server;
+    mod single_version;
     mod site;
     mod stage;
     mod usage;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -22,4 +22,5 @@
     mod settings_faults;
     mod step_times;
     mod use_counts;
+    mod version_rule;
 }
