Test interrupted texts one case after another, and by the runs that begin anew

1 of 200 copies, ten beside each other and beside a build of everything, failed with "drains: started again". It kept no log lines, and did not fail again in 300 copies of that test with them. Suspected, not shown: on the crowded machine the second engine had begun the batch before the first text was saved, so that nothing had to go on there.

The check is now what the failure is about: after the interruption no run begins with the first event, for either item; before, one run that went on was enough.

Before the fix it fails as before: "crashes: started again", "drains: started again", and two versions in four cases.

--- a/standins/tests/integration/single_version.rs
+++ b/standins/tests/integration/single_version.rs
@@ -15,7 +15,7 @@
     policy::load_features::LoadFeatures, //
 };
 
-const EVENT_TIME: Millis = Millis(20);
+const EVENT_TIME: Millis = Millis(40);
 
 /// The event time once the interruption is over.
 const FAST_EVENT_TIME: Millis = Millis(2);
@@ -24,23 +24,23 @@
 const POLL_INTERVAL: u64 = 10;
 
 /// A site with a route whose texts must have one version, and with a running batch of two
-/// items for it. Both items are in one bundle, so that one engine runs them.
+/// items for it. Both items are in one bundle.
 struct Running {
     batch: Batch,
-    /// The index of the engine that runs the batch.
+    /// The index of the first engine that runs the batch.
     busy: usize,
     site: TestSite,
 }
 
 impl Running {
-    async fn open(name: &str) -> Self {
+    async fn open(name: &str, engines: usize) -> Self {
         let features = LoadFeatures {
             handover: true,
             ..LoadFeatures::default()
         };
         let options = SiteOptions {
             drain: Some(Millis(5_000)),
-            engines: 2,
+            engines,
             features,
             gateways: 1,
             plain: 1,
@@ -58,7 +58,7 @@
         }
         let batch = Batch {
             prefix: "/single/".to_owned(),
-            ..Batch::new(name, 1, 2, 500)
+            ..Batch::new(name, 1, 2, 250)
         };
         submit_until_accepted(&site, &batch).await;
         let mut running = Self {
@@ -110,10 +110,10 @@
         });
     }
 
-    /// Whether a run continued after events of an earlier one.
-    fn is_continued(&self) -> bool {
-        let mut runs = self.site.engines.iter().flat_map(Engine::runs);
-        runs.any(|run| run.after.is_some())
+    /// The number of runs that began with the first event.
+    fn fresh_runs(&self) -> usize {
+        let runs = self.site.engines.iter().flat_map(Engine::runs);
+        runs.filter(|run| run.after.is_none()).count()
     }
 
     /// Lets the runs end and reads the results, whose texts must be complete.
@@ -157,7 +157,15 @@
 impl Test {
     /// Interrupts the runs of a batch; returns what is wrong with the results.
     async fn check(self) -> Vec<String> {
-        let running = Running::open(self.name).await;
+        let engines = match self.interruption {
+            Interruption::Crash | Interruption::Handover => 2,
+            Interruption::Break
+            | Interruption::BreakBeforeLoad
+            | Interruption::LateOrder
+            | Interruption::Restart => 1,
+        };
+        let running = Running::open(self.name, engines).await;
+        let fresh_runs = running.fresh_runs();
         let version = if self.newer { 2 } else { 1 };
         match self.interruption {
             Interruption::Break => {
@@ -192,19 +200,20 @@
         let mut faults: Vec<String> = several
             .map(|result| format!("{}: versions {:?}", result.id, result.versions))
             .collect();
-        let is_kept = results.iter().all(|result| result.versions == [1]);
-        let is_restarted = !is_kept || !running.is_continued();
-        if !self.newer && is_restarted {
+        let is_kept = running.fresh_runs() == fresh_runs;
+        if !self.newer && !is_kept {
             faults.push(format!("{}: started again", self.name));
         }
         faults
     }
 }
 
-/// Checks all `tests` at the same time.
+/// Checks all `tests`, one after another.
 async fn check_all<const N: usize>(tests: [Test; N]) {
-    let faults = futures_util::future::join_all(tests.map(Test::check)).await;
-    let faults = faults.concat();
+    let mut faults = Vec::new();
+    for test in tests {
+        faults.extend(test.check().await);
+    }
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
@@ -250,7 +259,7 @@
 /// engine has newer weights by the time that it is asked for the rest.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_complete_text_is_kept_under_newer_weights() {
-    let running = Running::open("complete").await;
+    let running = Running::open("complete", 1).await;
     running.site.name_version(2);
     let is_ordered = |running: &Running| !running.busy().orders().is_empty();
     running.wait_until("the load is ordered", is_ordered).await;
@@ -261,7 +270,9 @@
     for result in running.results().await {
         assert_eq!(result.versions, [1], "{}", result.id);
     }
-    assert!(running.is_continued(), "the connection did not break");
+    let runs = running.busy().runs();
+    let is_continued = runs.iter().any(|run| run.after.is_some());
+    assert!(is_continued, "the connection did not break");
 }
 
 /// Guards against events of a text whose version is older than its batch allows, from an
