Check the version of a text's weights and a result's item in one place each

The answer's head was compared with the oldest version beside the rule that events go by; both use VersionRule::is_too_old now. add_result asked twice whether the item has a waiting result; WaitingResults::add decides.

--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -138,7 +138,7 @@
     }
 
     /// Whether the item at `index` has a result, in the log or in memory.
-    pub(super) fn has_result(&self, index: u16) -> bool {
+    fn has_result(&self, index: u16) -> bool {
         self.log.contains(index) || self.results.contains(index)
     }
 
@@ -146,10 +146,9 @@
     /// Returns false, and changes nothing, if the item has a result already or the batch is
     /// over.
     pub(super) fn add_result(&mut self, index: u16, sample: Sample) -> bool {
-        if self.is_over() || self.has_result(index) {
+        if self.is_over() || self.log.contains(index) || !self.results.add(index, sample) {
             return false;
         }
-        self.results.add(index, sample);
         let run = self.running.remove_entry(&index);
         self.stop_runs(run.into_iter().collect());
         true
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -464,7 +464,7 @@
         );
         return RunEnd::Refused;
     };
-    if version < task.versions.least {
+    if task.versions.is_too_old(version) {
         tracing::warn!(
             item = task.item.id,
             version,
@@ -472,7 +472,8 @@
         );
         return RunEnd::Refused;
     }
-    // Another version is refused only with an event: a text that is complete keeps its own.
+    // Another version than the text's is refused with its first event, not here: if the text
+    // is complete, no event follows.
     if let Some(after) = text.last_id() {
         let (item, versions) = (&task.item.id, text.versions());
         tracing::info!(item, after, version, ?versions, "run continues a text");
