Log answers that don't belong to the request that awaits one

No behaviour changes. The logs could not tell whether a text with another item's lines came from an answer to another request, from a text continued for the wrong item, or from the engine itself: only calls compared the id that an answer echoes, and none logged what was found.

The client of backend servers now compares the id of each answer with that of its request where the answer comes in, whoever reads it, logs both and the status, and counts redwing_foreign_answers_total by role and reason.

--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     base::{Clock, Millis, stable_hash},
-    net::{CallError, FullResponse, Peer},
+    net::{CallError, FullResponse, Matching, Peer},
     platform,
     policy::{
         connection_limit::max_open,
@@ -338,8 +338,11 @@
         let mut state = self.state();
         let clock = self.site.clock;
         let peer = state.peers.entry(address);
-        peer.or_insert_with(|| Peer::open_as("server", address, clock))
-            .clone()
+        peer.or_insert_with(|| {
+            let matching = Matching::Id(platform::ATTEMPT_ID);
+            Peer::open_as("server", matching, address, clock)
+        })
+        .clone()
     }
 
     /// As [`Dispatcher::peer`], with the present limit on connections to `server` if these are
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod call_error;
 mod connection;
 mod idle_connection;
+mod matching;
 mod peer;
 mod pool;
 mod reachability;
@@ -11,6 +12,7 @@
 
 pub use self::{
     call_error::CallError,
+    matching::{Matching, Mismatch},
     peer::{FullResponse, Peer, StreamingResponse},
     reachability::Reachability,
     stream_body::StreamBody, //
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -7,6 +7,7 @@
     call_error::{BrokenSnafu, ConnectSnafu, TimeoutSnafu, TooLargeSnafu, is_reset},
     connection::{Connection, SendFailure},
     idle_connection::{closes_connection, usable_until},
+    matching::Matching,
     pool::{Grant, Place, Pool, Turn}, //
 };
 use crate::{
@@ -22,6 +23,7 @@
     HeaderMap,
     Request,
     StatusCode,
+    body::Incoming,
     header::{HOST, HeaderValue}, //
 };
 use snafu::{
@@ -57,7 +59,9 @@
 #[derive(Clone)]
 pub struct Peer {
     address: SocketAddr,
+    matching: Matching,
     pool: Arc<Pool>,
+    role: &'static str,
 }
 
 /// How long opening a connection may take. A peer in another data centre answers within a
@@ -106,15 +110,25 @@
 }
 
 impl Peer {
-    /// A peer at `address`, without connections yet.
+    /// A peer at `address` that answers each request once, without connections yet.
     pub fn open(address: SocketAddr, clock: Clock) -> Self {
-        Self::open_as("other", address, clock)
+        Self::open_as("other", Matching::Order, address, clock)
     }
 
-    /// As [`Peer::open`]; `role` says what the peer is, as a label of metrics.
-    pub fn open_as(role: &'static str, address: SocketAddr, clock: Clock) -> Self {
-        let pool = Pool::open(address, clock, role);
-        Self { address, pool }
+    /// As [`Peer::open`], for a peer whose answers are matched as `matching` says; `role` says
+    /// what the peer is, as a label of metrics.
+    pub fn open_as(
+        role: &'static str,
+        matching: Matching,
+        address: SocketAddr,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            address,
+            matching,
+            pool: Pool::open(address, clock, role),
+            role,
+        }
     }
 
     /// Drops the idle connections, which may be dead after the peer was unreachable.
@@ -293,6 +307,7 @@
     ) -> Result<StreamingResponse, CallError> {
         let address = self.address;
         let mut request = request;
+        let id = self.matching.id_of(request.headers()).cloned();
         if !request.headers().contains_key(HOST) {
             let host = HeaderValue::try_from(address.to_string());
             request
@@ -316,7 +331,10 @@
             progress.set_written(true);
             let sent_at = self.pool.now();
             let failed = match connection.send(request).await {
-                Ok(answer) => return Ok(self.streaming_response(connection, answer)),
+                Ok(answer) => {
+                    self.check(id.as_ref(), &answer);
+                    return Ok(self.streaming_response(connection, answer));
+                }
                 Err(failed) => failed,
             };
             match failed.unsent {
@@ -344,7 +362,10 @@
         progress.set_written(true);
         let sent_at = self.pool.now();
         let failed = match connection.send(request).await {
-            Ok(answer) => return Ok(self.streaming_response(connection, answer)),
+            Ok(answer) => {
+                self.check(id.as_ref(), &answer);
+                return Ok(self.streaming_response(connection, answer));
+            }
             Err(failed) => failed,
         };
         let unsent = failed.unsent.is_some();
@@ -375,11 +396,28 @@
         is_reset(&failed.error) && !failed.begun && early
     }
 
+    /// Logs an answer that doesn't belong to the request with this id.
+    fn check(&self, id: Option<&HeaderValue>, answer: &hyper::Response<Incoming>) {
+        let Err(reason) = self.matching.check(id, answer.headers()) else {
+            return;
+        };
+        let (role, reason_label) = (self.role, reason.label());
+        metrics::counter!("redwing_foreign_answers_total", "role" => role, "reason" => reason_label)
+            .increment(1);
+        let text = |id: &HeaderValue| String::from_utf8_lossy(id.as_bytes()).into_owned();
+        let (id, found) = (
+            id.map(text),
+            self.matching.id_of(answer.headers()).map(text),
+        );
+        let status = answer.status().as_u16();
+        tracing::warn!(server = %self.address, role, id, found, status, %reason, "answer to another request");
+    }
+
     /// Converts `answer`, whose body is still to be read over `connection`.
     fn streaming_response(
         &self,
         connection: Connection,
-        answer: hyper::Response<hyper::body::Incoming>,
+        answer: hyper::Response<Incoming>,
     ) -> StreamingResponse {
         let (head, body) = answer.into_parts();
         let connection = (!closes_connection(&head.headers)).then_some(connection);
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -9,8 +9,8 @@
     base::Clock,
     calls::{Dispatcher, LoadControl},
     duty::{self, AdminRoute, DutyError, HttpLimits, HttpServer, ProgramHandle, serve_admin},
-    net::Peer,
-    platform::Store,
+    net::{Matching, Peer},
+    platform::{ATTEMPT_ID, Store},
     policy::quarantine::CrashPolicy,
     relay::{Identity, Relay},
     settings::RunnerSettings,
@@ -84,6 +84,7 @@
             ),
             site: site.clone(),
         };
+        let matching = Matching::Id(ATTEMPT_ID);
         let setup = Setup {
             clock,
             drain: common.drain,
@@ -95,7 +96,7 @@
                 last_crash: watch::Sender::new(None),
                 mismatch: watch::Sender::new(None),
                 pace: Arc::default(),
-                peer: Peer::open_as("engine", settings.engine, clock),
+                peer: Peer::open_as("engine", matching, settings.engine, clock),
                 rate: Arc::default(),
                 scorer_client: Arc::new(scorer_client),
                 incarnation: current,
