--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -1,7 +1,10 @@
 //! A stand-in for the users' engines: it runs items, accepts weight orders and answers
 //! report requests.
 
-use super::RequestIdentity;
+use super::{
+    RequestIdentity,
+    plain::echo_id, //
+};
 use crate::server::Server;
 use bytes::Bytes;
 use futures_util::stream;
@@ -19,7 +22,8 @@
 };
 use redwingpond::{
     base::{Clock, Millis},
-    duty::{Answer, text}, //
+    duty::{Answer, text},
+    platform::ATTEMPT_ID, //
 };
 use std::{
     io,
@@ -243,6 +247,14 @@
     }
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
+        let id = request.headers().get(ATTEMPT_ID).cloned();
+        let mut answer = self.serve(request).await?;
+        echo_id(&mut answer, id);
+        Ok(answer)
+    }
+
+    /// Runs or refuses a request, or answers one of the engine's own paths.
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         let expected = header(&head.headers, "x-expect-instance");
@@ -319,7 +331,7 @@
 
     /// Starts the run of an item; the body is its number of events.
     fn run(self: Arc<Self>, headers: &HeaderMap, body: &[u8]) -> Answer {
-        let item = header(headers, "x-attempt-id").unwrap_or_default();
+        let item = header(headers, ATTEMPT_ID.as_str()).unwrap_or_default();
         let after = header(headers, "last-event-id").and_then(|after| after.parse().ok());
         let events: u64 = String::from_utf8_lossy(body).trim().parse().unwrap_or(1);
         let now = self.clock.now();
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -12,7 +12,8 @@
 };
 use redwingpond::{
     base::{Clock, Millis},
-    duty::{Answer, text}, //
+    duty::{Answer, text},
+    platform::ATTEMPT_ID, //
 };
 use std::{
     io,
@@ -327,6 +328,14 @@
     }
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
+        let id = request.headers().get(ATTEMPT_ID).cloned();
+        let mut answer = self.serve(request).await?;
+        echo_id(&mut answer, id);
+        Ok(answer)
+    }
+
+    /// Runs or refuses a request.
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         let expected = head.headers.get("x-expect-instance");
@@ -340,9 +349,9 @@
         let Some(_slot) = self.take_slot().await else {
             return Ok(self.refusal());
         };
-        let id = head.headers.get("x-attempt-id").cloned();
-        let id = id.unwrap_or_else(|| HeaderValue::from_static(""));
-        let name = id.to_str().unwrap_or_default().to_owned();
+        let id = head.headers.get(ATTEMPT_ID);
+        let name = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let name = name.to_owned();
         lock(&self.runs).push((name.clone(), self.clock.now()));
         lock(&self.identities).push(RequestIdentity::of(&name, &head.headers));
         self.open_requests.fetch_add(1, Ordering::Relaxed);
@@ -369,11 +378,9 @@
         };
         let mut answer = text(status, "text/plain", body);
         let headers = answer.headers_mut();
-        let echoed = match fault {
-            PlainFault::Foreign => HeaderValue::from_static("another"),
-            _ => id,
-        };
-        headers.insert("x-attempt-id", echoed);
+        if fault == PlainFault::Foreign {
+            headers.insert(ATTEMPT_ID, HeaderValue::from_static("another"));
+        }
         if let Some(load) = lock(&self.load).report() {
             headers.insert("x-server-load", load);
         }
@@ -383,6 +390,13 @@
     }
 }
 
+/// Adds the id of the answered request, if it has one, to an answer without an id.
+pub(super) fn echo_id(answer: &mut Answer, id: Option<HeaderValue>) {
+    if let Some(id) = id {
+        answer.headers_mut().entry(ATTEMPT_ID).or_insert(id);
+    }
+}
+
 /// Locks a mutex, even if a thread panicked while holding it.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
