Test late second answers of servers and engines

StutteringRelay keeps connections alive before a server and sends an answer a second time, in place of the next one or while the connection is idle. The tests send each kind of late answer to calls, runs, scorer calls, orders and reports, and to requests that are tried again under their ids.

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -46,6 +46,10 @@
     pub fatal_body: Option<String>,
     /// The ids of items that are answered with 500.
     pub failing_items: Vec<String>,
+    /// The ids of items whose next run is answered with 500, once for each entry.
+    pub failing_runs: Vec<String>,
+    /// The ids of items whose next run is refused, once for each entry.
+    pub refused_runs: Vec<String>,
     /// The ids of items that are answered with 422.
     pub rejected_items: Vec<String>,
     /// The ids of items whose next run breaks off after its last event, once each.
@@ -339,7 +343,7 @@
         if state.faults.rejected_items.contains(&item) {
             return text(StatusCode::UNPROCESSABLE_ENTITY, "text/plain", "");
         }
-        if state.is_busy(now) {
+        if take(&mut state.faults.refused_runs, &item) || state.is_busy(now) {
             let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "");
             answer
                 .headers_mut()
@@ -354,7 +358,8 @@
             item: item.clone(),
             version,
         });
-        if state.faults.failing_items.contains(&item) {
+        let fails = take(&mut state.faults.failing_runs, &item);
+        if fails || state.faults.failing_items.contains(&item) {
             return text(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "");
         }
         let fatal = state.faults.fatal_body.as_ref();
@@ -461,8 +466,7 @@
             next if next < self.events => &mut faults.broken_items,
             _ => &mut faults.unended_items,
         };
-        let due = items.iter().position(|item| *item == self.item);
-        due.map(|due| items.remove(due)).is_some()
+        take(items, &self.item)
     }
 
     /// Sends the next event, or the part of it up to the cut; `None` ends the response.
@@ -514,6 +518,12 @@
     }
 }
 
+/// Removes the first entry `item`; returns whether there was one.
+fn take(items: &mut Vec<String>, item: &str) -> bool {
+    let found = items.iter().position(|entry| entry == item);
+    found.map(|found| items.remove(found)).is_some()
+}
+
 /// The error of a response that breaks off.
 fn broken_off() -> io::Error {
     io::Error::other("response broken off by an injected fault")
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -9,6 +9,7 @@
 mod plain;
 mod rows;
 mod store;
+mod stuttering_relay;
 mod test_site;
 mod trainer;
 mod usage_collector;
@@ -20,6 +21,14 @@
     plain::{Capacity, PlainFault, PlainServer, RequestIdentity},
     rows::Rows,
     store::Store,
+    stuttering_relay::{
+        CarriedRequest,
+        CarriedRequests,
+        LateMoment,
+        SecondAnswer,
+        Stutter,
+        StutteringRelay, //
+    },
     test_site::{SiteOptions, TestSite, announce_engine, put_config, server_entry},
     trainer::{Batch, ItemResult, ResultPage}, //
     usage_collector::{CollectorFault, UsageCollector, UsageReport},
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -116,6 +116,8 @@
     /// A request with this body crashes the server when its service time is over.
     fatal_body: Mutex<Option<Bytes>>,
     fault: Mutex<PlainFault>,
+    /// The number of further requests that are run and answered with 500.
+    failing: AtomicU32,
     /// The id of the current incarnation.
     incarnation: Mutex<String>,
     load: Mutex<Load>,
@@ -139,6 +141,7 @@
             clock: Clock::open(),
             fatal_body: Mutex::default(),
             fault: Mutex::default(),
+            failing: AtomicU32::new(0),
             incarnation: Mutex::new(id.to_owned()),
             load: Mutex::default(),
             slot_freed: Notify::new(),
@@ -171,6 +174,11 @@
         *lock(&self.inner.fault) = fault;
     }
 
+    /// Makes the server run the next `count` requests and answer them with 500.
+    pub fn fail_next(&self, count: u32) {
+        self.inner.failing.store(count, Ordering::Relaxed);
+    }
+
     /// Sets the server's room from now on; requests that run already keep running.
     pub fn set_capacity(&self, capacity: Capacity) {
         lock(&self.inner.load).capacity = Some(capacity);
@@ -371,7 +379,13 @@
             | PlainFault::None
             | PlainFault::TimesOut => {}
         }
+        let failing = self
+            .failing
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+                count.checked_sub(1)
+            });
         let status = match fault {
+            _ if failing.is_ok() => StatusCode::INTERNAL_SERVER_ERROR,
             PlainFault::Fails => StatusCode::INTERNAL_SERVER_ERROR,
             PlainFault::TimesOut => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::OK,
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -9,6 +9,7 @@
     mod crashes;
     mod given_up_items;
     mod handover;
+    mod late_answers;
     mod memory;
     mod raw_answers;
     mod relay;
--- /dev/null
+++ b/standins/tests/integration/late_answers.rs
@@ -0,0 +1,613 @@
+//! Second answers that arrive late, where the answer to another request is expected.
+
+use super::site::{RESULTS_TIMEOUT, check_whole, sleep};
+use hyper::Method;
+use redwing_standins::{
+    client::FullResponse,
+    site::{
+        Batch,
+        EngineFaults,
+        ItemResult,
+        LateMoment,
+        PlainFault,
+        PlainServer,
+        SecondAnswer,
+        SiteOptions,
+        Stutter,
+        StutteringRelay,
+        TestSite,
+        server_entry, //
+    },
+};
+use std::panic::{
+    AssertUnwindSafe,
+    catch_unwind, //
+};
+
+/// How long a caller waits, in ms.
+const DEADLINE: &str = "1500";
+
+/// The most calls until one of them is on the connection of an earlier one.
+const MAX_CALLS: usize = 12;
+
+/// The most batches until one of them is on the connection of an earlier one.
+const MAX_BATCHES: usize = 6;
+
+/// How often an id is used twice.
+const ROUNDS: usize = 3;
+
+/// How many test sites are open at once.
+const OPEN_SITES: usize = 6;
+
+/// How long bytes take to arrive on an idle connection, in ms.
+const DELIVERY_TIME: u64 = 20;
+
+/// A late second answer.
+#[derive(Clone, Copy)]
+struct LateAnswer {
+    answer: SecondAnswer,
+    name: &'static str,
+}
+
+/// A second answer with this status and these headers. No answer of a server has its header
+/// `x-late` and its body.
+macro_rules! late {
+    ($status:literal, $headers:literal) => {
+        SecondAnswer::Bytes(concat!(
+            "HTTP/1.1 ",
+            $status,
+            "\r\nx-late: 1\r\nx-response-signature: seal-late\r\n",
+            $headers,
+            "content-length: 4\r\n\r\nlate"
+        ))
+    };
+}
+
+/// An engine's stream of one event.
+const LATE_STREAM: SecondAnswer = SecondAnswer::Bytes(concat!(
+    "HTTP/1.1 200 OK\r\nx-late: 1\r\nx-response-signature: engine\r\nx-weight-versions: 1\r\n",
+    "x-attempt-id: {id}\r\ncontent-type: text/event-stream\r\n",
+    "transfer-encoding: chunked\r\n\r\n14\r\nid: 0\ndata: late-0\n\n\r\n0\r\n\r\n"
+));
+
+/// An engine's report of its first weights, from before any order.
+const OLD_REPORT: SecondAnswer = SecondAnswer::Bytes(concat!(
+    "HTTP/1.1 200 OK\r\nx-late: 1\r\ncontent-type: application/json\r\n",
+    "content-length: 99\r\n\r\n",
+    r#"{"born":1764720000000,"busy":false,"models":[{"name":"m0","version":1,"adapters":[]}],"#,
+    r#""sequence":0}"#
+));
+
+fn late_answers() -> Vec<LateAnswer> {
+    let late = |name, answer| LateAnswer { answer, name };
+    vec![
+        late("copy", SecondAnswer::Copy),
+        late("whole", late!("200 OK", "x-attempt-id: {id}\r\n")),
+        late("stream", LATE_STREAM),
+        late(
+            "full",
+            late!("503 Full", "x-attempt-id: {id}\r\nx-not-executed: 1\r\n"),
+        ),
+        late(
+            "limited",
+            late!("429 Limited", "x-attempt-id: {id}\r\nx-not-executed: 1\r\n"),
+        ),
+        late(
+            "misdirected",
+            late!(
+                "421 Misdirected",
+                "x-attempt-id: {id}\r\nx-instance-id: other\r\nx-not-executed: 1\r\n"
+            ),
+        ),
+        late("failed", late!("500 Failed", "x-attempt-id: {id}\r\n")),
+        late("rejected", late!("422 Rejected", "x-attempt-id: {id}\r\n")),
+        late("accepted", late!("202 Accepted", "")),
+        late("conflict", late!("409 Conflict", "")),
+        late("report", OLD_REPORT),
+        late("bare", late!("200 OK", "x-weight-versions: 1\r\n")),
+        late("bareFull", late!("503 Full", "x-not-executed: 1\r\n")),
+        late(
+            "twoIds",
+            late!(
+                "200 OK",
+                "x-attempt-id: {next}\r\nx-attempt-id: {id}\r\nx-weight-versions: 1\r\n"
+            ),
+        ),
+        late(
+            "twoIdsFull",
+            late!(
+                "503 Full",
+                "x-attempt-id: {next}\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\n"
+            ),
+        ),
+    ]
+}
+
+/// A site with two plain servers, each behind a relay.
+struct CallSite {
+    relays: Vec<StutteringRelay>,
+    servers: Vec<PlainServer>,
+    site: TestSite,
+}
+
+impl CallSite {
+    async fn open(servers: usize) -> Self {
+        let options = SiteOptions {
+            engines: 0,
+            gateways: 1,
+            plain: 0,
+            ..SiteOptions::default()
+        };
+        let mut site = TestSite::open(options).await.unwrap();
+        site.put_config(serde_json::json!([{
+            "name": "live", "host": "site.example", "pathPrefix": "/live/",
+            "routeType": "streaming", "timeoutMs": 2_000, "targetLatencyMs": 200, "priority": 1,
+            "maxAttempts": 3, "service": "plain",
+        }]));
+        let mut opened = Self {
+            relays: Vec::new(),
+            servers: Vec::new(),
+            site,
+        };
+        for number in 0..servers {
+            let id = format!("plain-{number}");
+            let server = PlainServer::open(&id).await.unwrap();
+            let relay = StutteringRelay::open(server.address).await.unwrap();
+            opened.site.announce(&id, "plain", relay.address, "ready");
+            opened.relays.push(relay);
+            opened.servers.push(server);
+        }
+        opened
+    }
+
+    /// Sends a call whose body is its id.
+    async fn call(&self, path: &str, id: &str) -> Option<FullResponse> {
+        let headers = [("x-attempt-id", id), ("x-deadline-ms", DEADLINE)];
+        let answer = self
+            .site
+            .send(0, Method::POST, path, &headers, id.to_owned());
+        answer.await
+    }
+
+    /// Calls the servers until they answer, so that failures before are forgiven.
+    async fn restore(&self, id: &str) {
+        let deadline = self.site.clock.now() + RESULTS_TIMEOUT;
+        while self
+            .call("/safe/x", id)
+            .await
+            .is_none_or(|answer| answer.status != 200)
+        {
+            assert!(self.site.clock.now() < deadline, "{id}: no server is used");
+            sleep(20).await;
+        }
+    }
+
+    fn runs_of(&self, id: &str) -> usize {
+        self.servers.iter().map(|server| server.runs_of(id)).sum()
+    }
+
+    fn set_stutter(&self, stutter: Stutter) {
+        for relay in &self.relays {
+            relay.set_stutter(stutter);
+        }
+    }
+
+    /// The number of second answers that were sent.
+    fn sent(&self) -> usize {
+        self.relays.iter().map(StutteringRelay::sent).sum()
+    }
+
+    /// The requests that were sent over a connection after a second answer had arrived there.
+    fn requests_after_late(&self) -> usize {
+        let after = self.relays.iter().map(StutteringRelay::requests_after_late);
+        after.map(|requests| requests.len()).sum()
+    }
+
+    /// Sends a call that may be answered late for another, and returns what is wrong.
+    async fn check_call(&self, path: &str, moment: LateMoment, id: &str) -> Vec<String> {
+        let answer = self.call(path, id).await;
+        let runs = self.runs_of(id);
+        let mut violations = Vec::new();
+        if path != "/safe/x" && runs > 1 {
+            violations.push(format!("{id}: {runs} runs"));
+        }
+        // The call may have run at the server whose second answer came in place of its own.
+        let may_be_lost = path != "/safe/x" && moment == LateMoment::BeforeNext;
+        let Some(answer) = answer else {
+            if path != "/live/x" || !may_be_lost {
+                violations.push(format!("{id}: no answer"));
+            }
+            return violations;
+        };
+        let seal = format!("seal-{id}");
+        let ids: Vec<_> = answer.headers.get_all("x-attempt-id").iter().collect();
+        let is_own = answer.body == id
+            && answer.header("x-response-signature") == Some(seal.as_str())
+            && ids == [id]
+            && answer.header("x-late").is_none();
+        let is_true = match answer.status.as_u16() {
+            200 => is_own,
+            502 | 504 => may_be_lost && answer.header("x-late").is_none(),
+            _ => false,
+        };
+        if !is_true {
+            let (status, body) = (answer.status, &answer.body);
+            violations.push(format!("{id}: {status} {body:?} {ids:?}, {runs} runs"));
+        }
+        violations
+    }
+}
+
+/// Servers answer calls twice. Callers got the status, the headers and the body of another's
+/// answer, or a late refusal for a call that ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_is_not_answered_by_a_late_answer_to_another() {
+    let moments = [LateMoment::BeforeNext, LateMoment::WhileIdle];
+    let paths = ["/safe/x", "/once/x", "/live/x"];
+    let tests = paths
+        .into_iter()
+        .flat_map(|path| moments.map(|moment| check_calls(path, moment)));
+    let violations = futures_util::future::join_all(tests).await.concat();
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Sends calls until one has met each late second answer; returns what is wrong.
+async fn check_calls(path: &'static str, moment: LateMoment) -> Vec<String> {
+    let calls = CallSite::open(2).await;
+    let mut violations = Vec::new();
+    for late in late_answers() {
+        let name = format!("{}-{moment:?}-{}", &path[1..5], late.name);
+        calls.restore(&format!("before-{name}")).await;
+        let sent = calls.sent();
+        let after_late = calls.requests_after_late();
+        calls.set_stutter(Stutter {
+            answer: late.answer,
+            moment,
+            reader: path,
+            skipped: 0,
+            source: path,
+        });
+        let mut left = 3;
+        for number in 0..MAX_CALLS {
+            let id = format!("{name}-{number}");
+            violations.extend(calls.check_call(path, moment, &id).await);
+            if calls.sent() > sent {
+                left -= 1;
+            }
+            if left == 0 {
+                break;
+            }
+            if moment == LateMoment::WhileIdle {
+                sleep(DELIVERY_TIME).await;
+            }
+        }
+        if calls.sent() == sent {
+            violations.push(format!("{name}: no second answer was sent"));
+        }
+        let reused = calls.requests_after_late() - after_late;
+        if reused > 0 {
+            violations.push(format!("{name}: {reused} requests on its connection"));
+        }
+    }
+    violations
+}
+
+/// A server refuses a call twice, the second time when the call is tried again under its id
+/// and runs. The caller got a refusal of a call that ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_tried_again_is_not_answered_by_its_earlier_refusal() {
+    let mut violations = Vec::new();
+    for path in ["/safe/x", "/once/x", "/live/x"] {
+        let calls = CallSite::open(1).await;
+        for round in 0..ROUNDS {
+            let id = format!("{}-{round}", &path[1..5]);
+            calls.restore(&format!("before-{id}")).await;
+            calls.servers[0].set_fault(PlainFault::Full);
+            calls.set_stutter(Stutter {
+                answer: SecondAnswer::Copy,
+                moment: LateMoment::BeforeNext,
+                reader: path,
+                skipped: 0,
+                source: path,
+            });
+            let refused = calls.call(path, &id).await;
+            let refused = refused.map(|answer| answer.status.as_u16());
+            assert_eq!((refused, calls.runs_of(&id)), (Some(503), 0), "{id}");
+            calls.servers[0].set_fault(PlainFault::None);
+            let moment = LateMoment::BeforeNext;
+            violations.extend(calls.check_call(path, moment, &id).await);
+        }
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// A site with one engine and one scorer, each behind a relay.
+struct ItemSite {
+    engine: StutteringRelay,
+    scorer: StutteringRelay,
+    site: TestSite,
+}
+
+impl ItemSite {
+    async fn open() -> Self {
+        let options = SiteOptions {
+            engines: 1,
+            gateways: 1,
+            plain: 1,
+            ..SiteOptions::default()
+        };
+        let mut site = TestSite::open(options).await.unwrap();
+        let scorer = StutteringRelay::open(site.plain[0].address).await.unwrap();
+        site.announce(&site.plain[0].id, "plain", scorer.address, "ready");
+        let engine = StutteringRelay::open(site.engines[0].address)
+            .await
+            .unwrap();
+        site.runners[0] = None;
+        let mut entry = server_entry("engines", engine.address, "ready");
+        entry["born"] = site.engines[0].started_at().0.into();
+        let id = &site.engines[0].id;
+        site.store.put("servers", id, Some(&entry));
+        site.start_runner_via(0, engine.address).unwrap();
+        Self {
+            engine,
+            scorer,
+            site,
+        }
+    }
+
+    /// The relay that carries the requests for `path`.
+    fn relay(&self, path: &str) -> &StutteringRelay {
+        match path {
+            "/score/" => &self.scorer,
+            _ => &self.engine,
+        }
+    }
+
+    /// Has a batch run and returns what is wrong with its results.
+    async fn check_batch(&self, batch: &Batch) -> Vec<String> {
+        let runs_before = self.site.engines[0].runs().len();
+        let accepted = self.site.submit(0, batch).await;
+        if accepted != Some(202) {
+            return vec![format!("{}: submission answered {accepted:?}", batch.id)];
+        }
+        let items = batch.item_ids().len();
+        let results = self.site.read_results(batch, items, RESULTS_TIMEOUT).await;
+        let mut violations = check_results(batch, &results);
+        let runs = self.site.engines[0].runs().split_off(runs_before);
+        for result in &results {
+            let runs = runs.iter().filter(|run| run.item == result.id);
+            let versions: Vec<u64> = runs.map(|run| run.version).collect();
+            if result.versions.iter().any(|used| !versions.contains(used)) {
+                let (id, listed) = (&result.id, &result.versions);
+                violations.push(format!("{id}: ran under {versions:?}, listed {listed:?}"));
+            }
+        }
+        violations
+    }
+}
+
+/// What [`check_whole`] finds wrong.
+fn check_results(batch: &Batch, results: &[ItemResult]) -> Vec<String> {
+    let checked = catch_unwind(AssertUnwindSafe(|| check_whole(batch, results)));
+    let Err(panic) = checked else {
+        return Vec::new();
+    };
+    let message = panic.downcast_ref::<String>().cloned();
+    vec![message.unwrap_or_else(|| format!("{results:?}"))]
+}
+
+/// Where the second answer to a request arrives.
+#[derive(Clone, Copy)]
+struct ItemTest {
+    late: LateAnswer,
+    moment: LateMoment,
+    /// The prefix of the paths of the requests in whose place it arrives.
+    reader: &'static str,
+    /// The prefix of the paths of the requests that are answered twice.
+    source: &'static str,
+}
+
+impl ItemTest {
+    /// Whether weights are loaded before each batch.
+    fn has_orders(&self) -> bool {
+        [self.source, self.reader]
+            .iter()
+            .any(|path| path.starts_with("/redwingpond/"))
+    }
+
+    /// Runs batches until one has met the late second answer, and one more; returns what is
+    /// wrong.
+    async fn check(self) -> Vec<String> {
+        let items = ItemSite::open().await;
+        let relay = items.relay(self.reader);
+        let name = format!(
+            "{} for {} {:?} {}",
+            self.source, self.reader, self.moment, self.late.name
+        );
+        let mut violations = Vec::new();
+        let mut version = 1;
+        let mut left = 2;
+        for number in 0..MAX_BATCHES {
+            if number == 1 {
+                relay.set_stutter(Stutter {
+                    answer: self.late.answer,
+                    moment: self.moment,
+                    reader: self.reader,
+                    skipped: 0,
+                    source: self.source,
+                });
+            }
+            let mut batch = Batch::new(&format!("{}{number}", self.late.name), 1, 1, 4);
+            if self.has_orders() {
+                version += 1;
+                items.site.name_version(version);
+                batch.least_version = version;
+            }
+            violations.extend(items.check_batch(&batch).await);
+            if relay.sent() > 0 {
+                left -= 1;
+            }
+            if left == 0 || !violations.is_empty() {
+                break;
+            }
+            if self.moment == LateMoment::WhileIdle {
+                sleep(DELIVERY_TIME).await;
+            }
+        }
+        let orders = items.site.engines[0].orders();
+        let ordered: Vec<u64> = orders.iter().map(|(_, _, version)| *version).collect();
+        if ordered != (2..=version).collect::<Vec<u64>>() {
+            violations.push(format!("ordered {ordered:?}"));
+        }
+        if relay.sent() == 0 {
+            violations.push("no second answer was sent".to_owned());
+        }
+        let after = relay.requests_after_late();
+        if !after.is_empty() {
+            violations.push(format!("on its connection: {after:?}"));
+        }
+        violations
+            .iter()
+            .map(|what| format!("{name}: {what}"))
+            .collect()
+    }
+}
+
+async fn check_items(tests: &[ItemTest]) {
+    let mut violations = Vec::new();
+    for tests in tests.chunks(OPEN_SITES) {
+        let checks = tests.iter().map(|test| test.check());
+        violations.extend(futures_util::future::join_all(checks).await.concat());
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// All late answers to `source` in place of answers to `reader`.
+fn item_tests(source: &'static str, reader: &'static str) -> Vec<ItemTest> {
+    let test = |late| ItemTest {
+        late,
+        moment: LateMoment::BeforeNext,
+        reader,
+        source,
+    };
+    late_answers().into_iter().map(test).collect()
+}
+
+/// An engine answers runs twice. Items were listed with the texts of others, or given up for
+/// the failures of others.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_is_not_completed_by_a_late_answer_to_another() {
+    check_items(&item_tests("/roll/", "/roll/")).await;
+}
+
+/// A scorer answers calls twice. Items got the scores of others.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_has_no_score_of_a_late_answer_to_another() {
+    check_items(&item_tests("/score/", "/score/")).await;
+}
+
+/// An engine answers orders, reports or runs twice. The late answers were read as those to
+/// other orders, reports or runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_and_reports_are_not_answered_by_late_answers() {
+    let (run, order, report) = ("/roll/", "/redwingpond/order", "/redwingpond/report");
+    let mut tests = Vec::new();
+    for reader in [order, report] {
+        tests.extend(item_tests(reader, reader));
+    }
+    for (source, reader) in [
+        (order, run),
+        (report, run),
+        (run, order),
+        (run, report),
+        (order, report),
+        (report, order),
+    ] {
+        tests.extend(item_tests(source, reader).into_iter().take(1));
+    }
+    check_items(&tests).await;
+}
+
+/// Second answers wait on idle connections. The next requests are sent over others.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_are_whole_when_late_answers_wait_on_idle_connections() {
+    let mut tests = Vec::new();
+    for path in [
+        "/roll/",
+        "/score/",
+        "/redwingpond/order",
+        "/redwingpond/report",
+    ] {
+        tests.extend(item_tests(path, path).into_iter().take(4));
+    }
+    for test in &mut tests {
+        test.moment = LateMoment::WhileIdle;
+    }
+    check_items(&tests).await;
+}
+
+/// A copy of the answer to a request, sent before the answer to the next one for `path`.
+fn copy_before_next(path: &'static str, skipped: usize) -> Stutter {
+    Stutter {
+        answer: SecondAnswer::Copy,
+        moment: LateMoment::BeforeNext,
+        reader: path,
+        skipped,
+        source: path,
+    }
+}
+
+/// An item comes again in a later batch under its id, after the weights changed. It was listed
+/// with the text and the version of its earlier run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_that_comes_again_is_not_completed_by_its_earlier_run() {
+    let items = ItemSite::open().await;
+    let mut violations = Vec::new();
+    for round in 0..ROUNDS {
+        let prefix = format!("again{round}");
+        items.engine.set_stutter(copy_before_next("/roll/", 0));
+        for part in 0..2 {
+            let engine = &items.site.engines[0];
+            engine.set_version(engine.version() + part);
+            let batch = Batch {
+                item_prefix: prefix.clone(),
+                ..Batch::new(&format!("{prefix}p{part}"), 1, 1, 4)
+            };
+            violations.extend(items.check_batch(&batch).await);
+        }
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// An engine or a scorer fails a request twice of the three times that are allowed, or refuses
+/// it, and repeats the last answer when the request is tried again. Items were given up for a
+/// failure too few.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_tried_again_are_not_answered_by_their_earlier_failures() {
+    let mut violations = Vec::new();
+    for round in 0..ROUNDS {
+        let failed = Batch::new(&format!("failed{round}"), 1, 1, 4);
+        let refused = Batch::new(&format!("refused{round}"), 1, 1, 4);
+        let unscored = Batch::new(&format!("unscored{round}"), 1, 1, 4);
+
+        let items = ItemSite::open().await;
+        items.engine.set_stutter(copy_before_next("/roll/", 1));
+        items.site.engines[0].set_faults(EngineFaults {
+            failing_runs: vec![failed.item_id(0, 0); 2],
+            ..EngineFaults::default()
+        });
+        violations.extend(items.check_batch(&failed).await);
+
+        items.engine.set_stutter(copy_before_next("/roll/", 0));
+        items.site.engines[0].set_faults(EngineFaults {
+            refused_runs: vec![refused.item_id(0, 0)],
+            ..EngineFaults::default()
+        });
+        violations.extend(items.check_batch(&refused).await);
+
+        items.scorer.set_stutter(copy_before_next("/score/", 1));
+        items.site.plain[0].fail_next(2);
+        violations.extend(items.check_batch(&unscored).await);
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
