Let only the request that an answer names read it

What callers saw: an item listed with another item's text, an unsafe call that ran at two servers, or was answered 503 although it had run, streams with another's status and body, orders that an old report asked for.

Cause: back ends may answer a request twice, the second time late, where the answer to the next request on the connection is expected. Each reader had to compare the id that the answer repeats: whole answers to calls did, after it had been looked whether they are refusals; streams, runs of items, reports and orders did not. One such answer puts its connection out of step: each true answer then is the next request's.

The fix: the client of backend servers is the one owner, where an answer comes in and before anyone sees its status (Peer::accept). An answer that doesn't repeat the id of its request, once, closes its connection; its reader gets an error that says it may have run. An id goes once over a connection, as the answer to its repeat could not be told from a late one; a connection remembers at most 256. Bytes that wait on an idle connection close it before a request is written.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -72,17 +72,21 @@
 /// The reason of an attempt for which no connection could be opened.
 pub(super) const NO_CONNECTION_REASON: &str = "no-connection";
 
+/// The reason of an attempt in place of whose answer another request's arrived.
+pub(super) const FOREIGN_REASON: &str = "foreign-answer";
+
 /// The reason of an attempt that the server neither answered nor refused in time.
 pub(super) const SILENCE_REASON: &str = "silence";
 
-/// Classifies the response or the error of an attempt to run the request `id`.
-pub(super) fn classify(id: &str, outcome: Result<FullResponse, CallError>) -> AttemptOutcome {
+/// Classifies the response or the error of an attempt.
+pub(super) fn classify(outcome: Result<FullResponse, CallError>) -> AttemptOutcome {
     let answer = match outcome {
         Ok(answer) => answer,
         Err(error) => {
             let reason = match error {
                 CallError::Broken { .. } => "connection-broke",
                 CallError::Connect { .. } => NO_CONNECTION_REASON,
+                CallError::Foreign { .. } => FOREIGN_REASON,
                 CallError::Timeout { .. } => SILENCE_REASON,
                 CallError::TooLarge { .. } => "too-large",
             };
@@ -90,13 +94,12 @@
                 load: None,
                 server_status: ServerStatus::from_error(&error),
                 reason,
-                server_fault: true,
+                server_fault: reason != FOREIGN_REASON,
                 verdict: error.verdict(),
             };
         }
     };
 
-    let echoed = answer.headers.get(platform::ATTEMPT_ID);
     if is_refusal(answer.status, &answer.headers) {
         let load = platform::server_load(&answer.headers);
         if matches!(answer.status.as_u16(), 429 | 503) {
@@ -121,12 +124,6 @@
             verdict: Verdict::NotRun,
         };
     }
-    // A late response to an earlier request can arrive in place of the response to
-    // this one. The echoed id tells them apart; without the check a caller would get
-    // the response to someone else's request.
-    if echoed.is_none_or(|echoed| echoed.as_bytes() != id.as_bytes()) {
-        return failed("foreign-answer", false, Verdict::MayHaveRun);
-    }
     // Only a signed response without a content encoding is forwarded to the caller.
     let is_signed = platform::signature(&answer.headers).is_some();
     let encoded = answer.headers.contains_key(hyper::header::CONTENT_ENCODING);
--- a/src/calls/call_run.rs
+++ b/src/calls/call_run.rs
@@ -110,7 +110,7 @@
                     continue;
                 }
             };
-            let attempt = classify(&call.id, outcome);
+            let attempt = classify(outcome);
             dispatcher.record_outcome(call, &sent, &attempt);
             // Only now, so that no waiting call is sent to a server that has refused this one.
             drop(sent.permit.take());
--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -6,7 +6,10 @@
     CallOutcome,
     StreamAttempt,
     StreamOutcome,
-    attempt::{AttemptOutcome, FULL_REASON, NO_CONNECTION_REASON, SILENCE_REASON, is_refusal},
+    attempt::{
+        AttemptOutcome, FOREIGN_REASON, FULL_REASON, NO_CONNECTION_REASON, SILENCE_REASON,
+        is_refusal,
+    },
     call_run::CallRun,
     crash_check::{QUARANTINE_REASON, RETRY_AFTER_QUARANTINE},
     gate::{Gate, Unsent},
@@ -226,7 +229,11 @@
             reason = "no-connection";
             if error.verdict().may_have_run() {
                 self.count_usage(call, sent_at);
-                let reason = "connection-broke".to_owned();
+                let reason = match error {
+                    CallError::Foreign { .. } => FOREIGN_REASON,
+                    _ => "connection-broke",
+                };
+                let reason = reason.to_owned();
                 return StreamOutcome::Lost { reason };
             }
         }
--- a/src/net/call_error.rs
+++ b/src/net/call_error.rs
@@ -1,5 +1,6 @@
 //! Errors of requests to a peer.
 
+use super::matching::Mismatch;
 use crate::base::{
     Millis,
     Verdict, //
@@ -37,6 +38,12 @@
         /// Whether the peer's operating system refused the connection: nothing listens there.
         refused: bool,
     },
+    /// The peer sent the response to another request, or one that may be that.
+    #[snafu(display("{address}: {reason}"))]
+    Foreign {
+        address: SocketAddr,
+        reason: Mismatch,
+    },
     /// The response was larger than `limit` bytes.
     #[snafu(display("{address}: the answer exceeds {limit} bytes"))]
     TooLarge { address: SocketAddr, limit: usize },
@@ -73,9 +80,10 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Connect { .. } => Verdict::NotRun,
-            Self::Broken { .. } | Self::Timeout { .. } | Self::TooLarge { .. } => {
-                Verdict::MayHaveRun
-            }
+            Self::Broken { .. }
+            | Self::Foreign { .. }
+            | Self::Timeout { .. }
+            | Self::TooLarge { .. } => Verdict::MayHaveRun,
         }
     }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to a peer, and what the peer has sent of an answer's head.
 
+use super::matching::RequestKey;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -11,9 +12,10 @@
 use hyper_util::rt::TokioIo;
 use std::{
     io::{self, IoSlice},
+    mem::MaybeUninit,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready}, //
@@ -25,8 +27,25 @@
 
 /// An open connection, to send requests over one after another.
 pub(super) struct Connection {
+    /// The requests that were sent over it.
+    carried: Vec<RequestKey>,
     received: Arc<Received>,
     requests: SendRequest<Full<Bytes>>,
+    /// Gone once the connection is closed.
+    stream: Weak<Mutex<TcpStream>>,
+}
+
+/// The most requests that one connection carries. It bounds what a connection remembers of them.
+const MAX_REQUESTS: usize = 256;
+
+/// What has arrived on a connection that awaits no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum IdleState {
+    /// The peer has closed it.
+    Closed,
+    Quiet,
+    /// Bytes that belong to no request.
+    UnaskedBytes,
 }
 
 /// Why a request got no head of an answer.
@@ -49,6 +68,8 @@
         stream: TcpStream,
     ) -> hyper::Result<(Self, Driver<TokioIo<MeteredStream>, Full<Bytes>>)> {
         let received = Arc::<Received>::default();
+        let stream = Arc::new(Mutex::new(stream));
+        let shared = Arc::downgrade(&stream);
         let stream = MeteredStream {
             received: received.clone(),
             stream,
@@ -57,7 +78,35 @@
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await?;
-        Ok((Self { received, requests }, driver))
+        let connection = Self {
+            carried: Vec::new(),
+            received,
+            requests,
+            stream: shared,
+        };
+        Ok((connection, driver))
+    }
+
+    /// Whether a second answer to the request `key` may still arrive on it, or it has carried
+    /// as many requests as it may.
+    pub(super) fn is_barred_for(&self, key: RequestKey) -> bool {
+        self.carried.len() >= MAX_REQUESTS || self.carried.contains(&key)
+    }
+
+    /// Looks at what has arrived since the last answer. The task that drives the connection may
+    /// not have been told of it yet, and would take it for the answer to the next request.
+    pub(super) fn idle_state(&self) -> IdleState {
+        let Some(stream) = self.stream.upgrade() else {
+            return IdleState::Closed;
+        };
+        let stream = lock(&stream);
+        let mut byte = [MaybeUninit::uninit()];
+        match socket2::SockRef::from(&*stream).peek(&mut byte) {
+            Ok(0) => IdleState::Closed,
+            Ok(_) => IdleState::UnaskedBytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Quiet,
+            Err(_) => IdleState::Closed,
+        }
     }
 
     pub(super) fn is_closed(&self) -> bool {
@@ -69,11 +118,13 @@
         self.requests.ready().await.is_ok()
     }
 
-    /// Sends `request` and waits for the head of the answer.
+    /// Sends the request `key`, if it has an id, and waits for the head of the answer.
     pub(super) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        key: Option<RequestKey>,
     ) -> Result<Response<Incoming>, SendFailure> {
+        self.carried.extend(key);
         self.received.begin();
         let answer = self.requests.try_send_request(request).await;
         let begun = self.received.end();
@@ -123,17 +174,22 @@
 /// A socket whose incoming bytes are counted.
 pub(super) struct MeteredStream {
     received: Arc<Received>,
-    stream: TcpStream,
+    /// Shared with the connection, which only looks at what has arrived.
+    stream: Arc<Mutex<TcpStream>>,
+}
+
+fn lock(stream: &Mutex<TcpStream>) -> MutexGuard<'_, TcpStream> {
+    stream.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl AsyncRead for MeteredStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        ready!(Pin::new(&mut *lock(&self.stream)).poll_read(cx, buffer))?;
         if !self.received.add(buffer.filled().len() - before) {
             let message = format!("no complete head within {MAX_HEAD_BYTES} bytes");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
@@ -144,30 +200,30 @@
 
 impl AsyncWrite for MeteredStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        Pin::new(&mut *lock(&self.stream)).poll_write(cx, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.stream)).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.stream)).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        Pin::new(&mut *lock(&self.stream)).poll_write_vectored(cx, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        lock(&self.stream).is_write_vectored()
     }
 }
--- a/src/net/matching.rs
+++ b/src/net/matching.rs
@@ -8,6 +8,11 @@
     header::{HeaderName, HeaderValue}, //
 };
 use snafu::Snafu;
+use std::hash::{
+    DefaultHasher,
+    Hash,
+    Hasher, //
+};
 
 /// How a peer's answers are matched with the requests to it.
 #[derive(Clone, Debug)]
@@ -18,6 +23,18 @@
     Order,
 }
 
+/// A request on a connection; requests with the same id have the same key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct RequestKey(u64);
+
+impl RequestKey {
+    pub(super) fn of(id: &HeaderValue) -> Self {
+        let mut hasher = DefaultHasher::new();
+        id.as_bytes().hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
 /// Why an answer doesn't belong to the request that awaits one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum Mismatch {
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -4,10 +4,10 @@
     CallError,
     StreamBody,
     body_budget::{BodyHold, MAX_HELD_BYTES},
-    call_error::{BrokenSnafu, ConnectSnafu, TimeoutSnafu, TooLargeSnafu, is_reset},
-    connection::{Connection, SendFailure},
+    call_error::{BrokenSnafu, ConnectSnafu, ForeignSnafu, TimeoutSnafu, TooLargeSnafu, is_reset},
+    connection::{Connection, IdleState, SendFailure},
     idle_connection::{closes_connection, usable_until},
-    matching::Matching,
+    matching::{Matching, RequestKey},
     pool::{Grant, Place, Pool, Turn}, //
 };
 use crate::{
@@ -308,6 +308,7 @@
         let address = self.address;
         let mut request = request;
         let id = self.matching.id_of(request.headers()).cloned();
+        let key = id.as_ref().map(RequestKey::of);
         if !request.headers().contains_key(HOST) {
             let host = HeaderValue::try_from(address.to_string());
             request
@@ -316,25 +317,14 @@
         }
 
         let place = loop {
-            let grant = match self.pool.take(fresh_only) {
-                Turn::Now(grant) => Some(grant),
-                Turn::Wait(waiting) => waiting.granted().await,
-            };
-            let mut connection = match grant {
-                Some(Grant::Idle(idle)) => idle.connection,
-                Some(Grant::Place(place)) => break place,
-                None => continue,
+            let mut connection = match self.take(key, fresh_only).await {
+                Grant::Idle(idle) => idle.connection,
+                Grant::Place(place) => break place,
             };
-            if !connection.is_ready().await {
-                continue;
-            }
             progress.set_written(true);
             let sent_at = self.pool.now();
-            let failed = match connection.send(request).await {
-                Ok(answer) => {
-                    self.check(id.as_ref(), &answer);
-                    return Ok(self.streaming_response(connection, answer));
-                }
+            let failed = match connection.send(request, key).await {
+                Ok(answer) => return self.accept(id.as_ref(), connection, answer),
                 Err(failed) => failed,
             };
             match failed.unsent {
@@ -361,11 +351,8 @@
         } = self.connect(place).await?;
         progress.set_written(true);
         let sent_at = self.pool.now();
-        let failed = match connection.send(request).await {
-            Ok(answer) => {
-                self.check(id.as_ref(), &answer);
-                return Ok(self.streaming_response(connection, answer));
-            }
+        let failed = match connection.send(request, key).await {
+            Ok(answer) => return self.accept(id.as_ref(), connection, answer),
             Err(failed) => failed,
         };
         let unsent = failed.unsent.is_some();
@@ -396,14 +383,61 @@
         is_reset(&failed.error) && !failed.begun && early
     }
 
-    /// Logs an answer that doesn't belong to the request with this id.
-    fn check(&self, id: Option<&HeaderValue>, answer: &hyper::Response<Incoming>) {
+    /// Takes an idle connection on which the request `key` can be sent, or the place for a new
+    /// one.
+    async fn take(&self, key: Option<RequestKey>, fresh_only: bool) -> Grant {
+        loop {
+            let grant = match self.pool.take(key, fresh_only) {
+                Turn::Now(grant) => Some(grant),
+                Turn::Wait(waiting) => waiting.granted().await,
+            };
+            let mut idle = match grant {
+                Some(Grant::Idle(idle)) => idle,
+                Some(Grant::Place(place)) => return Grant::Place(place),
+                None => continue,
+            };
+            // A connection that another call has given back may be barred for this one.
+            if key.is_some_and(|key| idle.connection.is_barred_for(key)) {
+                continue;
+            }
+            if idle.connection.is_ready().await && self.is_quiet(&idle.connection) {
+                return Grant::Idle(idle);
+            }
+        }
+    }
+
+    /// Whether nothing has arrived on a connection that awaits no answer.
+    fn is_quiet(&self, connection: &Connection) -> bool {
+        let state = connection.idle_state();
+        if state == IdleState::UnaskedBytes {
+            self.count_foreign("unasked-bytes");
+            tracing::warn!(server = %self.address, role = self.role, "bytes without a request: connection closed");
+        }
+        state == IdleState::Quiet
+    }
+
+    fn count_foreign(&self, reason: &'static str) {
+        let role = self.role;
+        metrics::counter!("redwing_foreign_answers_total", "role" => role, "reason" => reason)
+            .increment(1);
+    }
+
+    /// Passes on the answer to the request with this id. Another request's answer closes its
+    /// connection before anyone reads of it.
+    fn accept(
+        &self,
+        id: Option<&HeaderValue>,
+        connection: Connection,
+        answer: hyper::Response<Incoming>,
+    ) -> Result<StreamingResponse, CallError> {
         let Err(reason) = self.matching.check(id, answer.headers()) else {
-            return;
+            // A second answer to a request without an id can't be told from the next one's.
+            let reusable = id.is_some() || matches!(self.matching, Matching::Order);
+            let connection = reusable.then_some(connection);
+            return Ok(self.streaming_response(connection, answer));
         };
-        let (role, reason_label) = (self.role, reason.label());
-        metrics::counter!("redwing_foreign_answers_total", "role" => role, "reason" => reason_label)
-            .increment(1);
+        self.count_foreign(reason.label());
+        let role = self.role;
         let text = |id: &HeaderValue| String::from_utf8_lossy(id.as_bytes()).into_owned();
         let (id, found) = (
             id.map(text),
@@ -411,16 +445,19 @@
         );
         let status = answer.status().as_u16();
         tracing::warn!(server = %self.address, role, id, found, status, %reason, "answer to another request");
+        let address = self.address;
+        ForeignSnafu { address, reason }.fail()
     }
 
-    /// Converts `answer`, whose body is still to be read over `connection`.
+    /// Converts `answer`, whose body is still to be read. Its connection goes to the pool after
+    /// that, if it is given here.
     fn streaming_response(
         &self,
-        connection: Connection,
+        connection: Option<Connection>,
         answer: hyper::Response<Incoming>,
     ) -> StreamingResponse {
         let (head, body) = answer.into_parts();
-        let connection = (!closes_connection(&head.headers)).then_some(connection);
+        let connection = connection.filter(|_| !closes_connection(&head.headers));
         StreamingResponse {
             body: StreamBody {
                 address: self.address,
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,7 +2,8 @@
 
 use super::{
     connection::Connection,
-    idle_connection::{IdleConnection, MAX_FRESH_IDLE}, //
+    idle_connection::{IdleConnection, MAX_FRESH_IDLE},
+    matching::RequestKey, //
 };
 use crate::{
     base::{Clock, Millis},
@@ -161,19 +162,22 @@
         }
     }
 
-    /// Takes the most recently used idle connection, as the peer is least likely to close
-    /// that one; with `fresh_only`, only if it has been idle for at most [`MAX_FRESH_IDLE`].
-    /// Without one, returns the place for a new connection, or a place in the line.
-    pub(super) fn take(self: &Arc<Self>, fresh_only: bool) -> Turn {
+    /// Takes the most recently used idle connection that may carry the request `key`, as the
+    /// peer is least likely to close that one; with `fresh_only`, only if it has been idle for
+    /// at most [`MAX_FRESH_IDLE`]. Without one, returns the place for a new connection, or a
+    /// place in the line.
+    pub(super) fn take(self: &Arc<Self>, key: Option<RequestKey>, fresh_only: bool) -> Turn {
         let now = self.clock.now();
         let mut state = self.state();
         state
             .idle
             .retain(|idle| !idle.connection.is_closed() && idle.usable_until > now);
-        let is_stale = |connection: &IdleConnection| {
-            fresh_only && now.since(connection.idle_since) > MAX_FRESH_IDLE
+        let is_usable = |idle: &IdleConnection| {
+            let too_old = fresh_only && now.since(idle.idle_since) > MAX_FRESH_IDLE;
+            !too_old && !key.is_some_and(|key| idle.connection.is_barred_for(key))
         };
-        if let Some(connection) = state.idle.pop_if(|connection| !is_stale(connection)) {
+        if let Some(found) = state.idle.iter().rposition(is_usable) {
+            let connection = state.idle.remove(found);
             return Turn::Now(Grant::Idle(connection));
         }
         if state.has_room(now) {
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -132,11 +132,8 @@
             ?home,
             "runner got its token"
         );
-        let polling = super::engine_watch::poll_reports(
-            setup.engine.peer.clone(),
-            setup.clock,
-            events.clone(),
-        );
+        let polling =
+            super::engine_watch::poll_reports(setup.engine_address, setup.clock, events.clone());
         tokio::spawn(polling);
         tokio::spawn(follow_work(setup.relay, events.clone()));
 
--- a/standins/tests/integration/late_answers.rs
+++ b/standins/tests/integration/late_answers.rs
@@ -6,6 +6,7 @@
     client::FullResponse,
     site::{
         Batch,
+        CarriedRequest,
         EngineFaults,
         ItemResult,
         LateMoment,
@@ -214,9 +215,11 @@
     }
 
     /// The requests that were sent over a connection after a second answer had arrived there.
-    fn requests_after_late(&self) -> usize {
-        let after = self.relays.iter().map(StutteringRelay::requests_after_late);
-        after.map(|requests| requests.len()).sum()
+    fn requests_after_late(&self) -> Vec<CarriedRequest> {
+        let relays = self.relays.iter();
+        relays
+            .flat_map(StutteringRelay::requests_after_late)
+            .collect()
     }
 
     /// Waits until the servers have answered all calls, also those that are over.
@@ -289,7 +292,7 @@
         let name = format!("{}-{moment:?}-{}", &path[1..5], late.name);
         calls.restore(&format!("before-{name}")).await;
         let sent = calls.sent();
-        let after_late = calls.requests_after_late();
+        let after_late = calls.requests_after_late().len();
         calls.set_stutter(Stutter {
             answer: late.answer,
             moment,
@@ -314,9 +317,9 @@
         if calls.sent() == sent {
             violations.push(format!("{name}: no second answer was sent"));
         }
-        let reused = calls.requests_after_late() - after_late;
-        if reused > 0 {
-            violations.push(format!("{name}: {reused} requests on its connection"));
+        let after = calls.requests_after_late();
+        if after.len() > after_late {
+            violations.push(format!("{name}: on a connection after it: {after:?}"));
         }
     }
     violations
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -10,6 +10,7 @@
     mod duties;
     mod handover;
     mod kept_rows;
+    mod late_answers;
     mod memory_budget;
     mod messages;
     mod overload;
