Leave out server entries with values that no server has

What callers saw: after another writer had left one entry with `batchSlots` of 2^31 or more at each engine's address, all runners had ended and no batch was whole any more. An entry with a text of 1 MB in the place of a number wrote a log line of 1 MB at each process.

Cause: the decoder checked types, not ranges. `claims.rs` multiplies the slots by the number of runners in 32 bits, and `version_plan.rs` adds to versions. An id that no header can hold was logged at each call and left out of it, so that any server at the address would run the call. The decoder's error quotes the value that it is about.

Evidence: `an_absurd_entry_of_an_engine_stops_no_runner` failed with `attempt to multiply with overflow` at `src/runner/claims.rs:58` and `most slots: 0 of 4 items are whole`, for all later batches too. `an_odd_entry_disturbs_no_reader` failed with `most slots: counted 0 times`, the same for a start and a version at the end of u64 and for long names, and with `a text for slots: a log line of 1000191 bytes`.

The fix: `read_server` refuses what no server has; each limit has a name and a reason. All readers get servers from there, so none can forget it. Errors show the first 200 characters.

Harmless before and still: deep nesting, fields that are never closed, numbers beyond their types, odd ports and addresses, no JSON, not UTF-8, empty, a field twice.

--- a/src/platform/server_entry.rs
+++ b/src/platform/server_entry.rs
@@ -4,6 +4,7 @@
     base::Millis,
     routing::{LoadedModel, Server, ServerIncarnation}, //
 };
+use hyper::header::HeaderValue;
 use serde::Deserialize;
 use snafu::{
     ResultExt,
@@ -12,6 +13,30 @@
 };
 use std::net::SocketAddr;
 
+/// The largest integer that all writers of JSON represent exactly. No weight version is larger,
+/// and what is calculated with versions stays within 64 bits.
+pub(super) const MAX_INTEGER: u64 = (1 << 53) - 1;
+
+/// The most requests that a server runs at once; servers run some tens. The slots of all engines
+/// of the largest site together stay within 32 bits.
+const MAX_SLOTS: u32 = 10_000;
+
+/// No server has started later than this: the year 2100. A runner takes its engine's reports from
+/// before the announced start for those of an earlier incarnation.
+const MAX_START: u64 = 4_102_444_800_000;
+
+/// The longest name in an announcement, in bytes. Names are logged, and label metrics.
+const MAX_NAME_BYTES: usize = 1_024;
+
+/// The most characters of a decoder's error that are shown. The error quotes the value that it
+/// is about, which may be as large as the row.
+const MAX_ERROR_CHARS: usize = 200;
+
+/// The beginning of a decoder's error.
+pub(super) fn shortened(error: &serde_json::Error) -> String {
+    error.to_string().chars().take(MAX_ERROR_CHARS).collect()
+}
+
 /// A server's announcement. Servers write all fields but those with a default: a row
 /// that lacks one of them comes from another writer.
 #[derive(Deserialize)]
@@ -57,11 +82,27 @@
 ///
 /// # Errors
 ///
-/// [`AnnouncementError`] for a row that is incomplete or has a field of another type. Other
-/// programs may write to the same table: such a row must not be taken for a server.
+/// [`AnnouncementError`] for a row that is incomplete, has a field of another type, or a value
+/// that no server has. Other programs may write to the same table: such a row must not be taken
+/// for a server.
 pub fn read_server(id: &str, value: &[u8]) -> Result<Server, AnnouncementError> {
     let wire: WireServer = serde_json::from_slice(value).context(DecodeSnafu)?;
+    // Requests carry the id, so that no other server at the address runs them.
+    let is_header = !id.is_empty() && HeaderValue::from_str(id).is_ok();
+    ensure!(is_header, IdSnafu);
     ensure!(wire.address.port() > 0, PortSnafu);
+    let (slots, born) = (wire.batch_slots, wire.born);
+    ensure!(slots <= MAX_SLOTS, SlotsSnafu { slots });
+    ensure!(born <= MAX_START, StartSnafu { born });
+    for (field, name) in [("service", &wire.service), ("zone", &wire.zone)] {
+        ensure!(name.len() <= MAX_NAME_BYTES, NameSnafu { field });
+    }
+    for WireModel { name, version } in &wire.models {
+        let field = "models";
+        ensure!(name.len() <= MAX_NAME_BYTES, NameSnafu { field });
+        let version = *version;
+        ensure!(version <= MAX_INTEGER, VersionSnafu { version });
+    }
     Ok(Server {
         address: wire.address,
         data_centre: wire.zone,
@@ -76,10 +117,20 @@
 /// Why a row is not a server's announcement.
 #[derive(Debug, Snafu)]
 pub enum AnnouncementError {
-    #[snafu(display("invalid announcement: {source}"))]
+    #[snafu(display("invalid announcement: {}", shortened(source)))]
     Decode { source: serde_json::Error },
+    #[snafu(display("the server's id is no valid header value"))]
+    Id,
+    #[snafu(display("a name in `{field}` is longer than {MAX_NAME_BYTES} bytes"))]
+    Name { field: &'static str },
     #[snafu(display("the server's address has port 0"))]
     Port,
+    #[snafu(display("{slots} slots are more than a server has: at most {MAX_SLOTS}"))]
+    Slots { slots: u32 },
+    #[snafu(display("the start at {born} ms is later than that of any server"))]
+    Start { born: u64 },
+    #[snafu(display("weight version {version} is larger than {MAX_INTEGER}"))]
+    Version { version: u64 },
 }
 
 pub(super) fn weights(models: Vec<WireModel>) -> Vec<LoadedModel> {
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -10,6 +10,7 @@
     mod given_up_items;
     mod handover;
     mod memory;
+    mod odd_entries;
     mod raw_answers;
     mod relay;
     mod scenarios;
--- /dev/null
+++ b/standins/tests/integration/odd_entries.rs
@@ -0,0 +1,343 @@
+//! Rows that another writer left in the store's tables: odd entries among those of the servers,
+//! rows that can't be decoded, and keys that no URI may hold. Processes run on, go on to follow
+//! the tables and serve.
+
+use super::site::{RESULTS_TIMEOUT, check_whole, sleep};
+use hyper::Method;
+use redwing_standins::site::{Batch, PlainFault, PlainServer, SiteOptions, TestSite, server_entry};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Mutex, OnceLock, PoisonError},
+};
+
+/// More than an instance may have as children, so that some learn of entries from another one.
+const GATEWAYS: usize = 5;
+
+/// The key of the odd entries, which is the id of a server.
+const KEY: &str = "odd";
+
+/// The longest log line about an odd entry, in bytes.
+const MAX_LINE: usize = 800;
+
+/// An odd row in the servers' table.
+struct OddEntry {
+    /// Whether no server can have this entry, which is then counted and logged.
+    left_out: bool,
+    name: &'static str,
+    value: Vec<u8>,
+}
+
+/// The entry of a server as raw JSON, with `value` in place of that of `field`.
+fn entry_with(entry: &serde_json::Value, field: &str, value: &str) -> Vec<u8> {
+    let mut fields = vec![format!("\"{field}\":{value}")];
+    for (name, value) in entry.as_object().unwrap() {
+        if name != field {
+            fields.push(format!("\"{name}\":{value}"));
+        }
+    }
+    format!("{{{}}}", fields.join(",")).into_bytes()
+}
+
+fn nested(depth: usize) -> String {
+    format!("{}{}", "[".repeat(depth), "]".repeat(depth))
+}
+
+/// Odd entries of a server at `address`.
+fn odd_entries(address: SocketAddr) -> Vec<OddEntry> {
+    let entry = server_entry("plain", address, "ready");
+    let of = |name, left_out, field: &str, value: &str| OddEntry {
+        left_out,
+        name,
+        value: entry_with(&entry, field, value),
+    };
+    let raw = |name, value: Vec<u8>| OddEntry {
+        left_out: true,
+        name,
+        value,
+    };
+    let port = |port: &str| format!("\"127.0.0.1{port}\"");
+    let whole = entry.to_string();
+    let mut not_text = whole.clone().into_bytes();
+    let zone = whole.find("north").unwrap();
+    not_text[zone] = 0xff;
+    vec![
+        of("nested slots", true, "batchSlots", &nested(10_000)),
+        of("nested address", true, "address", &nested(10_000)),
+        of("nested models", true, "models", &nested(10_000)),
+        of("nested unknown field", false, "unknown", &nested(20_000)),
+        of("never closed", true, "unknown", &"[".repeat(40_000)),
+        of(
+            "never closed maps",
+            true,
+            "models",
+            &"[{\"a\":".repeat(8_000),
+        ),
+        of(
+            "slots beyond 64 bits",
+            true,
+            "batchSlots",
+            "18446744073709551616",
+        ),
+        of("slots beyond 32 bits", true, "batchSlots", "4294967296"),
+        of("most slots", true, "batchSlots", "4294967295"),
+        of("no slots", false, "batchSlots", "0"),
+        of("negative slots", true, "batchSlots", "-1"),
+        of("slots without end", true, "batchSlots", "1e999"),
+        of("cold without end", true, "coldRemainingMs", "1e999"),
+        of("last sequence", false, "sequence", "18446744073709551615"),
+        of("last start", true, "born", "18446744073709551615"),
+        of("negative start", true, "born", "-1"),
+        of(
+            "last version",
+            true,
+            "models",
+            "[{\"name\":\"m0\",\"version\":18446744073709551615}]",
+        ),
+        of("port 0", true, "address", &port(":0")),
+        of("port 65536", true, "address", &port(":65536")),
+        of("port 99999", true, "address", &port(":99999")),
+        of("no port", true, "address", &port("")),
+        of("nobody listens", false, "address", &port(":1")),
+        of(
+            "a text for slots",
+            true,
+            "batchSlots",
+            &format!("\"{}\"", "x".repeat(1_000_000)),
+        ),
+        of(
+            "a long service",
+            true,
+            "service",
+            &format!("\"{}\"", "x".repeat(48_000)),
+        ),
+        of(
+            "a long zone",
+            true,
+            "zone",
+            &format!("\"{}\"", "\\n".repeat(20_000)),
+        ),
+        raw(
+            "a field twice",
+            format!("{{\"batchSlots\":4,{}", &whole[1..]).into_bytes(),
+        ),
+        raw("no JSON", b"batchSlots: 4".to_vec()),
+        raw("not UTF-8", not_text),
+        raw("empty", Vec::new()),
+    ]
+}
+
+/// The lines that processes of this test program log about entries that they leave out.
+fn logged() -> &'static Mutex<Vec<u8>> {
+    static LOGGED: OnceLock<Mutex<Vec<u8>>> = OnceLock::new();
+    LOGGED.get_or_init(Mutex::default)
+}
+
+struct LogWriter;
+
+impl io::Write for LogWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut all = logged().lock().unwrap_or_else(PoisonError::into_inner);
+        all.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Keeps the log lines about entries. Returns false if a log was opened before, as it is with
+/// `RUST_LOG`; lines are not checked then.
+fn keep_log() -> bool {
+    static KEPT: OnceLock<bool> = OnceLock::new();
+    *KEPT.get_or_init(|| {
+        std::env::var_os("RUST_LOG").is_none()
+            && tracing_subscriber::fmt()
+                .with_ansi(false)
+                .with_env_filter("redwingpond::view::sync=warn")
+                .with_writer(|| LogWriter)
+                .try_init()
+                .is_ok()
+    })
+}
+
+/// The logged lines about the entry `key`.
+fn lines_about(key: &str) -> Vec<String> {
+    let all = logged().lock().unwrap_or_else(PoisonError::into_inner);
+    let text = String::from_utf8_lossy(&all);
+    let field = format!("server=\"{key}\"");
+    let lines = text.lines().filter(|line| line.contains(&field));
+    lines.map(str::to_owned).collect()
+}
+
+async fn counted(site: &TestSite) -> u64 {
+    let (address, within) = (site.gateways[0].metrics, std::time::Duration::from_secs(5));
+    let asked = site
+        .client
+        .call(Method::GET, address, "/metrics", &[], "", within);
+    let text = asked.await.map(|answer| answer.body).unwrap_or_default();
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("redwing_entries_left_out_total "));
+    line.and_then(|count| count.parse().ok()).unwrap_or(0)
+}
+
+/// Calls through each gateway until `server` has run a call of it. Returns the gateways for
+/// which it didn't.
+async fn not_served(site: &TestSite, server: &PlainServer, name: &str) -> Vec<String> {
+    let deadline = site.clock.now() + RESULTS_TIMEOUT;
+    let mut without = Vec::new();
+    for gateway in 0..site.gateways.len() {
+        let mut number = 0;
+        loop {
+            let id = format!(
+                "{}-{}-{gateway}-{number}",
+                server.id,
+                name.replace(' ', "-")
+            );
+            let headers = [("x-attempt-id", id.as_str()), ("x-deadline-ms", "1500")];
+            let answer = site.send(gateway, Method::POST, "/safe/x", &headers, "body");
+            let status = answer.await.map(|answer| answer.status.as_u16());
+            if status == Some(200) && server.runs_of(&id) > 0 {
+                break;
+            }
+            if site.clock.now() >= deadline {
+                without.push(format!(
+                    "gateway {gateway} doesn't use {}: {status:?}",
+                    server.id
+                ));
+                break;
+            }
+            number += 1;
+            sleep(20).await;
+        }
+    }
+    without
+}
+
+/// Submits a batch and returns what is wrong with its results.
+async fn not_whole(site: &TestSite, name: &str) -> Option<String> {
+    let batch = Batch::new(&name.replace(' ', "-"), 2, 2, 3);
+    let deadline = site.clock.now() + RESULTS_TIMEOUT;
+    while site.submit(0, &batch).await != Some(202) {
+        if site.clock.now() >= deadline {
+            return Some("the batch is not accepted".to_owned());
+        }
+        sleep(50).await;
+    }
+    let results = site.read_results(&batch, 4, RESULTS_TIMEOUT).await;
+    let whole = results.iter().filter(|result| result.state == "succeeded");
+    let count = whole.count();
+    if count == 4 {
+        check_whole(&batch, &results);
+        return None;
+    }
+    Some(format!("{count} of 4 items are whole"))
+}
+
+async fn open_site() -> TestSite {
+    let options = SiteOptions {
+        engines: 2,
+        gateways: GATEWAYS,
+        plain: 1,
+        ..SiteOptions::default()
+    };
+    let site = TestSite::open(options).await.unwrap();
+    // By then every instance has found its parent.
+    sleep(1_500).await;
+    site
+}
+
+/// Another writer leaves an odd entry among those of the servers. Gateways and runners ended, or
+/// no longer followed the table. The entries written after it take effect, and its own once it
+/// is mended.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_entry_disturbs_no_reader() {
+    let is_kept = keep_log();
+    let site = open_site().await;
+    let odd = PlainServer::open(KEY).await.unwrap();
+    let sound = &site.plain[0];
+    let readers = site.gateways.len() + site.runners.len();
+    let mut violations = Vec::new();
+    counted(&site).await;
+    for entry in odd_entries(odd.address) {
+        let (before, lines) = (counted(&site).await, lines_about(KEY).len());
+        // Gateways would keep to a server whose entry counts.
+        odd.set_fault(PlainFault::Full);
+        site.store.put_row("servers", "", KEY, &entry.value);
+        site.announce(&sound.id, "plain", sound.address, "ready");
+        let mut report = not_served(&site, sound, entry.name).await;
+        report.extend(not_whole(&site, entry.name).await);
+        let deadline = site.clock.now() + RESULTS_TIMEOUT;
+        while entry.left_out
+            && counted(&site).await < before + readers as u64
+            && site.clock.now() < deadline
+        {
+            sleep(20).await;
+        }
+        let (counted, lines) = (counted(&site).await - before, &lines_about(KEY)[lines..]);
+        let expected = if entry.left_out { readers } else { 0 };
+        if counted < expected as u64 {
+            report.push(format!("counted {counted} times"));
+        }
+        if is_kept && lines.len() != expected {
+            report.push(format!("{} log lines", lines.len()));
+        }
+        if let Some(line) = lines.iter().find(|line| line.len() > MAX_LINE) {
+            report.push(format!("a log line of {} bytes", line.len()));
+        }
+
+        odd.set_fault(PlainFault::None);
+        site.announce(KEY, "plain", odd.address, "ready");
+        site.store.put("servers", &sound.id, None);
+        report.extend(not_served(&site, &odd, entry.name).await);
+        violations.extend(report.iter().map(|what| format!("{}: {what}", entry.name)));
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Another writer leaves entries of the right types with absurd values at the addresses of the
+/// engines. Runners ended when they calculated with them, or waited for an engine that starts
+/// at the end of time.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_absurd_entry_of_an_engine_stops_no_runner() {
+    let site = open_site().await;
+    let mut violations = Vec::new();
+    for (name, field, value) in [
+        ("most slots", "batchSlots", "4294967295"),
+        ("half of the slots", "batchSlots", "2147483648"),
+        ("no slots", "batchSlots", "0"),
+        ("last start", "born", "18446744073709551615"),
+        ("no start", "born", "0"),
+        (
+            "last version",
+            "models",
+            "[{\"name\":\"m0\",\"version\":18446744073709551615}]",
+        ),
+        (
+            "other model",
+            "models",
+            "[{\"name\":\"other\",\"version\":0}]",
+        ),
+        ("last sequence", "sequence", "18446744073709551615"),
+    ] {
+        for (number, engine) in site.engines.iter().enumerate() {
+            let mut entry = server_entry("engines", engine.address, "ready");
+            entry["born"] = engine.started_at().0.into();
+            let value = entry_with(&entry, field, value);
+            site.store
+                .put_row("servers", "", &format!("odd-{number}"), &value);
+        }
+        sleep(400).await;
+        let report = not_whole(&site, &format!("engine {name}")).await;
+        violations.extend(report.map(|what| format!("{name}: {what}")));
+        for number in 0..site.engines.len() {
+            site.store.put("servers", &format!("odd-{number}"), None);
+        }
+        let report = not_whole(&site, &format!("after {name}")).await;
+        violations.extend(report.map(|what| format!("after {name}: {what}")));
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -12,6 +12,7 @@
     mod kept_rows;
     mod memory_budget;
     mod messages;
+    mod odd_rows;
     mod overload;
     mod platform_wire;
     mod quarantine;
