Choose among servers that report the most calls there are

What callers saw: nothing so far; a server whose load report says calls, or whose sums reach that, ends the task of each call that considers it.

Cause: `cost` adds one call to the reported number in 32 bits.

Evidence: `no_entry_ends_a_reader` failed with `attempt to add with overflow` at `src/policy/server_choice.rs:205`.

The fix: the sum saturates, like that of the report itself (`ServerLoad::total`).

--- a/src/policy/server_choice.rs
+++ b/src/policy/server_choice.rs
@@ -202,7 +202,7 @@
         slots => slots,
     };
     let load = candidate.in_flight.max(candidate.reported.unwrap_or(0));
-    let waiting = f64::from((load + 1).saturating_sub(slots));
+    let waiting = f64::from(load.saturating_add(1).saturating_sub(slots));
     let busy = f64::from(load.min(slots)) / f64::from(slots);
     let distance = if candidate.local { 0.0 } else { REMOTE_COST };
     let connecting = if candidate.connected {
--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -179,7 +179,7 @@
             slots: server.slots,
             ..Observed::default()
         },
-        reported: Some(4),
+        reported: Some(u32::MAX),
         slots: server.slots,
         tried: false,
         trusted: true,
