Bound the numbers of the configuration and of named versions

With `maxConnections` near the end of its type each gateway's share of it overflows, and with two such weights the sum of a route's targets. A named version at the end of u64 overflows a runner's turn to load; it and such a configuration's version also make all later ones count as older.

Cause: the decoder checked types, not ranges.

Evidence: `no_configuration_ends_a_reader` failed with `attempt to multiply with overflow` (`src/policy/connection_limit.rs:30`), `no_named_version_ends_a_reader` with `attempt to add with overflow` (`src/policy/version_plan.rs:174`). The sum of weights was found by reading; it was not run without the fix by itself.

The fix: the decoder clamps weights and connections, and refuses versions beyond 2^53 - 1, the largest integer that all writers of JSON represent exactly. Errors show the first 200 characters.

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,5 +1,9 @@
 //! Decodes the operators' configuration, and the weight versions that trainers name.
 
+use super::server_entry::{
+    MAX_INTEGER,
+    shortened, //
+};
 use crate::{
     base::Millis,
     routing::{
@@ -10,16 +14,19 @@
 use serde::Deserialize;
 use snafu::{
     ResultExt,
-    Snafu, //
+    Snafu,
+    ensure, //
 };
 
 /// Why a configuration can't be decoded.
 #[derive(Debug, Snafu)]
 pub enum ConfigError {
-    #[snafu(display("invalid configuration: {source}"))]
+    #[snafu(display("invalid configuration: {}", shortened(source)))]
     Syntax { source: serde_json::Error },
-    #[snafu(display("route `{route}` has the unknown type `{found}`"))]
+    #[snafu(display("route `{route:.200}` has the unknown type `{found:.200}`"))]
     UnknownType { route: String, found: String },
+    #[snafu(display("version {version} is larger than {MAX_INTEGER}"))]
+    Version { version: u64 },
 }
 
 #[derive(Deserialize)]
@@ -118,14 +125,25 @@
 /// to integers.
 const WEIGHT_SCALE: f64 = 1_000.0;
 
+/// The largest scaled weight of a target. The sum over the targets that fit into a row stays
+/// within 64 bits.
+const MAX_WEIGHT: f64 = 1e12;
+
+/// The most connections that a service's servers are taken to accept: more than a process can
+/// open. The share that is calculated from it stays within the type.
+const MAX_CONNECTIONS: usize = 1_000_000;
+
 /// Decodes a configuration.
 ///
 /// # Errors
 ///
 /// [`ConfigError`] when a field is missing or has the wrong type, or when a route's type
-/// is unknown.
+/// is unknown. Also when the version is one that no operator gives: all later configurations
+/// would count as older.
 pub fn read_config(value: &[u8]) -> Result<Config, ConfigError> {
     let wire: WireConfig = serde_json::from_slice(value).context(SyntaxSnafu)?;
+    let version = wire.version;
+    ensure!(version <= MAX_INTEGER, VersionSnafu { version });
     let routes: Result<Vec<Route>, ConfigError> = wire.routes.into_iter().map(route).collect();
     let services = wire.services.into_iter().map(service).collect();
     let limits = Limits {
@@ -171,7 +189,7 @@
         .into_iter()
         .map(|target| Target {
             service: target.service,
-            weight: (target.weight * WEIGHT_SCALE) as u64,
+            weight: (target.weight * WEIGHT_SCALE).min(MAX_WEIGHT) as u64,
         })
         .collect();
     if let (true, Some(service)) = (targets.is_empty(), wire.service) {
@@ -197,7 +215,7 @@
 fn service(wire: WireService) -> Service {
     let models = wire.engine.map_or_else(Vec::new, |engine| engine.models);
     Service {
-        max_connections: wire.max_connections,
+        max_connections: wire.max_connections.map(|most| most.min(MAX_CONNECTIONS)),
         models: models
             .into_iter()
             .map(|model| EngineModel { name: model.name })
@@ -218,12 +236,17 @@
 }
 
 /// Decodes a trainer's announcement of a weight version. An invalid one is logged and
-/// gives `None`.
+/// gives `None`, as does a version that no trainer names: all later ones would count as older.
 pub fn read_named_version(value: &[u8]) -> Option<NamedVersion> {
-    match serde_json::from_slice(value) {
-        Ok(named) => Some(named),
+    match serde_json::from_slice::<NamedVersion>(value) {
+        Ok(named) if named.version <= MAX_INTEGER => Some(named),
+        Ok(NamedVersion { version, .. }) => {
+            tracing::warn!(version, "named weight version ignored: it is too large");
+            None
+        }
         Err(error) => {
-            tracing::warn!(%error, "named weight version could not be decoded");
+            let error = shortened(&error);
+            tracing::warn!(error, "named weight version could not be decoded");
             None
         }
     }
--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -6,18 +6,19 @@
 use redwingpond::{
     base::{Fingerprint, Millis},
     batch::{Claim, Heartbeat, Item, Log, Sample, decode},
-    platform::read_server,
+    platform::{read_config, read_named_version, read_server},
     policy::{
         call_queue::Urgency,
         claim_choice::{Place, usable_slots},
         conditions::{Report, ServerConditions, ServerState},
+        connection_limit::max_open,
         demand::InstanceDemand,
         liveness::{ClaimWrite, LastHeartbeat, is_working},
         long_text::PaceRank,
         pace::{is_slower, is_straggler, usual_pace},
         quarantine::{CrashPolicy, Quarantine},
         second_run::{HeldText, SecondRun},
-        server_choice::{Candidate, choose, choose_uneven},
+        server_choice::{Candidate, choose, choose_uneven, hedge_delay},
         server_limit::{Outside, ServerLimit},
         server_load::{Observed, ServerLoad},
         version_plan::{LoadDecision, Situation, decide},
@@ -149,6 +150,26 @@
     })
 }
 
+fn config() -> impl Strategy<Value = String> {
+    let first = (number(), number(), number(), number(), number(), number());
+    let second = (number(), number(), number(), number(), text());
+    (first, second).prop_map(
+        |((version, timeout, ttl, attempts, weight, other), (most, body, head, idle, kind))| {
+            format!(
+                "{{\"version\":{version},\"limits\":{{\"headerTimeoutMs\":{head},\
+                 \"idleTimeoutMs\":{idle},\"maxBodyBytes\":{body},\"maxHeaderBytes\":{body}}},\
+                 \"services\":[{{\"name\":\"plain\",\"maxConnections\":{most}}}],\
+                 \"routes\":[{{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/\",\
+                 \"routeType\":{kind},\"timeoutMs\":{timeout},\"itemTtlS\":{ttl},\
+                 \"resultDeadlineMs\":{ttl},\"targetLatencyMs\":{timeout},\
+                 \"maxAttempts\":{attempts},\"priority\":{attempts},\"trafficSplit\":[\
+                 {{\"service\":\"plain\",\"weight\":{weight}}},\
+                 {{\"service\":\"other\",\"weight\":{other}}}]}}]}}"
+            )
+        },
+    )
+}
+
 /// Calculates all that gateways and runners calculate with a server's entry.
 fn use_server(server: &Server) {
     for callers in [0, 1, u32::MAX] {
@@ -226,6 +247,34 @@
     }
 }
 
+fn use_config(value: &[u8]) {
+    let Ok(config) = read_config(value) else {
+        return;
+    };
+    for service in &config.services {
+        for callers in [0, 1, u32::MAX] {
+            assert_ne!(max_open(service.max_connections, callers), Some(0));
+        }
+    }
+    let Some(route) = config.route("h", "/x") else {
+        return;
+    };
+    let _ = (
+        route.service_of("a"),
+        route.service_of("b"),
+        route.serves("plain"),
+    );
+    let times = [
+        route.timeout,
+        route.item_ttl,
+        route.result_deadline,
+        route.target_latency.unwrap_or_default(),
+    ];
+    for time in times {
+        let _ = hedge_delay(50.0, time);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(512))]
 
@@ -235,6 +284,8 @@
         if let Err(error) = read_server("a", &bytes) {
             prop_assert!(error.to_string().len() <= MAX_MESSAGE);
         }
+        use_config(&bytes);
+        let _ = read_named_version(&bytes);
         let _ = decode::<Heartbeat>("heartbeat", &bytes);
         let _ = decode::<Claim>("claim", &bytes);
         let _ = decode::<Log>("log", &bytes);
@@ -260,6 +311,21 @@
         }
     }
 
+    /// A configuration with absurd numbers: the sum of a route's weights overflowed.
+    #[test]
+    fn no_configuration_ends_a_reader(config in config()) {
+        use_config(config.as_bytes());
+    }
+
+    /// A named version at the end of its type, with which runners calculate their turns.
+    #[test]
+    fn no_named_version_ends_a_reader(version in number()) {
+        let value = format!("{{\"model\":\"m0\",\"version\":{version}}}");
+        if let Some(named) = read_named_version(value.as_bytes()) {
+            plan_load(named.version);
+        }
+    }
+
     /// Heartbeats and claims with any numbers.
     #[test]
     fn no_heartbeat_ends_a_reader(
