Decode the store's rows one by one if one of them is invalid

What callers saw: nothing so far. One row whose value is no text, or whose key or revision is invalid, fails the listing or the feed that contains it, as often as it is asked for: processes that start never become ready, others no longer follow the table. (Values that are no base64 were handled before.)

Cause: an answer was decoded as a whole.

Evidence: `a_row_that_cant_be_decoded_fails_no_listing` failed with `no value: invalid message to or from the store: invalid type: null, expected a string at line 1 column 92`.

The fix: if an answer can't be decoded, it is split into its rows without decoding them, and each is decoded by itself. Sound answers are decoded as before.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,11 +1,13 @@
 //! The client of the platform's store.
 
 use super::{
+    server_entry::shortened,
     store_probe::{PROBE_TABLE, ProbeSchedule},
     store_wire::{
         WireKey,
         WireListing,
         WireTransaction,
+        read_listing,
         rows,
         wire_key, //
     },
@@ -317,10 +319,9 @@
 
     /// Decodes an answer, and records the store's clock from it.
     fn decode_answer(&self, answer: &FullResponse) -> Result<WireListing, StoreError> {
-        let value: WireListing =
-            serde_json::from_slice(&answer.body).map_err(|error| StoreError::InvalidMessage {
-                message: error.to_string(),
-            })?;
+        let value = read_listing(&answer.body).map_err(|error| StoreError::InvalidMessage {
+            message: shortened(&error),
+        })?;
         let local = self.clock.now();
         let mut time = self
             .latest_time
--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -5,11 +5,13 @@
 use super::site::{RESULTS_TIMEOUT, check_whole, sleep};
 use hyper::Method;
 use redwing_standins::site::{Batch, PlainFault, PlainServer, SiteOptions, TestSite, server_entry};
+use redwingpond::{base::Clock, platform::Store};
 use std::{
     io,
     net::SocketAddr,
     sync::{Mutex, OnceLock, PoisonError},
 };
+use tokio::net::TcpListener;
 
 /// More than an instance may have as children, so that some learn of entries from another one.
 const GATEWAYS: usize = 5;
@@ -341,3 +343,98 @@
     }
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Answers each request on a free port with these bytes as JSON.
+async fn serve_json(body: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut client, _)) = listener.accept().await {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            let mut request = [0; 4_096];
+            let _ = client.read(&mut request).await;
+            let _ = client.write_all(head.as_bytes()).await;
+            let _ = client.write_all(&body).await;
+        }
+    });
+    address
+}
+
+/// The store's answer contains a row that can't be decoded. The whole listing failed, and with
+/// it the table for each process that follows it.
+#[tokio::test]
+async fn a_row_that_cant_be_decoded_fails_no_listing() {
+    struct Test {
+        name: &'static str,
+        row: &'static [u8],
+    }
+
+    for test in [
+        Test {
+            name: "no value",
+            row: br#"{"key":"odd","part":"","value":null,"ver":2}"#,
+        },
+        Test {
+            name: "a number",
+            row: br#"{"key":"odd","part":"","value":7,"ver":2}"#,
+        },
+        Test {
+            name: "no base64",
+            row: br#"{"key":"odd","part":"","value":"%","ver":2}"#,
+        },
+        Test {
+            name: "no key",
+            row: br#"{"part":"","value":"","ver":2}"#,
+        },
+        Test {
+            name: "a nested key",
+            row: br#"{"key":[[[[]]]],"part":"","value":"","ver":2}"#,
+        },
+        Test {
+            name: "half a character",
+            row: br#"{"key":"\ud800","part":"","value":"","ver":2}"#,
+        },
+        Test {
+            name: "not UTF-8",
+            row: b"{\"key\":\"\xff\",\"part\":\"\",\"value\":\"\",\"ver\":2}",
+        },
+        Test {
+            name: "negative revision",
+            row: br#"{"key":"odd","part":"","value":"","ver":-1}"#,
+        },
+        Test {
+            name: "revision beyond 64 bits",
+            row: br#"{"key":"odd","part":"","value":"","ver":18446744073709551616}"#,
+        },
+        Test {
+            name: "a key twice",
+            row: br#"{"key":"odd","key":"odd","part":"","value":"","ver":2}"#,
+        },
+        Test {
+            name: "no row",
+            row: b"7",
+        },
+    ] {
+        let mut body = br#"{"records":[{"key":"a","part":"","value":"YQ==","ver":1},"#.to_vec();
+        body.extend_from_slice(test.row);
+        body.extend_from_slice(
+            br#",{"key":"z","part":"","value":"eg==","ver":3}],"hasMore":false,"ver":3,"nowMs":5}"#,
+        );
+        let address = serve_json(body).await;
+        let store = Store::open(address, Clock::open());
+        let listing = store.rows("servers", "", "", 10).await;
+        let listing = listing
+            .map_err(|error| format!("{}: {error}", test.name))
+            .unwrap();
+        let sound = listing
+            .rows
+            .iter()
+            .filter(|row| ["a", "z"].contains(&row.key.as_str()));
+        let values: Vec<Option<&[u8]>> = sound.map(|row| row.value.as_deref()).collect();
+        assert_eq!(values, [Some(&b"a"[..]), Some(&b"z"[..])], "{}", test.name);
+        assert_eq!(listing.revision, 3);
+    }
+}
