Encode keys and parts in the URIs of calls to the store

What callers saw: beside a part of the work table whose name has a space, a runner that starts takes no work. A key with a space, `&`, `#`, `%` or a letter that is not ASCII at the end of a page ends the listing of its table likewise.

Cause: keys and parts that other writers chose were put into query parameters as they are. The URI was invalid, so the call failed before it was sent; or it had another meaning.

Evidence: `odd_keys_disturb_no_listing` failed with `Some("0 of 4 items are whole")`.

The fix: bytes that may not stand in a query, or have a meaning there, are encoded. Keys that this program writes stay as they were.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
         WireKey,
         WireListing,
         WireTransaction,
+        query_value,
         read_listing,
         rows,
         wire_key, //
@@ -135,10 +136,11 @@
         from: &str,
         limit: usize,
     ) -> Result<Listing, StoreError> {
+        let part = query_value(part);
         let mut path = format!("/redwingpond/rows-get?table={table}&part={part}&limit={limit}");
         if !from.is_empty() {
             path.push_str("&from=");
-            path.push_str(from);
+            path.push_str(&query_value(from));
         }
         let answer = self.call_adaptive(Method::GET, &path, Vec::new()).await?;
         self.listing(&answer)
@@ -196,7 +198,7 @@
             let mut path = format!("/redwingpond/rows-parts?table={table}");
             if let Some(last) = all.last() {
                 path.push_str("&startAfter=");
-                path.push_str(last);
+                path.push_str(&query_value(last));
             }
             let answer = self.call_adaptive(Method::GET, &path, Vec::new()).await?;
             let wire: WireListing = self.decode_answer(&answer)?;
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -186,6 +186,26 @@
     }
 }
 
+/// A key or part as the value of a query parameter. Encodes the bytes that may not stand in a
+/// URI, and those that have a meaning in a query.
+pub(super) fn query_value(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        let is_kept = byte.is_ascii_alphanumeric() || b"-._~/:@!$'()*,;=?".contains(&byte);
+        match is_kept {
+            true => encoded.push(char::from(byte)),
+            false => encoded.extend(['%', hex_digit(byte >> 4), hex_digit(byte & 15)]),
+        }
+    }
+    encoded
+}
+
+fn hex_digit(value: u8) -> char {
+    char::from_digit(u32::from(value), 16)
+        .unwrap_or('0')
+        .to_ascii_uppercase()
+}
+
 /// A row's key without a value or a condition.
 pub(super) fn wire_key(key: &Key) -> WireKey<'_> {
     WireKey {
--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -344,6 +344,36 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
+/// Another writer's keys: none that a header may hold, and none that may stand in a URI, as the
+/// last one of a page of the listing and as a part of the work table. The listing failed
+/// again and again: new gateways didn't become ready, and new runners took no work.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_keys_disturb_no_listing() {
+    let mut site = open_site().await;
+    let sound = PlainServer::open("sound").await.unwrap();
+    let odd_key = "odd & key%zz\u{e9}\n#";
+    for number in 0..499 {
+        site.store.put_raw("servers", &format!("a-{number:03}"), "");
+    }
+    let entry = server_entry("plain", sound.address, "ready");
+    site.store
+        .put("servers", "a-499 & %zz\u{e9}\n#", Some(&entry));
+    site.announce("sound", "plain", sound.address, "ready");
+    site.store.put("servers", &site.plain[0].id, None);
+    site.store.put_row("work", odd_key, "head", b"odd");
+    for index in 0..site.engines.len() {
+        site.runners[index] = None;
+        site.start_runner(index).unwrap();
+    }
+    let started = site.start_gateway().await;
+    assert!(started.is_ok(), "{started:?}");
+    assert_eq!(
+        not_served(&site, &sound, "keys").await,
+        Vec::<String>::new()
+    );
+    assert_eq!(not_whole(&site, "keys").await, None);
+}
+
 /// Answers each request on a free port with these bytes as JSON.
 async fn serve_json(body: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
