Refuse heads of batches with indices of items that they don't have

What callers saw: after another writer had left one such head in the work table, all runners had ended and no batch was whole any more, also in release builds.

Cause: runners index the head's items by its bundles. A `least_version` at the end of u64 also overflowed the sum by which a step is found to be near (`src/runner/orders.rs:182`).

Evidence: `odd_rows_of_other_tables_end_no_process` failed with `index out of bounds: the len is 1 but the index is 65535` (`src/runner/items.rs:99`), `attempt to add with overflow` (`src/runner/orders.rs:182`) and `Some("0 of 4 items are whole")`; `no_head_ends_a_reader` with `index out of bounds` (`src/batch/head.rs:107`).

The fix: decoding fails for such a head, which is logged and ignored like another damaged one. The version is clamped rather than refused, because a trainer may have submitted it; no named version is as high.

--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -7,7 +7,10 @@
 use crate::base::Millis;
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    Serializer,
+    de::Error, //
 };
 use std::collections::HashMap;
 
@@ -31,7 +34,12 @@
 }
 
 /// A batch without the content of its items.
+///
+/// # Invariants
+///
+/// The bundles of a decoded head have only indices of its items.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(remote = "Self")]
 pub struct Head {
     /// When the batch was accepted, by the store's clock.
     pub accepted: Millis,
@@ -55,6 +63,29 @@
     pub workspace: Option<String>,
 }
 
+/// The largest `least_version` of a decoded head. No named version is as high, and what is
+/// calculated with it stays within 64 bits.
+const MAX_LEAST_VERSION: u64 = 1 << 53;
+
+impl<'de> Deserialize<'de> for Head {
+    fn deserialize<D: Deserializer<'de>>(decoder: D) -> Result<Self, D::Error> {
+        let mut head = Self::deserialize(decoder)?;
+        let mut indices = head.bundles.iter().flat_map(|bundle| &bundle.items);
+        if let Some(index) = indices.find(|index| usize::from(**index) >= head.items.len()) {
+            let message = format!("a bundle has item {index} of {}", head.items.len());
+            return Err(D::Error::custom(message));
+        }
+        head.least_version = head.least_version.min(MAX_LEAST_VERSION);
+        Ok(head)
+    }
+}
+
+impl Serialize for Head {
+    fn serialize<S: Serializer>(&self, encoder: S) -> Result<S::Ok, S::Error> {
+        Self::serialize(self, encoder)
+    }
+}
+
 /// The maximum size of the items in one row: the store accepts values of 64 KiB, and
 /// the encoding of a chunk adds a little.
 const MAX_CHUNK_BYTES: usize = 40 * 1024;
--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -4,14 +4,28 @@
 
 use super::site::{RESULTS_TIMEOUT, check_whole, sleep};
 use hyper::Method;
-use redwing_standins::site::{Batch, PlainFault, PlainServer, SiteOptions, TestSite, server_entry};
-use redwingpond::{base::Clock, platform::Store};
+use redwing_standins::site::{
+    Batch,
+    PlainFault,
+    PlainServer,
+    SiteOptions,
+    TestSite,
+    server_entry, //
+};
+use redwingpond::{
+    base::{Clock, Millis},
+    batch::{self, Bundle, Head, ItemRef, WorkKey},
+    platform::Store, //
+};
 use std::{
     io,
     net::SocketAddr,
-    sync::{Mutex, OnceLock, PoisonError},
+    sync::{Mutex, OnceLock, PoisonError}, //
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener, //
 };
-use tokio::net::TcpListener;
 
 /// More than an instance may have as children, so that some learn of entries from another one.
 const GATEWAYS: usize = 5;
@@ -374,6 +388,90 @@
     assert_eq!(not_whole(&site, "keys").await, None);
 }
 
+/// Another writer's rows in the other tables that processes follow: bytes that are no row, and a
+/// batch's head with indices of items that it doesn't have. Every runner ended at such a head.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_rows_of_other_tables_end_no_process() {
+    let site = open_site().await;
+    let head = Head {
+        accepted: Millis(u64::MAX),
+        bundles: vec![Bundle {
+            group: u16::MAX,
+            items: vec![0, u16::MAX],
+        }],
+        host: "site.example".to_owned(),
+        items: vec![ItemRef {
+            chunk: 0,
+            expected: u32::MAX,
+            id: "odd".to_owned(),
+        }],
+        least_version: u64::MAX,
+        model: "m0".to_owned(),
+        needed: 0,
+        path: "/roll/odd".to_owned(),
+        priority: None,
+        step: u64::MAX,
+        workspace: None,
+    };
+    let sound = Head {
+        bundles: Vec::new(),
+        ..head.clone()
+    };
+    let (odd, work) = (b"\xff\xff\xff\xff\xff odd", batch::WORK);
+    for (number, head) in [head, sound].into_iter().enumerate() {
+        let part = batch::batch_part(&format!("odd-{number}"));
+        let store = &site.store;
+        store.put_row(
+            work,
+            &part,
+            &WorkKey::Log.to_string(),
+            &batch::encode(&batch::Log::default()),
+        );
+        store.put_row(work, &part, &WorkKey::Claim(u16::MAX).to_string(), odd);
+        store.put_row(
+            work,
+            &part,
+            &WorkKey::Head.to_string(),
+            &batch::encode(&head),
+        );
+    }
+    site.store
+        .put_row(work, &batch::heartbeat_part("odd"), "odd", odd);
+    for table in ["crashes", "conditions"] {
+        for key in [
+            "0123456789abcdef/18446744073709551615/odd",
+            "server/odd/18446744073709551615",
+            "calls/odd",
+            "odd",
+            "",
+        ] {
+            site.store.put_row(table, "", key, odd);
+            site.store
+                .put_raw(table, &format!("{key}/raw"), "%no base64%");
+        }
+    }
+    site.store.put_raw("op", "config", "%no base64%");
+    site.store.put_row("op", "", "version/m0", odd);
+    site.store
+        .put_row("op", "", "config", nested(20_000).as_bytes());
+    sleep(400).await;
+    // A trainer names a version, after another writer named the last one there is.
+    let last = serde_json::json!({"model": "m0", "version": u64::MAX});
+    site.store.put("op", "version/m0", Some(&last));
+    sleep(200).await;
+    site.name_version(2);
+    assert_eq!(not_whole(&site, "others").await, None);
+    let sound = &site.plain[0];
+    assert_eq!(
+        not_served(&site, sound, "others").await,
+        Vec::<String>::new()
+    );
+    let mut batch = Batch::new("newer", 1, 1, 2);
+    batch.least_version = 2;
+    assert_eq!(site.submit(0, &batch).await, Some(202));
+    check_whole(&batch, &site.read_results(&batch, 1, RESULTS_TIMEOUT).await);
+}
+
 /// Answers each request on a free port with these bytes as JSON.
 async fn serve_json(body: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use redwingpond::{
     base::{Fingerprint, Millis},
-    batch::{Claim, Heartbeat, Item, Log, Sample, decode},
+    batch::{Bundle, Claim, Head, Heartbeat, Item, ItemRef, Log, Sample, decode, encode},
     platform::{read_config, read_named_version, read_server},
     policy::{
         call_queue::Urgency,
@@ -15,12 +15,14 @@
         demand::InstanceDemand,
         liveness::{ClaimWrite, LastHeartbeat, is_working},
         long_text::PaceRank,
+        model_share::{BatchDemand, Demand, Member, assign_models, demands},
         pace::{is_slower, is_straggler, usual_pace},
         quarantine::{CrashPolicy, Quarantine},
         second_run::{HeldText, SecondRun},
         server_choice::{Candidate, choose, choose_uneven, hedge_delay},
         server_limit::{Outside, ServerLimit},
         server_load::{Observed, ServerLoad},
+        step_mode::{OpenStep, is_ample, step_modes},
         version_plan::{LoadDecision, Situation, decide},
     },
     routing::{Server, ServerIncarnation},
@@ -292,6 +294,9 @@
         let _ = decode::<Sample>("sample", &bytes);
         let _ = decode::<Vec<Item>>("items", &bytes);
         let _ = decode::<InstanceDemand>("demand", &bytes);
+        if let Some(head) = decode::<Head>("head", &bytes) {
+            use_head(&head);
+        }
     }
 
     /// An entry with values of other types, beyond 64 bits, nested deeply or never closed.
@@ -326,6 +331,14 @@
         }
     }
 
+    /// A batch's head with indices of items that it doesn't have: each runner ended at it.
+    #[test]
+    fn no_head_ends_a_reader(head in head()) {
+        if let Some(head) = decode::<Head>("head", &encode(&head)) {
+            use_head(&head);
+        }
+    }
+
     /// Heartbeats and claims with any numbers.
     #[test]
     fn no_heartbeat_ends_a_reader(
@@ -376,3 +389,76 @@
         }
     }
 }
+
+fn head() -> impl Strategy<Value = Head> {
+    let index = prop_oneof![0_u16..4, any::<u16>(), Just(u16::MAX)];
+    let bundle = (any::<u16>(), proptest::collection::vec(index, 0..4));
+    let bundles = proptest::collection::vec(bundle, 0..4);
+    let wide = prop_oneof![any::<u64>(), Just(u64::MAX)];
+    let expected = proptest::collection::vec(prop_oneof![any::<u32>(), Just(u32::MAX)], 0..4);
+    (bundles, expected, wide.clone(), wide, any::<u16>()).prop_map(
+        |(bundles, expected, accepted, least_version, needed)| Head {
+            accepted: Millis(accepted),
+            bundles: bundles
+                .into_iter()
+                .map(|(group, items)| Bundle { group, items })
+                .collect(),
+            host: "h".to_owned(),
+            items: expected
+                .into_iter()
+                .map(|expected| ItemRef {
+                    chunk: u16::MAX,
+                    expected,
+                    id: expected.to_string(),
+                })
+                .collect(),
+            least_version,
+            model: "m0".to_owned(),
+            needed,
+            path: "/".to_owned(),
+            priority: Some(u32::MAX),
+            step: accepted,
+            workspace: None,
+        },
+    )
+}
+
+/// Calculates all that runners calculate with a batch's head.
+fn use_head(head: &Head) {
+    let order = head.bundle_order();
+    assert_eq!(order.len(), head.bundles.len());
+    for bundle in &head.bundles {
+        let _ = head.is_surplus(bundle);
+        for index in &bundle.items {
+            assert!(usize::from(*index) < head.items.len(), "no item {index}");
+        }
+    }
+    // Runners look for the batches of the versions before the one named last.
+    assert!(head.least_version.checked_add(1).is_some());
+    plan_load(head.least_version);
+    let demand = BatchDemand {
+        items: head.items.len(),
+        step: head.step,
+        tokens: head.expected_tokens(),
+    };
+    let demands: Vec<Demand> = demands(vec![("m0".to_owned(), vec![demand; 3])]);
+    let member = Member {
+        home: None,
+        slower: true,
+    };
+    assert_eq!(assign_models(&demands, &[member; 3]), [0; 3]);
+    let due = head.accepted + Millis(u64::MAX);
+    let step = OpenStep {
+        surplus: demand.tokens,
+        due,
+        needed: demand.tokens,
+    };
+    let supply = StepSupply {
+        slots: 0,
+        token_ms: 1e300,
+    };
+    let _ = (
+        is_ample(&[step; 3], supply, NOW),
+        step_modes(&[step; 3], supply, NOW),
+    );
+}
