Refuse saved texts that no event can follow

What callers saw: nothing so far. The run of an item whose saved text ends with event ends when the next event arrives: the next number overflows.

--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use redwingpond::{
     base::{Fingerprint, Millis},
-    batch::{Bundle, Claim, Head, Heartbeat, Item, ItemRef, Log, Sample, decode, encode},
+    batch::{Bundle, Claim, Head, Heartbeat, Item, ItemRef, Log, Partial, Sample, decode, encode},
     platform::{read_config, read_named_version, read_server},
     policy::{
         call_queue::Urgency,
@@ -297,6 +297,9 @@
         if let Some(head) = decode::<Head>("head", &bytes) {
             use_head(&head);
         }
+        if let Some(partial) = decode::<Partial>("partial", &bytes) {
+            prop_assert!(partial.last.checked_add(1).is_some());
+        }
     }
 
     /// An entry with values of other types, beyond 64 bits, nested deeply or never closed.
@@ -462,3 +465,17 @@
         step_modes(&[step; 3], supply, NOW),
     );
 }
+
+/// A saved text whose last event has the last number there is: the next event's number
+/// overflowed.
+#[test]
+fn a_saved_text_at_the_end_of_its_numbers_is_left_out() {
+    let text = Partial {
+        events: vec!["a".to_owned()],
+        last: u64::MAX,
+        versions: vec![1],
+    };
+    assert_eq!(decode::<Partial>("partial", &encode(&text)), None);
+    let text = Partial { last: 3, ..text };
+    assert_eq!(decode::<Partial>("partial", &encode(&text)), Some(text));
+}
