Answer requests for the changes after the last revision

What callers saw: nothing so far. A relay request with the last revision there is overflowed the next one while the table was locked.

Evidence: `no_changes_follow_the_last_revision` failed with `attempt to add with overflow` (`src/store/table_view.rs:86`).

The fix: no changes follow the last revision.

--- a/src/store/table_view.rs
+++ b/src/store/table_view.rs
@@ -83,7 +83,10 @@
         if after != 0 && after < retained.forgotten {
             return None;
         }
-        let first = (after + 1, Name::default());
+        let Some(next) = after.checked_add(1) else {
+            return Some(Vec::new());
+        };
+        let first = (next, Name::default());
         let rows = retained.rows.range(first..);
         let changed = rows.filter(|(_, value)| after != 0 || value.is_some());
         let row = |((revision, (part, key)), value): (&(u64, Name), &Option<Bytes>)| Row {
--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -26,6 +26,7 @@
         version_plan::{LoadDecision, Situation, decide},
     },
     routing::{Server, ServerIncarnation},
+    store::{Listing, Row, TableView},
 };
 
 /// The runners of the largest site that is planned for.
@@ -479,3 +480,26 @@
     let text = Partial { last: 3, ..text };
     assert_eq!(decode::<Partial>("partial", &encode(&text)), Some(text));
 }
+
+/// A child asks for the changes after the last revision there is: the next one overflowed.
+#[test]
+fn no_changes_follow_the_last_revision() {
+    let mut view = TableView::default();
+    view.retain_rows();
+    view.set_complete(1);
+    let row = |key: &str, revision| Row {
+        part: String::new(),
+        key: key.to_owned(),
+        value: Some(vec![1].into()),
+        revision,
+    };
+    let listing = Listing {
+        rows: vec![row("a", 1), row("b", u64::MAX)],
+        more: false,
+        revision: u64::MAX,
+    };
+    view.apply_listing(None, listing);
+    assert_eq!(view.rows_since(u64::MAX), Some(Vec::new()));
+    let changed = view.rows_since(u64::MAX - 1).unwrap();
+    assert_eq!(changed, [row("b", u64::MAX)]);
+}
