Bound the running calls that other instances report

What callers saw: nothing so far. With running calls near 2^32 in another writer's row, the queue of calls overflows when it adds its own.

Evidence: `no_demand_ends_a_reader` failed with `attempt to add with overflow` (`src/policy/call_queue.rs:425` and `:374`).

The fix: the sum over other instances, the only way by which the queue gets these numbers, is at most 2^24.

--- a/src/policy/demand.rs
+++ b/src/policy/demand.rs
@@ -63,6 +63,10 @@
 /// The most workspaces in a row, for each service.
 const MAX_WORKSPACES: usize = 8;
 
+/// The most running calls of other instances that are believed of a workspace: more than all
+/// servers of a site run. The queue of calls adds its own to them.
+const MAX_RUNNING: u32 = 1 << 24;
+
 /// The most instances that are remembered; about 6 MB if all have the most workspaces.
 const MAX_INSTANCES: usize = 8_192;
 
@@ -340,12 +344,11 @@
                 };
                 sum.callers += 1;
                 for (workspace, running) in &demand.workspaces {
-                    match sum.workspaces.get_mut(workspace) {
-                        Some(total) => *total = total.saturating_add(*running),
-                        None => {
-                            sum.workspaces.insert(workspace.clone(), *running);
-                        }
-                    }
+                    let total = match sum.workspaces.get_mut(workspace) {
+                        Some(total) => total,
+                        None => sum.workspaces.entry(workspace.clone()).or_default(),
+                    };
+                    *total = total.saturating_add(*running).min(MAX_RUNNING);
                 }
             }
         }
--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -5,14 +5,30 @@
 use proptest::prelude::*;
 use redwingpond::{
     base::{Fingerprint, Millis},
-    batch::{Bundle, Claim, Head, Heartbeat, Item, ItemRef, Log, Partial, Sample, decode, encode},
-    platform::{read_config, read_named_version, read_server},
+    batch::{
+        Bundle,
+        Claim,
+        Head,
+        Heartbeat,
+        Item,
+        ItemRef,
+        Log,
+        Partial,
+        Sample,
+        decode,
+        encode, //
+    },
+    platform::{
+        read_config,
+        read_named_version,
+        read_server, //
+    },
     policy::{
-        call_queue::Urgency,
+        call_queue::{CallQueue, Supply, Urgency, WaitingCall},
         claim_choice::{Place, usable_slots},
-        conditions::{Report, ServerConditions, ServerState},
+        conditions::{Report, ServerConditions, ServerState, ServiceDemand},
         connection_limit::max_open,
-        demand::InstanceDemand,
+        demand::{DemandTable, InstanceDemand},
         liveness::{ClaimWrite, LastHeartbeat, is_working},
         long_text::PaceRank,
         model_share::{BatchDemand, Demand, Member, assign_models, demands},
@@ -22,11 +38,11 @@
         server_choice::{Candidate, choose, choose_uneven, hedge_delay},
         server_limit::{Outside, ServerLimit},
         server_load::{Observed, ServerLoad},
-        step_mode::{OpenStep, is_ample, step_modes},
-        version_plan::{LoadDecision, Situation, decide},
+        step_mode::{OpenStep, Supply as StepSupply, is_ample, step_modes},
+        version_plan::{LoadDecision, Situation, decide}, //
     },
     routing::{Server, ServerIncarnation},
-    store::{Listing, Row, TableView},
+    store::{Listing, Row, TableView}, //
 };
 
 /// The runners of the largest site that is planned for.
@@ -392,6 +408,51 @@
             conditions.sweep(NOW + Millis(u64::MAX), u32::MAX);
         }
     }
+
+    /// Running calls of other instances at the end of their type: the queue of calls added its
+    /// own to them.
+    #[test]
+    fn no_demand_ends_a_reader(
+        running in prop_oneof![any::<u32>(), Just(u32::MAX)],
+        valid in any::<u64>(),
+    ) {
+        let mut table = DemandTable::new("me");
+        table.set_listed();
+        for instance in ["one", "two"] {
+            let service = ServiceDemand {
+                running,
+                waiting: running,
+                workspaces: [("w".to_owned(), running)].into(),
+            };
+            let demand = InstanceDemand {
+                services: [("plain".to_owned(), service)].into(),
+                valid: Millis(valid),
+            };
+            table.receive(instance, Some((NOW, demand)));
+        }
+        prop_assert!(table.callers("plain", NOW) <= 3);
+        let _ = (table.due(NOW), table.expired(NOW, 90));
+        let elsewhere = table.running_elsewhere("plain", "w", NOW);
+        let mut queue = CallQueue::default();
+        queue.begin(7, Urgency::Interactive);
+        let supply = Supply { in_flight: 1, limit: 4.0, opens_at: None, servers: 2, typical: 50.0 };
+        let call = WaitingCall {
+            admitted: false,
+            deadline: NOW + Millis(1_500),
+            id: 1,
+            priority: u32::MAX,
+            queued_at: NOW,
+            returned: false,
+            servers: 2,
+            spread: u64::MAX,
+            target: NOW + Millis(150),
+            urgency: Urgency::Interactive,
+            workspace: 7,
+        };
+        queue.push(call, NOW);
+        let _ = queue.decide(&call, supply, &|_| elsewhere, NOW);
+        let _ = queue.pop(&|_| elsewhere, |_| true, NOW);
+    }
 }
 
 fn head() -> impl Strategy<Value = Head> {
