Check ids as headers, and a listing that goes on after an odd key

The listing of a table whose page ends with such a key was not checked by itself: new gateways learnt of the servers from another instance. The test now lists the table directly. It was not run without the fix.

`an_id_that_no_header_holds_is_left_out` names which ids are refused. The library takes letters that are not ASCII, so an id may have them.

--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -358,9 +358,9 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
-/// Another writer's keys: none that a header may hold, and none that may stand in a URI, as the
-/// last one of a page of the listing and as a part of the work table. The listing failed
-/// again and again: new gateways didn't become ready, and new runners took no work.
+/// Another writer's keys that may not stand in a URI, as the last one of a page of the listing
+/// and as a part of the work table. The calls could not be built: new runners took no work, and
+/// the listing could not go on.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_keys_disturb_no_listing() {
     let mut site = open_site().await;
@@ -375,6 +375,9 @@
     site.announce("sound", "plain", sound.address, "ready");
     site.store.put("servers", &site.plain[0].id, None);
     site.store.put_row("work", odd_key, "head", b"odd");
+    let client = Store::open(site.store.address, Clock::open());
+    let listing = client.whole_part("servers", "").await.unwrap();
+    assert!(listing.rows.iter().any(|row| row.key == "sound"));
     for index in 0..site.engines.len() {
         site.runners[index] = None;
         site.start_runner(index).unwrap();
--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -564,3 +564,21 @@
     let changed = view.rows_since(u64::MAX - 1).unwrap();
     assert_eq!(changed, [row("b", u64::MAX)]);
 }
+
+/// A key that no header can hold: calls to the server would not name it, and any other server at
+/// the address would run them.
+#[test]
+fn an_id_that_no_header_holds_is_left_out() {
+    let entry = serde_json::json!({
+        "address": "127.0.0.1:9", "batchSlots": 4, "coldRemainingMs": 0, "sequence": 0,
+        "service": "plain", "state": "ready", "version": "v1", "zone": "north",
+    });
+    let entry = entry.to_string();
+    for id in ["plain 1/a", "\u{e9}"] {
+        assert!(read_server(id, entry.as_bytes()).is_ok(), "{id:?}");
+    }
+    for id in ["", "a\nb", "a\0", "a\u{7f}"] {
+        let error = read_server(id, entry.as_bytes()).unwrap_err();
+        assert!(error.to_string().contains("id"), "{id:?}: {error}");
+    }
+}
