--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,11 +1,14 @@
 //! The client of the platform's store.
 
 use super::{
+    server_entry::shortened,
     store_probe::{PROBE_TABLE, ProbeSchedule},
     store_wire::{
         WireKey,
         WireListing,
         WireTransaction,
+        query_value,
+        read_listing,
         rows,
         wire_key, //
     },
@@ -133,10 +136,11 @@
         from: &str,
         limit: usize,
     ) -> Result<Listing, StoreError> {
+        let part = query_value(part);
         let mut path = format!("/redwingpond/rows-get?table={table}&part={part}&limit={limit}");
         if !from.is_empty() {
             path.push_str("&from=");
-            path.push_str(from);
+            path.push_str(&query_value(from));
         }
         let answer = self.call_adaptive(Method::GET, &path, Vec::new()).await?;
         self.listing(&answer)
@@ -194,7 +198,7 @@
             let mut path = format!("/redwingpond/rows-parts?table={table}");
             if let Some(last) = all.last() {
                 path.push_str("&startAfter=");
-                path.push_str(last);
+                path.push_str(&query_value(last));
             }
             let answer = self.call_adaptive(Method::GET, &path, Vec::new()).await?;
             let wire: WireListing = self.decode_answer(&answer)?;
@@ -317,10 +321,9 @@
 
     /// Decodes an answer, and records the store's clock from it.
     fn decode_answer(&self, answer: &FullResponse) -> Result<WireListing, StoreError> {
-        let value: WireListing =
-            serde_json::from_slice(&answer.body).map_err(|error| StoreError::InvalidMessage {
-                message: error.to_string(),
-            })?;
+        let value = read_listing(&answer.body).map_err(|error| StoreError::InvalidMessage {
+            message: shortened(&error),
+        })?;
         let local = self.clock.now();
         let mut time = self
             .latest_time
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -11,6 +11,7 @@
     mod handover;
     mod late_answers;
     mod memory;
+    mod odd_entries;
     mod raw_answers;
     mod relay;
     mod scenarios;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -13,6 +13,7 @@
     mod late_answers;
     mod memory_budget;
     mod messages;
+    mod odd_rows;
     mod overload;
     mod platform_wire;
     mod quarantine;
