Keep the order of waiting calls, and requests without an id to themselves

A request without an id (an order for weights) took an idle connection that had carried runs: a late answer without an id to one of them would have been read as its own. It opens a connection now, which isn't used again.

A waiting call that was given a connection that it can't use (it had carried the call's id, or all requests that it may) went to the end of the line. The line knows the ids now: a connection goes to the first call that may use it, and is closed for the others; one that is used up isn't kept.

a_request_without_an_id_has_a_connection_of_its_own and a_waiting_call_gets_a_connection_that_it_may_use are new; they were not run without the fix.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -72,7 +72,7 @@
 /// The reason of an attempt for which no connection could be opened.
 pub(super) const NO_CONNECTION_REASON: &str = "no-connection";
 
-/// The reason of an attempt in place of whose answer another request's arrived.
+/// The reason of an attempt whose response belonged to another request.
 pub(super) const FOREIGN_REASON: &str = "foreign-answer";
 
 /// The reason of an attempt that the server neither answered nor refused in time.
--- a/src/net/call_error.rs
+++ b/src/net/call_error.rs
@@ -38,7 +38,7 @@
         /// Whether the peer's operating system refused the connection: nothing listens there.
         refused: bool,
     },
-    /// The peer sent the response to another request, or one that may be that.
+    /// The response doesn't name this request, so it may belong to another one.
     #[snafu(display("{address}: {reason}"))]
     Foreign {
         address: SocketAddr,
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -27,7 +27,7 @@
 
 /// An open connection, to send requests over one after another.
 pub(super) struct Connection {
-    /// The requests that were sent over it.
+    /// The requests with an id that were sent over it.
     carried: Vec<RequestKey>,
     received: Arc<Received>,
     requests: SendRequest<Full<Bytes>>,
@@ -35,7 +35,7 @@
     stream: Weak<Mutex<TcpStream>>,
 }
 
-/// The most requests that one connection carries. It bounds what a connection remembers of them.
+/// The most requests with an id that one connection carries, as it remembers them.
 const MAX_REQUESTS: usize = 256;
 
 /// What has arrived on a connection that awaits no answer.
@@ -45,7 +45,7 @@
     Closed,
     Quiet,
     /// Bytes that belong to no request.
-    UnaskedBytes,
+    UnsolicitedBytes,
 }
 
 /// Why a request got no head of an answer.
@@ -87,10 +87,14 @@
         Ok((connection, driver))
     }
 
-    /// Whether a second answer to the request `key` may still arrive on it, or it has carried
-    /// as many requests as it may.
-    pub(super) fn is_barred_for(&self, key: RequestKey) -> bool {
-        self.carried.len() >= MAX_REQUESTS || self.carried.contains(&key)
+    /// Whether it has carried the request `key`, so that a second answer to it may still arrive.
+    pub(super) fn is_barred_for(&self, key: Option<RequestKey>) -> bool {
+        key.is_some_and(|key| self.carried.contains(&key))
+    }
+
+    /// Whether it has carried as many requests as it may.
+    pub(super) fn is_used_up(&self) -> bool {
+        self.carried.len() >= MAX_REQUESTS
     }
 
     /// Looks at what has arrived since the last answer. The task that drives the connection may
@@ -103,7 +107,7 @@
         let mut byte = [MaybeUninit::uninit()];
         match socket2::SockRef::from(&*stream).peek(&mut byte) {
             Ok(0) => IdleState::Closed,
-            Ok(_) => IdleState::UnaskedBytes,
+            Ok(_) => IdleState::UnsolicitedBytes,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Quiet,
             Err(_) => IdleState::Closed,
         }
--- a/src/net/matching.rs
+++ b/src/net/matching.rs
@@ -19,7 +19,7 @@
 pub enum Matching {
     /// By the id that a request carries in this header and its answer repeats.
     Id(HeaderName),
-    /// By their order alone: for peers that answer each request once.
+    /// By their order alone, for answers without an id.
     Order,
 }
 
@@ -45,7 +45,7 @@
     #[snafu(display("the answer has several ids"))]
     SeveralIds,
     #[snafu(display("the answer has an id, its request has none"))]
-    UnaskedId,
+    UnsolicitedId,
 }
 
 impl Mismatch {
@@ -55,7 +55,7 @@
             Self::NoId => "no-id",
             Self::OtherId => "other-id",
             Self::SeveralIds => "several-ids",
-            Self::UnaskedId => "unasked-id",
+            Self::UnsolicitedId => "unsolicited-id",
         }
     }
 }
@@ -82,7 +82,7 @@
         match (id, found.next(), found.next()) {
             (_, Some(_), Some(_)) => Err(Mismatch::SeveralIds),
             (None, None, _) => Ok(()),
-            (None, Some(_), None) => Err(Mismatch::UnaskedId),
+            (None, Some(_), None) => Err(Mismatch::UnsolicitedId),
             (Some(_), None, _) => Err(Mismatch::NoId),
             (Some(id), Some(found), None) if id == found => Ok(()),
             (Some(_), Some(_), None) => Err(Mismatch::OtherId),
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -386,6 +386,10 @@
     /// Takes an idle connection on which the request `key` can be sent, or the place for a new
     /// one.
     async fn take(&self, key: Option<RequestKey>, fresh_only: bool) -> Grant {
+        // Without an id, only the first answer on a connection is known to be its own.
+        if key.is_none() && matches!(self.matching, Matching::Id(_)) {
+            return Grant::Place(self.pool.take_extra_place());
+        }
         loop {
             let grant = match self.pool.take(key, fresh_only) {
                 Turn::Now(grant) => Some(grant),
@@ -396,10 +400,6 @@
                 Some(Grant::Place(place)) => return Grant::Place(place),
                 None => continue,
             };
-            // A connection that another call has given back may be barred for this one.
-            if key.is_some_and(|key| idle.connection.is_barred_for(key)) {
-                continue;
-            }
             if idle.connection.is_ready().await && self.is_quiet(&idle.connection) {
                 return Grant::Idle(idle);
             }
@@ -409,9 +409,9 @@
     /// Whether nothing has arrived on a connection that awaits no answer.
     fn is_quiet(&self, connection: &Connection) -> bool {
         let state = connection.idle_state();
-        if state == IdleState::UnaskedBytes {
-            self.count_foreign("unasked-bytes");
-            tracing::warn!(server = %self.address, role = self.role, "bytes without a request: connection closed");
+        if state == IdleState::UnsolicitedBytes {
+            self.count_foreign("unsolicited-bytes");
+            tracing::warn!(server = %self.address, role = self.role, "unsolicited bytes on an idle connection");
         }
         state == IdleState::Quiet
     }
@@ -422,8 +422,8 @@
             .increment(1);
     }
 
-    /// Passes on the answer to the request with this id. Another request's answer closes its
-    /// connection before anyone reads of it.
+    /// Passes on the answer to the request with this id. The answer to another request is not
+    /// read, and its connection is closed.
     fn accept(
         &self,
         id: Option<&HeaderValue>,
@@ -431,7 +431,7 @@
         answer: hyper::Response<Incoming>,
     ) -> Result<StreamingResponse, CallError> {
         let Err(reason) = self.matching.check(id, answer.headers()) else {
-            // A second answer to a request without an id can't be told from the next one's.
+            // A second answer without an id would be taken for the next one without an id.
             let reusable = id.is_some() || matches!(self.matching, Matching::Order);
             let connection = reusable.then_some(connection);
             return Ok(self.streaming_response(connection, answer));
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -36,7 +36,14 @@
     /// The connections that are open or being opened.
     open: usize,
     /// The calls that wait for a connection, the first to be served first.
-    waiting: VecDeque<oneshot::Sender<Grant>>,
+    waiting: VecDeque<Waiting>,
+}
+
+/// A call in the line.
+struct Waiting {
+    /// The request that it is about to send.
+    key: Option<RequestKey>,
+    sender: oneshot::Sender<Grant>,
 }
 
 impl State {
@@ -91,7 +98,7 @@
             self.pool.put_connection(connection);
         }
         let mut state = self.pool.state();
-        state.waiting.retain(|waiting| !waiting.is_closed());
+        state.waiting.retain(|waiting| !waiting.sender.is_closed());
     }
 }
 
@@ -139,10 +146,10 @@
         });
     }
 
-    /// Gives the connection to the first waiting call, or else keeps it, unless the pool is
-    /// full or more connections are open than may be.
+    /// Gives the connection to the first waiting call that may use it, or else keeps it, unless
+    /// the pool is full, calls wait for its place or more connections are open than may be.
     fn put_connection(&self, mut idle: IdleConnection) {
-        if idle.connection.is_closed() {
+        if idle.connection.is_closed() || idle.connection.is_used_up() {
             return;
         }
         let now = self.clock.now();
@@ -151,12 +158,20 @@
         if state.limit.max(now).is_some_and(|max| state.open > max) {
             return;
         }
-        while let Some(waiting) = state.waiting.pop_front() {
-            match waiting.send(Grant::Idle(idle)) {
+        loop {
+            let may_use = |waiting: &Waiting| !idle.connection.is_barred_for(waiting.key);
+            let first = state.waiting.iter().position(may_use);
+            let Some(first) = first.and_then(|first| state.waiting.remove(first)) else {
+                break;
+            };
+            match first.sender.send(Grant::Idle(idle)) {
                 Err(Grant::Idle(unsent)) => idle = unsent,
                 Ok(()) | Err(Grant::Place(_)) => return,
             }
         }
+        if !state.waiting.is_empty() {
+            return;
+        }
         if state.idle.len() < MAX_IDLE_CONNECTIONS {
             state.idle.push(idle);
         }
@@ -174,7 +189,7 @@
             .retain(|idle| !idle.connection.is_closed() && idle.usable_until > now);
         let is_usable = |idle: &IdleConnection| {
             let too_old = fresh_only && now.since(idle.idle_since) > MAX_FRESH_IDLE;
-            !too_old && !key.is_some_and(|key| idle.connection.is_barred_for(key))
+            !too_old && !idle.connection.is_barred_for(key)
         };
         if let Some(found) = state.idle.iter().rposition(is_usable) {
             let connection = state.idle.remove(found);
@@ -192,7 +207,7 @@
             tracing::info!(server = %self.address, open, ?limit, "connection limit reached");
         }
         let (sender, receiver) = oneshot::channel();
-        state.waiting.push_back(sender);
+        state.waiting.push_back(Waiting { key, sender });
         Turn::Wait(WaitingCall {
             pool: self.clone(),
             receiver,
@@ -229,7 +244,7 @@
             drop(state);
             // A place that the call does not take any more is dropped here, without the
             // lock, and goes to the next call.
-            let _ = waiting.send(Grant::Place(self.place()));
+            let _ = waiting.sender.send(Grant::Place(self.place()));
         }
     }
 
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -183,7 +183,7 @@
     Failed,
     /// The engine answered that the item can never succeed.
     Unprocessable,
-    /// The connection failed, broke or fell silent.
+    /// The connection failed, broke, fell silent, or brought the answer to another request.
     Broken(CallError),
     /// The engine has restarted, and the run is lost with its previous incarnation.
     Replaced,
--- a/standins/tests/integration/late_answers.rs
+++ b/standins/tests/integration/late_answers.rs
@@ -186,11 +186,12 @@
         answer.await
     }
 
-    /// Calls the servers until they answer, so that failures before are forgiven.
+    /// Calls the servers until they answer, so that failures before are forgiven. No call under
+    /// this path is answered twice.
     async fn restore(&self, id: &str) {
         let deadline = self.site.clock.now() + RESULTS_TIMEOUT;
         while self
-            .call("/safe/late/x", id)
+            .call("/safe/x", id)
             .await
             .is_none_or(|answer| answer.status != 200)
         {
@@ -291,6 +292,7 @@
     for late in late_answers() {
         let name = format!("{}-{moment:?}-{}", &path[1..5], late.name);
         calls.restore(&format!("before-{name}")).await;
+        calls.wait_answered().await;
         let sent = calls.sent();
         let after_late = calls.requests_after_late().len();
         calls.set_stutter(Stutter {
--- a/tests/integration/late_answers.rs
+++ b/tests/integration/late_answers.rs
@@ -142,9 +142,9 @@
             foreign("x-attempt-id=a&x-attempt-id=a", Mismatch::SeveralIds),
             Test {
                 id: None,
-                ..foreign("x-attempt-id=a", Mismatch::UnaskedId)
+                ..foreign("x-attempt-id=a", Mismatch::UnsolicitedId)
             },
-            // A second answer to it could not be told from the next one.
+            // A second answer to it would be taken for that to the next one without an id.
             Test {
                 id: None,
                 headers: "",
@@ -259,3 +259,30 @@
         assert_eq!(server.connections(), connections);
     }
 }
+
+/// Guards against a request without an id that reads what was meant for one before it.
+#[tokio::test]
+async fn a_request_without_an_id_has_a_connection_of_its_own() {
+    let (server, peer) = Server::open().await;
+    for id in [Some("a"), None, Some("b"), None] {
+        let headers = id.map_or_else(String::new, |id| format!("x-attempt-id={id}"));
+        let target = format!("/200?{headers}");
+        assert!(peer.call(request(id, &target), TIMEOUT).await.is_ok());
+    }
+    assert_eq!(server.connections(), [0, 1, 0, 2]);
+}
+
+/// Guards against a call that loses its place in the line to a connection that it can't use.
+#[tokio::test]
+async fn a_waiting_call_gets_a_connection_that_it_may_use() {
+    let (server, peer) = Server::open().await;
+    peer.set_max_open(Some(1));
+    let call = |id: &'static str| {
+        let target = format!("/200?x-attempt-id={id}");
+        peer.call(request(Some(id), &target), TIMEOUT)
+    };
+    // The second call with the id `a` waits first; the third can use the connection.
+    let (first, second, third) = tokio::join!(call("a"), call("a"), call("b"));
+    assert!(first.is_ok() && second.is_ok() && third.is_ok());
+    assert_eq!(server.connections(), [0, 0, 1]);
+}
