Use crates for the rows and URIs of the store, and plain names

- Rows of an answer that can't be decoded whole are split by serde_json's RawValue instead of a splitter of our own, keys are encoded by percent-encoding.
The same bytes are kept as before.
- What is shown of an undecodable row or answer is bounded in one place, also for engines' reports, whose error quoted a value of up to 4 MB (by reading).
- is_barred_for, is_used_up, is_quiet, goes_back and born are has_carried, is_exhausted, is_empty, seems_older and start.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -72,29 +72,31 @@
 /// The reason of an attempt for which no connection could be opened.
 pub(super) const NO_CONNECTION_REASON: &str = "no-connection";
 
-/// The reason of an attempt whose response belonged to another request.
-pub(super) const FOREIGN_REASON: &str = "foreign-answer";
-
 /// The reason of an attempt that the server neither answered nor refused in time.
 pub(super) const SILENCE_REASON: &str = "silence";
 
+/// The reason of an attempt that got no complete response.
+pub(super) fn failure_reason(error: &CallError) -> &'static str {
+    match error {
+        CallError::Broken { .. } => "connection-broke",
+        CallError::Connect { .. } => NO_CONNECTION_REASON,
+        CallError::Foreign { .. } => "foreign-answer",
+        CallError::Timeout { .. } => SILENCE_REASON,
+        CallError::TooLarge { .. } => "too-large",
+    }
+}
+
 /// Classifies the response or the error of an attempt.
 pub(super) fn classify(outcome: Result<FullResponse, CallError>) -> AttemptOutcome {
     let answer = match outcome {
         Ok(answer) => answer,
         Err(error) => {
-            let reason = match error {
-                CallError::Broken { .. } => "connection-broke",
-                CallError::Connect { .. } => NO_CONNECTION_REASON,
-                CallError::Foreign { .. } => FOREIGN_REASON,
-                CallError::Timeout { .. } => SILENCE_REASON,
-                CallError::TooLarge { .. } => "too-large",
-            };
             return AttemptOutcome::Failed {
                 load: None,
                 server_status: ServerStatus::from_error(&error),
-                reason,
-                server_fault: reason != FOREIGN_REASON,
+                reason: failure_reason(&error),
+                // Another request's answer shows nothing about the server's health.
+                server_fault: !matches!(error, CallError::Foreign { .. }),
                 verdict: error.verdict(),
             };
         }
@@ -128,7 +130,13 @@
     let is_signed = platform::signature(&answer.headers).is_some();
     let encoded = answer.headers.contains_key(hyper::header::CONTENT_ENCODING);
     if !is_signed || encoded {
-        return failed("unsealed-answer", true, Verdict::MayHaveRun);
+        return AttemptOutcome::Failed {
+            load: None,
+            server_status: ServerStatus::Unknown,
+            reason: "unsealed-answer",
+            server_fault: true,
+            verdict: Verdict::MayHaveRun,
+        };
     }
     AttemptOutcome::Answered(answer)
 }
@@ -137,14 +145,3 @@
 pub(super) fn is_refusal(status: StatusCode, headers: &HeaderMap) -> bool {
     platform::not_executed(headers) || status == StatusCode::MISDIRECTED_REQUEST
 }
-
-/// A failure that shows nothing about whether the server's process has ended.
-fn failed(reason: &'static str, server_fault: bool, verdict: Verdict) -> AttemptOutcome {
-    AttemptOutcome::Failed {
-        load: None,
-        server_status: ServerStatus::Unknown,
-        reason,
-        server_fault,
-        verdict,
-    }
-}
--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -7,7 +7,7 @@
     StreamAttempt,
     StreamOutcome,
     attempt::{
-        AttemptOutcome, FOREIGN_REASON, FULL_REASON, NO_CONNECTION_REASON, SILENCE_REASON,
+        AttemptOutcome, FULL_REASON, NO_CONNECTION_REASON, SILENCE_REASON, failure_reason,
         is_refusal,
     },
     call_run::CallRun,
@@ -229,11 +229,7 @@
             reason = "no-connection";
             if error.verdict().may_have_run() {
                 self.count_usage(call, sent_at);
-                let reason = match error {
-                    CallError::Foreign { .. } => FOREIGN_REASON,
-                    _ => "connection-broke",
-                };
-                let reason = reason.to_owned();
+                let reason = failure_reason(&error).to_owned();
                 return StreamOutcome::Lost { reason };
             }
         }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -43,7 +43,8 @@
 pub(super) enum IdleState {
     /// The peer has closed it.
     Closed,
-    Quiet,
+    /// Nothing.
+    Empty,
     /// Bytes that belong to no request.
     UnsolicitedBytes,
 }
@@ -88,17 +89,17 @@
     }
 
     /// Whether it has carried the request `key`, so that a second answer to it may still arrive.
-    pub(super) fn is_barred_for(&self, key: Option<RequestKey>) -> bool {
+    pub(super) fn has_carried(&self, key: Option<RequestKey>) -> bool {
         key.is_some_and(|key| self.carried.contains(&key))
     }
 
     /// Whether it has carried as many requests as it may.
-    pub(super) fn is_used_up(&self) -> bool {
+    pub(super) fn is_exhausted(&self) -> bool {
         self.carried.len() >= MAX_REQUESTS
     }
 
     /// Looks at what has arrived since the last answer. The task that drives the connection may
-    /// not have been told of it yet, and would take it for the answer to the next request.
+    /// not have read it yet, and would take it for the answer to the next request.
     pub(super) fn idle_state(&self) -> IdleState {
         let Some(stream) = self.stream.upgrade() else {
             return IdleState::Closed;
@@ -108,7 +109,7 @@
         match socket2::SockRef::from(&*stream).peek(&mut byte) {
             Ok(0) => IdleState::Closed,
             Ok(_) => IdleState::UnsolicitedBytes,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Quiet,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Empty,
             Err(_) => IdleState::Closed,
         }
     }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -61,7 +61,6 @@
     address: SocketAddr,
     matching: Matching,
     pool: Arc<Pool>,
-    role: &'static str,
 }
 
 /// How long opening a connection may take. A peer in another data centre answers within a
@@ -127,7 +126,6 @@
             address,
             matching,
             pool: Pool::open(address, clock, role),
-            role,
         }
     }
 
@@ -400,24 +398,24 @@
                 Some(Grant::Place(place)) => return Grant::Place(place),
                 None => continue,
             };
-            if idle.connection.is_ready().await && self.is_quiet(&idle.connection) {
+            if idle.connection.is_ready().await && self.is_empty(&idle.connection) {
                 return Grant::Idle(idle);
             }
         }
     }
 
     /// Whether nothing has arrived on a connection that awaits no answer.
-    fn is_quiet(&self, connection: &Connection) -> bool {
+    fn is_empty(&self, connection: &Connection) -> bool {
         let state = connection.idle_state();
         if state == IdleState::UnsolicitedBytes {
             self.count_foreign("unsolicited-bytes");
-            tracing::warn!(server = %self.address, role = self.role, "unsolicited bytes on an idle connection");
+            tracing::warn!(server = %self.address, role = self.pool.role(), "unsolicited bytes on an idle connection");
         }
-        state == IdleState::Quiet
+        state == IdleState::Empty
     }
 
     fn count_foreign(&self, reason: &'static str) {
-        let role = self.role;
+        let role = self.pool.role();
         metrics::counter!("redwing_foreign_answers_total", "role" => role, "reason" => reason)
             .increment(1);
     }
@@ -437,7 +435,7 @@
             return Ok(self.streaming_response(connection, answer));
         };
         self.count_foreign(reason.label());
-        let role = self.role;
+        let role = self.pool.role();
         let text = |id: &HeaderValue| String::from_utf8_lossy(id.as_bytes()).into_owned();
         let (id, found) = (
             id.map(text),
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -133,6 +133,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn role(&self) -> &'static str {
+        self.role
+    }
+
     pub(super) fn now(&self) -> Millis {
         self.clock.now()
     }
@@ -149,7 +153,7 @@
     /// Gives the connection to the first waiting call that may use it, or else keeps it, unless
     /// the pool is full, calls wait for its place or more connections are open than may be.
     fn put_connection(&self, mut idle: IdleConnection) {
-        if idle.connection.is_closed() || idle.connection.is_used_up() {
+        if idle.connection.is_closed() || idle.connection.is_exhausted() {
             return;
         }
         let now = self.clock.now();
@@ -159,7 +163,7 @@
             return;
         }
         loop {
-            let may_use = |waiting: &Waiting| !idle.connection.is_barred_for(waiting.key);
+            let may_use = |waiting: &Waiting| !idle.connection.has_carried(waiting.key);
             let first = state.waiting.iter().position(may_use);
             let Some(first) = first.and_then(|first| state.waiting.remove(first)) else {
                 break;
@@ -189,7 +193,7 @@
             .retain(|idle| !idle.connection.is_closed() && idle.usable_until > now);
         let is_usable = |idle: &IdleConnection| {
             let too_old = fresh_only && now.since(idle.idle_since) > MAX_FRESH_IDLE;
-            !too_old && !idle.connection.is_barred_for(key)
+            !too_old && !idle.connection.has_carried(key)
         };
         if let Some(found) = state.idle.iter().rposition(is_usable) {
             let connection = state.idle.remove(found);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,8 +1,8 @@
 //! Decodes the operators' configuration, and the weight versions that trainers name.
 
-use super::server_entry::{
-    MAX_INTEGER,
-    shortened, //
+use super::{
+    excerpt::excerpt,
+    server_entry::MAX_INTEGER, //
 };
 use crate::{
     base::Millis,
@@ -21,9 +21,9 @@
 /// Why a configuration can't be decoded.
 #[derive(Debug, Snafu)]
 pub enum ConfigError {
-    #[snafu(display("invalid configuration: {}", shortened(source)))]
+    #[snafu(display("invalid configuration: {}", excerpt(source)))]
     Syntax { source: serde_json::Error },
-    #[snafu(display("route `{route:.200}` has the unknown type `{found:.200}`"))]
+    #[snafu(display("route `{}` has the unknown type `{}`", excerpt(route), excerpt(found)))]
     UnknownType { route: String, found: String },
     #[snafu(display("version {version} is larger than {MAX_INTEGER}"))]
     Version { version: u64 },
@@ -245,7 +245,7 @@
             None
         }
         Err(error) => {
-            let error = shortened(&error);
+            let error = excerpt(&error);
             tracing::warn!(error, "named weight version could not be decoded");
             None
         }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,6 +1,7 @@
 //! Requests to engines: reports, orders to load weights, and generations.
 
 use super::{
+    excerpt::excerpt,
     names::{self, ATTEMPT_ID, set_header},
     server_entry::{WireModel, weights}, //
 };
@@ -79,7 +80,8 @@
     let wire: WireReport = match serde_json::from_slice(&answer.body) {
         Ok(wire) => wire,
         Err(error) => {
-            tracing::warn!(%error, "engine report could not be decoded");
+            let error = excerpt(&error);
+            tracing::warn!(error, "engine report could not be decoded");
             return None;
         }
     };
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod batch_calls;
 mod config;
 mod engine;
+mod excerpt;
 mod guarantees;
 mod ingress;
 mod names;
--- a/src/platform/server_entry.rs
+++ b/src/platform/server_entry.rs
@@ -1,5 +1,6 @@
 //! Decodes the announcements that backend servers write to the store.
 
+use super::excerpt::excerpt;
 use crate::{
     base::Millis,
     routing::{LoadedModel, Server, ServerIncarnation}, //
@@ -28,15 +29,6 @@
 /// The longest name in an announcement, in bytes. Names are logged, and label metrics.
 const MAX_NAME_BYTES: usize = 1_024;
 
-/// The most characters of a decoder's error that are shown. The error quotes the value that it
-/// is about, which may be as large as the row.
-const MAX_ERROR_CHARS: usize = 200;
-
-/// The beginning of a decoder's error.
-pub(super) fn shortened(error: &serde_json::Error) -> String {
-    error.to_string().chars().take(MAX_ERROR_CHARS).collect()
-}
-
 /// A server's announcement. Servers write all fields but those with a default: a row
 /// that lacks one of them comes from another writer.
 #[derive(Deserialize)]
@@ -91,9 +83,9 @@
     let is_header = !id.is_empty() && HeaderValue::from_str(id).is_ok();
     ensure!(is_header, IdSnafu);
     ensure!(wire.address.port() > 0, PortSnafu);
-    let (slots, born) = (wire.batch_slots, wire.born);
+    let (slots, start) = (wire.batch_slots, wire.born);
     ensure!(slots <= MAX_SLOTS, SlotsSnafu { slots });
-    ensure!(born <= MAX_START, StartSnafu { born });
+    ensure!(start <= MAX_START, StartSnafu { start });
     for (field, name) in [("service", &wire.service), ("zone", &wire.zone)] {
         ensure!(name.len() <= MAX_NAME_BYTES, NameSnafu { field });
     }
@@ -117,7 +109,7 @@
 /// Why a row is not a server's announcement.
 #[derive(Debug, Snafu)]
 pub enum AnnouncementError {
-    #[snafu(display("invalid announcement: {}", shortened(source)))]
+    #[snafu(display("invalid announcement: {}", excerpt(source)))]
     Decode { source: serde_json::Error },
     #[snafu(display("the server's id is no valid header value"))]
     Id,
@@ -127,8 +119,8 @@
     Port,
     #[snafu(display("{slots} slots are more than a server has: at most {MAX_SLOTS}"))]
     Slots { slots: u32 },
-    #[snafu(display("the start at {born} ms is later than that of any server"))]
-    Start { born: u64 },
+    #[snafu(display("the start at {start} ms is later than that of any server"))]
+    Start { start: u64 },
     #[snafu(display("weight version {version} is larger than {MAX_INTEGER}"))]
     Version { version: u64 },
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! The client of the platform's store.
 
 use super::{
-    server_entry::shortened,
+    excerpt::excerpt,
     store_probe::{PROBE_TABLE, ProbeSchedule},
     store_wire::{
         WireKey,
@@ -140,7 +140,7 @@
         let mut path = format!("/redwingpond/rows-get?table={table}&part={part}&limit={limit}");
         if !from.is_empty() {
             path.push_str("&from=");
-            path.push_str(&query_value(from));
+            path.extend(query_value(from));
         }
         let answer = self.call_adaptive(Method::GET, &path, Vec::new()).await?;
         self.listing(&answer)
@@ -198,7 +198,7 @@
             let mut path = format!("/redwingpond/rows-parts?table={table}");
             if let Some(last) = all.last() {
                 path.push_str("&startAfter=");
-                path.push_str(&query_value(last));
+                path.extend(query_value(last));
             }
             let answer = self.call_adaptive(Method::GET, &path, Vec::new()).await?;
             let wire: WireListing = self.decode_answer(&answer)?;
@@ -322,7 +322,7 @@
     /// Decodes an answer, and records the store's clock from it.
     fn decode_answer(&self, answer: &FullResponse) -> Result<WireListing, StoreError> {
         let value = read_listing(&answer.body).map_err(|error| StoreError::InvalidMessage {
-            message: shortened(&error),
+            message: excerpt(&error),
         })?;
         let local = self.clock.now();
         let mut time = self
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -1,6 +1,6 @@
 //! The JSON bodies of the store's calls and answers.
 
-use super::server_entry::shortened;
+use super::excerpt::excerpt;
 use crate::store::{
     Key,
     Row, //
@@ -10,11 +10,17 @@
     prelude::BASE64_STANDARD, //
 };
 use bytes::Bytes;
+use percent_encoding::{
+    AsciiSet,
+    NON_ALPHANUMERIC,
+    PercentEncode,
+    utf8_percent_encode, //
+};
 use serde::{
     Deserialize,
-    Serialize,
-    de::IgnoredAny, //
+    Serialize, //
 };
+use serde_json::value::RawValue;
 
 /// A row in a transaction: only its key for a removal, with `ver` for a condition, with
 /// `value` for a write.
@@ -57,7 +63,7 @@
 /// The answer to every call; each call sets only some of the fields.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub(super) struct WireListing {
+pub(super) struct WireListing<R = WireRow> {
     /// Whether more rows or parts follow these.
     #[serde(default)]
     pub(super) has_more: bool,
@@ -66,8 +72,8 @@
     pub(super) now_ms: f64,
     #[serde(default)]
     pub(super) parts: Vec<String>,
-    #[serde(default)]
-    pub(super) records: Vec<WireRow>,
+    #[serde(default = "Vec::new")]
+    pub(super) records: Vec<R>,
     /// The revision of the store at the answer.
     #[serde(default)]
     pub(super) ver: u64,
@@ -85,9 +91,6 @@
     ver: u64,
 }
 
-/// The most characters of an invalid row that are logged.
-const MAX_LOGGED_CHARS: usize = 200;
-
 /// Decodes an answer of the store. A row that can't be decoded, which another writer may have
 /// left, does not fail the whole answer: it has no value then, or is left out if it has no valid
 /// key or revision.
@@ -96,54 +99,32 @@
 ///
 /// [`serde_json::Error`] if another part of the answer is invalid.
 pub(super) fn read_listing(body: &[u8]) -> Result<WireListing, serde_json::Error> {
-    serde_json::from_slice(body).or_else(|error| read_rows_singly(body).ok_or(error))
+    serde_json::from_slice(body).or_else(|_| read_rows_singly(&String::from_utf8_lossy(body)))
 }
 
-/// Decodes an answer, each of its rows by itself; `None` if another part is invalid.
-fn read_rows_singly(body: &[u8]) -> Option<WireListing> {
-    let mut rows: &[u8] = b"[]";
-    let mut others = b"{".to_vec();
-    let mut rest = strip(body, b'{')?;
-    loop {
-        let (name, after) = split_value(rest)?;
-        let (value, after) = split_value(strip(after, b':')?)?;
-        if name.trim_ascii() == br#""records""# {
-            rows = value;
-        } else {
-            if others.len() > 1 {
-                others.push(b',');
-            }
-            others.extend_from_slice(name);
-            others.push(b':');
-            others.extend_from_slice(value);
-        }
-        match after.trim_ascii_start().split_first()? {
-            (b',', after) => rest = after,
-            (b'}', _) => break,
-            _ => return None,
-        }
-    }
-    others.push(b'}');
-    let listing: WireListing = serde_json::from_slice(&others).ok()?;
-    let records = split_array(rows)?.into_iter().filter_map(read_row);
-    Some(WireListing {
+/// Decodes an answer, each of its rows by itself.
+fn read_rows_singly(body: &str) -> Result<WireListing, serde_json::Error> {
+    let raw: WireListing<&RawValue> = serde_json::from_str(body)?;
+    let records = raw.records.iter().filter_map(|row| read_row(row.get()));
+    Ok(WireListing {
+        has_more: raw.has_more,
+        now_ms: raw.now_ms,
+        parts: raw.parts,
         records: records.collect(),
-        ..listing
+        ver: raw.ver,
     })
 }
 
 /// Decodes a row; one without a valid value has an empty one, which readers reject.
-fn read_row(bytes: &[u8]) -> Option<WireRow> {
-    let error = match serde_json::from_slice(bytes) {
+fn read_row(text: &str) -> Option<WireRow> {
+    let error = match serde_json::from_str(text) {
         Ok(row) => return Some(row),
         Err(error) => error,
     };
     metrics::counter!("redwing_values_unreadable_total").increment(1);
-    let shown = String::from_utf8_lossy(bytes);
-    let row: String = shown.chars().take(MAX_LOGGED_CHARS).collect();
-    let error = shortened(&error);
+    let (row, error) = (excerpt(text), excerpt(&error));
     tracing::warn!(row, error, "row could not be decoded");
-    let name: WireRowName = serde_json::from_slice(bytes).ok()?;
+    let name: WireRowName = serde_json::from_str(text).ok()?;
     Some(WireRow {
         deleted: name.deleted,
         key: name.key,
@@ -153,57 +134,30 @@
     })
 }
 
-/// The elements of a JSON array, not decoded.
-fn split_array(array: &[u8]) -> Option<Vec<&[u8]>> {
-    let mut elements = Vec::new();
-    let mut rest = strip(array, b'[')?;
-    if strip(rest, b']').is_some() {
-        return Some(elements);
-    }
-    loop {
-        let (element, after) = split_value(rest)?;
-        elements.push(element);
-        match after.trim_ascii_start().split_first()? {
-            (b',', after) => rest = after,
-            (b']', _) => return Some(elements),
-            _ => return None,
-        }
-    }
-}
-
-/// Splits `bytes` after the JSON value at their beginning, which is not decoded.
-fn split_value(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
-    let mut values = serde_json::Deserializer::from_slice(bytes).into_iter::<IgnoredAny>();
-    values.next()?.ok()?;
-    bytes.split_at_checked(values.byte_offset())
-}
-
-/// What follows `first`, if that is the first byte after white space.
-fn strip(bytes: &[u8], first: u8) -> Option<&[u8]> {
-    match bytes.trim_ascii_start().split_first() {
-        Some((found, rest)) if *found == first => Some(rest),
-        _ => None,
-    }
-}
-
-/// A key or part as the value of a query parameter. Encodes the bytes that may not stand in a
-/// URI, and those that have a meaning in a query.
-pub(super) fn query_value(text: &str) -> String {
-    let mut encoded = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        let is_kept = byte.is_ascii_alphanumeric() || b"-._~/:@!$'()*,;=?".contains(&byte);
-        match is_kept {
-            true => encoded.push(char::from(byte)),
-            false => encoded.extend(['%', hex_digit(byte >> 4), hex_digit(byte & 15)]),
-        }
-    }
-    encoded
-}
-
-fn hex_digit(value: u8) -> char {
-    char::from_digit(u32::from(value), 16)
-        .unwrap_or('0')
-        .to_ascii_uppercase()
+/// The bytes of a key that are encoded in a query: all but those that may stand there and have no
+/// meaning to the store.
+const ENCODED_IN_QUERY: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~')
+    .remove(b'/')
+    .remove(b':')
+    .remove(b'@')
+    .remove(b'!')
+    .remove(b'$')
+    .remove(b'\'')
+    .remove(b'(')
+    .remove(b')')
+    .remove(b'*')
+    .remove(b',')
+    .remove(b';')
+    .remove(b'=')
+    .remove(b'?');
+
+/// A key or part as the value of a query parameter.
+pub(super) fn query_value(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, ENCODED_IN_QUERY)
 }
 
 /// A row's key without a value or a condition.
--- a/src/runner/engine_watch.rs
+++ b/src/runner/engine_watch.rs
@@ -28,7 +28,7 @@
         let mut asked_at = clock.now();
         let mut report = ask_report(&peer).await;
         if let (Some(before), Some(found)) = (&last, &report)
-            && goes_back(before, found)
+            && seems_older(found, before)
         {
             // The first answer on a new connection is that to its request.
             peer.forget_connections();
@@ -68,7 +68,7 @@
 
 /// Whether `report` seems to be from before `last`. An engine that has restarted, or has loaded an
 /// older version, reports such a state too.
-fn goes_back(last: &EngineReport, report: &EngineReport) -> bool {
+fn seems_older(report: &EngineReport, last: &EngineReport) -> bool {
     let state = |report: &EngineReport| (report.started_at, report.accepted_orders);
     let is_older = |weights: &LoadedModel| {
         let mut now = report.weights.iter();
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -18,6 +18,7 @@
     StatusCode,
     body::Incoming, //
 };
+use percent_encoding::percent_decode_str;
 use redwingpond::{
     base::{Clock, Millis},
     duty::{Answer, text}, //
@@ -170,7 +171,12 @@
             .unwrap_or_default()
             .split('&')
             .filter_map(|pair| pair.split_once('='))
-            .map(|(name, value)| (name.to_owned(), percent_decoded(value)))
+            .map(|(name, value)| {
+                (
+                    name.to_owned(),
+                    percent_decode_str(value).decode_utf8_lossy().into_owned(),
+                )
+            })
             .collect();
         if head.method == Method::GET {
             self.reads.fetch_add(1, Ordering::Relaxed);
@@ -316,25 +322,6 @@
     record
 }
 
-/// The value of a query parameter: `%` and two hexadecimal digits stand for a byte.
-fn percent_decoded(value: &str) -> String {
-    let mut pieces = value.split('%');
-    let mut bytes = pieces.next().unwrap_or_default().as_bytes().to_vec();
-    for piece in pieces {
-        let byte = piece
-            .get(..2)
-            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
-        match byte {
-            Some(byte) => {
-                bytes.push(byte);
-                bytes.extend_from_slice(&piece.as_bytes()[2..]);
-            }
-            None => bytes.extend_from_slice(piece.as_bytes()),
-        }
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
 /// An empty JSON answer with a status.
 fn status(code: u16) -> Answer {
     let status = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
