Check which requests share a connection, and share the relays' code

The tests of late answers hold also where no late answer meets a reader, as the fix keeps some requests off its connection. They check that now: no id goes twice over a connection, an order has one of its own, reports share none; each report meets the late one, and repeated requests were answered twice. No check is looser.

The two relays of the stand-ins read requests and accept connections by the same code, and TestSite::move_engine puts a relay before an engine for both tests. RepeatingRelay and Repetition are plainer names for StutteringRelay and Stutter.

--- a/standins/src/site/faulty_relay.rs
+++ b/standins/src/site/faulty_relay.rs
@@ -1,5 +1,9 @@
 //! A relay before a server, which answers chosen requests with bytes of its own.
 
+use super::raw_request::{
+    RawRequest,
+    accept_connections, //
+};
 use redwingpond::base::Millis;
 use std::{
     collections::VecDeque,
@@ -15,7 +19,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     task::JoinHandle, //
 };
 
@@ -69,8 +73,6 @@
 impl FaultyRelay {
     /// Starts a relay to the server at `target`.
     pub async fn open(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let inner = Arc::new(Inner {
             answered: AtomicUsize::new(0),
             most_sent: AtomicUsize::new(0),
@@ -79,14 +81,11 @@
             target,
         });
         let served = inner.clone();
-        let task = tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                let served = served.clone();
-                tokio::spawn(async move {
-                    let _ = served.serve(client).await;
-                });
-            }
-        });
+        let serve = move |client| {
+            let served = served.clone();
+            async move { served.serve(client).await }
+        };
+        let (address, task) = accept_connections(serve).await?;
         Ok(Self {
             address,
             inner,
@@ -133,52 +132,6 @@
     }
 }
 
-/// A request's head and body as they arrived.
-struct RawRequest {
-    body: Vec<u8>,
-    head: String,
-}
-
-impl RawRequest {
-    /// Reads the next request; `None` at the connection's end.
-    async fn read(client: &mut TcpStream) -> io::Result<Option<Self>> {
-        let mut bytes = Vec::new();
-        let end = loop {
-            if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
-                break end + 4;
-            }
-            if client.read_buf(&mut bytes).await? == 0 {
-                return Ok(None);
-            }
-        };
-        let mut body = bytes.split_off(end);
-        let head = String::from_utf8(bytes).map_err(io::Error::other)?;
-        let request = Self {
-            body: Vec::new(),
-            head,
-        };
-        let length = request.header("content-length");
-        let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
-        while body.len() < length {
-            if client.read_buf(&mut body).await? == 0 {
-                return Ok(None);
-            }
-        }
-        Ok(Some(Self { body, ..request }))
-    }
-
-    fn header(&self, name: &str) -> Option<&str> {
-        self.head.lines().find_map(|line| {
-            let (field, value) = line.split_once(':')?;
-            field.eq_ignore_ascii_case(name).then_some(value.trim())
-        })
-    }
-
-    fn path(&self) -> &str {
-        self.head.split(' ').nth(1).unwrap_or_default()
-    }
-}
-
 impl Inner {
     fn plan(&self) -> MutexGuard<'_, Option<Plan>> {
         self.plan.lock().unwrap_or_else(PoisonError::into_inner)
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -7,9 +7,10 @@
 mod faulty_relay;
 mod log;
 mod plain;
+mod raw_request;
+mod repeating_relay;
 mod rows;
 mod store;
-mod stuttering_relay;
 mod test_site;
 mod trainer;
 mod usage_collector;
@@ -19,16 +20,16 @@
     faults::{Outage, StoreFaults},
     faulty_relay::{FaultyRelay, RawAnswer, RawEnd},
     plain::{Capacity, PlainFault, PlainServer, RequestIdentity},
-    rows::Rows,
-    store::Store,
-    stuttering_relay::{
+    repeating_relay::{
         CarriedRequest,
         CarriedRequests,
         LateMoment,
+        RepeatingRelay, //
+        Repetition,
         SecondAnswer,
-        Stutter,
-        StutteringRelay, //
     },
+    rows::Rows,
+    store::Store,
     test_site::{SiteOptions, TestSite, announce_engine, put_config, server_entry},
     trainer::{Batch, ItemResult, ResultPage}, //
     usage_collector::{CollectorFault, UsageCollector, UsageReport},
--- a/standins/src/site/stuttering_relay.rs
+++ b/standins/src/site/repeating_relay.rs
@@ -1,5 +1,9 @@
 //! A relay before a server, which sends chosen answers a second time, late.
 
+use super::raw_request::{
+    RawRequest,
+    accept_connections, //
+};
 use bytes::Bytes;
 use http_body_util::{
     BodyExt,
@@ -22,9 +26,8 @@
     time::Duration, //
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{
-        TcpListener,
         TcpStream,
         tcp::{ReadHalf, WriteHalf}, //
     },
@@ -44,7 +47,7 @@
 /// When a second answer is sent, on the connection of the first.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LateMoment {
-    /// After the next request whose path begins with [`Stutter::reader`] was read, directly
+    /// After the next request whose path begins with [`Repetition::reader`] was read, directly
     /// before its answer.
     BeforeNext,
     /// As [`Self::BeforeNext`], but without waiting for that answer, which follows after a
@@ -56,7 +59,7 @@
 
 /// The answers to send a second time.
 #[derive(Clone, Copy, Debug)]
-pub struct Stutter {
+pub struct Repetition {
     pub answer: SecondAnswer,
     pub moment: LateMoment,
     /// The prefix of the paths of the requests in whose place second answers arrive.
@@ -85,7 +88,7 @@
 }
 
 /// A running relay; dropping it stops accepting connections.
-pub struct StutteringRelay {
+pub struct RepeatingRelay {
     pub address: SocketAddr,
     inner: Arc<Inner>,
     task: JoinHandle<()>,
@@ -105,10 +108,10 @@
     connections: Vec<CarriedRequests>,
     /// The number of answers that were kept to be sent again.
     kept: usize,
-    /// See [`StutteringRelay::open_requests`].
+    /// See [`RepeatingRelay::open_requests`].
     open: usize,
     /// Taken when a second answer is sent.
-    plan: Option<Stutter>,
+    plan: Option<Repetition>,
     /// Counts the plans, so that no answer is kept beyond its plan.
     plan_number: usize,
     /// The number of second answers that were sent whole.
@@ -121,24 +124,19 @@
     plan_number: usize,
 }
 
-impl StutteringRelay {
+impl RepeatingRelay {
     /// Starts a relay to the server at `target`.
     pub async fn open(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let inner = Arc::new(Inner {
             state: Mutex::default(),
             target,
         });
         let served = inner.clone();
-        let task = tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                let served = served.clone();
-                tokio::spawn(async move {
-                    let _ = served.serve(client).await;
-                });
-            }
-        });
+        let serve = move |client| {
+            let served = served.clone();
+            async move { served.serve(client).await }
+        };
+        let (address, task) = accept_connections(serve).await?;
         Ok(Self {
             address,
             inner,
@@ -147,9 +145,9 @@
     }
 
     /// Sends one answer a second time.
-    pub fn set_stutter(&self, stutter: Stutter) {
+    pub fn set_repetition(&self, repetition: Repetition) {
         let mut state = self.inner.state();
-        state.plan = Some(stutter);
+        state.plan = Some(repetition);
         state.plan_number += 1;
     }
 
@@ -186,7 +184,7 @@
     }
 }
 
-impl Drop for StutteringRelay {
+impl Drop for RepeatingRelay {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -201,40 +199,7 @@
     }
 }
 
-/// A request's head and body as they arrived.
-struct RawRequest {
-    body: Vec<u8>,
-    head: String,
-}
-
 impl RawRequest {
-    /// Reads the next request; `None` at the connection's end.
-    async fn read(client: &mut ReadHalf<'_>) -> io::Result<Option<Self>> {
-        let mut bytes = Vec::new();
-        let end = loop {
-            if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
-                break end + 4;
-            }
-            if client.read_buf(&mut bytes).await? == 0 {
-                return Ok(None);
-            }
-        };
-        let mut body = bytes.split_off(end);
-        let head = String::from_utf8(bytes).map_err(io::Error::other)?;
-        let request = Self {
-            body: Vec::new(),
-            head,
-        };
-        let length = request.headers()?.get("content-length").cloned();
-        let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
-        while body.len() < length.unwrap_or(0) {
-            if client.read_buf(&mut body).await? == 0 {
-                return Ok(None);
-            }
-        }
-        Ok(Some(Self { body, ..request }))
-    }
-
     fn headers(&self) -> io::Result<HeaderMap> {
         let lines = self.head.lines().skip(1);
         let headers = lines.filter_map(|line| line.split_once(':'));
@@ -264,10 +229,6 @@
         let id = id.transpose().map_err(io::Error::other)?;
         Ok(id.unwrap_or_default().to_owned())
     }
-
-    fn path(&self) -> &str {
-        self.head.split(' ').nth(1).unwrap_or_default()
-    }
 }
 
 impl Inner {
@@ -333,22 +294,22 @@
         bytes: Vec<u8>,
         kept: &mut Option<KeptAnswer>,
     ) -> io::Result<Option<Vec<u8>>> {
-        let Some((stutter, plan_number)) = self.take_answered(request) else {
+        let Some((repetition, plan_number)) = self.take_answered(request) else {
             return Ok(None);
         };
-        let bytes = match stutter.answer {
+        let bytes = match repetition.answer {
             SecondAnswer::Bytes(bytes) => bytes.replace("{id}", &request.id()?).into_bytes(),
             SecondAnswer::Copy => bytes,
         };
         *kept = Some(KeptAnswer { bytes, plan_number });
-        match stutter.moment {
+        match repetition.moment {
             LateMoment::WhileIdle => self.take_late(connection, request, kept, false),
             LateMoment::BeforeNext | LateMoment::LongBeforeNext => Ok(None),
         }
     }
 
     /// The present plan and its number, if the answer to `request` is to be sent twice.
-    fn take_answered(&self, request: &RawRequest) -> Option<(Stutter, usize)> {
+    fn take_answered(&self, request: &RawRequest) -> Option<(Repetition, usize)> {
         let mut state = self.state();
         let plan_number = state.plan_number;
         let plan = state.plan.as_mut()?;
--- a/standins/src/site/test_site.rs
+++ b/standins/src/site/test_site.rs
@@ -161,6 +161,17 @@
         Ok(())
     }
 
+    /// Announces an engine at the address `via`, which leads to it, and starts its runner anew
+    /// to reach it there.
+    pub fn move_engine(&mut self, index: usize, via: SocketAddr) -> io::Result<()> {
+        self.runners[index] = None;
+        let engine = &self.engines[index];
+        let mut entry = server_entry("engines", via, "ready");
+        entry["born"] = engine.started_at().0.into();
+        self.store.put("servers", &engine.id, Some(&entry));
+        self.start_runner_via(index, via)
+    }
+
     /// Starts another gateway and waits until it is ready.
     pub async fn start_gateway(&mut self) -> io::Result<()> {
         let settings = self.gateway_settings(self.gateways.len());
--- a/standins/tests/integration/late_answers.rs
+++ b/standins/tests/integration/late_answers.rs
@@ -7,22 +7,22 @@
     site::{
         Batch,
         CarriedRequest,
+        CarriedRequests,
         EngineFaults,
         ItemResult,
         LateMoment,
         PlainFault,
         PlainServer,
+        RepeatingRelay,
+        Repetition,
         SecondAnswer,
         SiteOptions,
-        Stutter,
-        StutteringRelay,
-        TestSite,
-        server_entry, //
+        TestSite, //
     },
 };
-use std::panic::{
-    AssertUnwindSafe,
-    catch_unwind, //
+use std::{
+    collections::BTreeSet,
+    panic::{AssertUnwindSafe, catch_unwind}, //
 };
 
 /// How long a caller waits, in ms.
@@ -39,7 +39,7 @@
 
 /// The number of batches before the first late answer. An old report is then older than the
 /// last order.
-const CALM_BATCHES: usize = 2;
+const UNDISTURBED_BATCHES: usize = 2;
 
 /// How long a runner sends no other order after one, in ms.
 const SETTLE_TIME: u64 = 700;
@@ -134,7 +134,7 @@
 
 /// A site with two plain servers, each behind a relay.
 struct CallSite {
-    relays: Vec<StutteringRelay>,
+    relays: Vec<RepeatingRelay>,
     servers: Vec<PlainServer>,
     site: TestSite,
 }
@@ -169,7 +169,7 @@
         for number in 0..servers {
             let id = format!("plain-{number}");
             let server = PlainServer::open(&id).await.unwrap();
-            let relay = StutteringRelay::open(server.address).await.unwrap();
+            let relay = RepeatingRelay::open(server.address).await.unwrap();
             opened.site.announce(&id, "plain", relay.address, "ready");
             opened.relays.push(relay);
             opened.servers.push(server);
@@ -204,22 +204,22 @@
         self.servers.iter().map(|server| server.runs_of(id)).sum()
     }
 
-    fn set_stutter(&self, stutter: Stutter) {
+    fn set_repetition(&self, repetition: Repetition) {
         for relay in &self.relays {
-            relay.set_stutter(stutter);
+            relay.set_repetition(repetition);
         }
     }
 
     /// The number of second answers that were sent.
     fn sent(&self) -> usize {
-        self.relays.iter().map(StutteringRelay::sent).sum()
+        self.relays.iter().map(RepeatingRelay::sent).sum()
     }
 
     /// The requests that were sent over a connection after a second answer had arrived there.
     fn requests_after_late(&self) -> Vec<CarriedRequest> {
         let relays = self.relays.iter();
         relays
-            .flat_map(StutteringRelay::requests_after_late)
+            .flat_map(RepeatingRelay::requests_after_late)
             .collect()
     }
 
@@ -295,7 +295,7 @@
         calls.wait_answered().await;
         let sent = calls.sent();
         let after_late = calls.requests_after_late().len();
-        calls.set_stutter(Stutter {
+        calls.set_repetition(Repetition {
             answer: late.answer,
             moment,
             reader: path,
@@ -338,7 +338,8 @@
             let id = format!("{}-{round}", &path[1..5]);
             calls.restore(&format!("before-{id}")).await;
             calls.servers[0].set_fault(PlainFault::Full);
-            calls.set_stutter(Stutter {
+            let kept = calls.relays[0].kept();
+            calls.set_repetition(Repetition {
                 answer: SecondAnswer::Copy,
                 moment: LateMoment::BeforeNext,
                 reader: path,
@@ -351,6 +352,13 @@
             calls.servers[0].set_fault(PlainFault::None);
             let moment = LateMoment::BeforeNext;
             violations.extend(calls.check_call(path, moment, &id).await);
+            assert!(
+                calls.relays[0].kept() > kept,
+                "no refusal was answered twice"
+            );
+            for connection in calls.relays[0].connections() {
+                violations.extend(wrong_on_connection(&connection));
+            }
         }
     }
     assert_eq!(violations, Vec::<String>::new());
@@ -369,8 +377,8 @@
 
 /// A site with one engine and one scorer, each behind a relay.
 struct ItemSite {
-    engine: StutteringRelay,
-    scorer: StutteringRelay,
+    engine: RepeatingRelay,
+    scorer: RepeatingRelay,
     site: TestSite,
 }
 
@@ -390,17 +398,10 @@
             "resultDeadlineMs": 60_000, "itemTtlS": 60, "priority": 1, "maxAttempts": 3,
             "service": "engines",
         }]));
-        let scorer = StutteringRelay::open(site.plain[0].address).await.unwrap();
+        let scorer = RepeatingRelay::open(site.plain[0].address).await.unwrap();
         site.announce(&site.plain[0].id, "plain", scorer.address, "ready");
-        let engine = StutteringRelay::open(site.engines[0].address)
-            .await
-            .unwrap();
-        site.runners[0] = None;
-        let mut entry = server_entry("engines", engine.address, "ready");
-        entry["born"] = site.engines[0].started_at().0.into();
-        let id = &site.engines[0].id;
-        site.store.put("servers", id, Some(&entry));
-        site.start_runner_via(0, engine.address).unwrap();
+        let engine = RepeatingRelay::open(site.engines[0].address).await.unwrap();
+        site.move_engine(0, engine.address).unwrap();
         Self {
             engine,
             scorer,
@@ -409,7 +410,7 @@
     }
 
     /// The relay that carries the requests for `path`.
-    fn relay(&self, path: &str) -> &StutteringRelay {
+    fn relay(&self, path: &str) -> &RepeatingRelay {
         match path {
             "/score/" => &self.scorer,
             _ => &self.engine,
@@ -479,9 +480,9 @@
         let relay = items.relay(self.reader);
         let mut report = ItemReport::default();
         let mut version = 1;
-        for number in 0..CALM_BATCHES {
-            let calm = format!("calm{number}");
-            let wrong = self.check_batch(&items, &calm, &mut version).await;
+        for number in 0..UNDISTURBED_BATCHES {
+            let id = format!("undisturbed{number}");
+            let wrong = self.check_batch(&items, &id, &mut version).await;
             report.violations.extend(wrong);
         }
         for late in lates {
@@ -490,7 +491,7 @@
                 sleep(SETTLE_TIME).await;
             }
             let (kept, sent) = (relay.kept(), relay.sent());
-            relay.set_stutter(Stutter {
+            relay.set_repetition(Repetition {
                 answer: late.answer,
                 moment: self.moment,
                 reader: self.reader,
@@ -555,7 +556,11 @@
                 .violations
                 .push(format!("orders expect {expected:?}"));
         }
-        let after = items.relay(self.reader).requests_after_late();
+        let relay = items.relay(self.reader);
+        for connection in relay.connections() {
+            report.violations.extend(wrong_on_connection(&connection));
+        }
+        let after = relay.requests_after_late();
         // A request may be under way when a late answer is sent.
         let allowed = match self.moment {
             LateMoment::WhileIdle => report.sent,
@@ -569,6 +574,29 @@
     }
 }
 
+/// What is wrong with the requests on a connection: no id goes twice over one, an order has one of
+/// its own, and reports share none with other requests.
+fn wrong_on_connection(connection: &CarriedRequests) -> Vec<String> {
+    let requests = &connection.requests;
+    let is_report = |request: &CarriedRequest| request.path == REPORT;
+    let reports = requests.iter().filter(|request| is_report(request)).count();
+    let has_order = requests.iter().any(|request| request.path == ORDER);
+    let ids = requests.iter().map(|request| request.id.as_str());
+    let ids: Vec<&str> = ids.filter(|id| !id.is_empty()).collect();
+    let distinct: BTreeSet<&str> = ids.iter().copied().collect();
+    let mut wrong = Vec::new();
+    if distinct.len() < ids.len() {
+        wrong.push(format!("an id twice on a connection: {ids:?}"));
+    }
+    if has_order && requests.len() > 1 {
+        wrong.push(format!("an order among others: {requests:?}"));
+    }
+    if reports > 0 && reports < requests.len() {
+        wrong.push(format!("reports among others: {requests:?}"));
+    }
+    wrong
+}
+
 /// Runs `tests` with all of `lates`; returns the number of late answers that were sent.
 async fn check_items(tests: &[ItemTest], lates: &[LateAnswer]) -> usize {
     let checks = tests.iter().map(|test| test.check(lates));
@@ -624,12 +652,16 @@
 /// asked for.
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_and_reports_are_not_answered_by_late_answers() {
-    let tests = [ORDER, REPORT].map(|path| ItemTest {
+    let [orders, reports] = [ORDER, REPORT].map(|path| ItemTest {
         moment: LateMoment::BeforeNext,
         reader: path,
         source: path,
     });
-    check_items(&tests, &late_answers_without_id()).await;
+    let lates = late_answers_without_id();
+    let (orders, reports) = ([orders], [reports]);
+    let (_, sent) = tokio::join!(check_items(&orders, &lates), check_items(&reports, &lates));
+    // No order follows another on its connection, but each report does.
+    assert_eq!(sent, lates.len());
 }
 
 /// An engine answers runs, orders and reports twice, where the answers to requests of another
@@ -667,8 +699,8 @@
 }
 
 /// A copy of the answer to a request, sent before the answer to the next one for `path`.
-fn copy_before_next(path: &'static str, skipped: usize) -> Stutter {
-    Stutter {
+fn copy_before_next(path: &'static str, skipped: usize) -> Repetition {
+    Repetition {
         answer: SecondAnswer::Copy,
         moment: LateMoment::BeforeNext,
         reader: path,
@@ -685,7 +717,8 @@
     let mut violations = Vec::new();
     for round in 0..ROUNDS {
         let prefix = format!("again{round}");
-        items.engine.set_stutter(copy_before_next("/roll/", 0));
+        let kept = items.engine.kept();
+        items.engine.set_repetition(copy_before_next("/roll/", 0));
         for part in 0..2 {
             let engine = &items.site.engines[0];
             engine.set_version(engine.version() + part);
@@ -695,6 +728,10 @@
             };
             violations.extend(items.check_batch(&batch).await);
         }
+        assert!(items.engine.kept() > kept, "no run was answered twice");
+    }
+    for connection in items.engine.connections() {
+        violations.extend(wrong_on_connection(&connection));
     }
     assert_eq!(violations, Vec::<String>::new());
 }
@@ -712,21 +749,21 @@
         let unscored = batch(&format!("unscored{round}"), 4);
 
         let items = ItemSite::open().await;
-        items.engine.set_stutter(copy_before_next("/roll/", 1));
+        items.engine.set_repetition(copy_before_next("/roll/", 1));
         items.site.engines[0].set_faults(EngineFaults {
             failing_runs: vec![failed.item_id(0, 0); 2],
             ..EngineFaults::default()
         });
         violations.extend(items.check_batch(&failed).await);
 
-        items.engine.set_stutter(copy_before_next("/roll/", 0));
+        items.engine.set_repetition(copy_before_next("/roll/", 0));
         items.site.engines[0].set_faults(EngineFaults {
             refused_runs: vec![refused.item_id(0, 0)],
             ..EngineFaults::default()
         });
         violations.extend(items.check_batch(&refused).await);
 
-        items.engine.set_stutter(copy_before_next("/roll/", 0));
+        items.engine.set_repetition(copy_before_next("/roll/", 0));
         items.site.engines[0].set_faults(EngineFaults {
             cut_after: Some(2),
             cut_cleanly: true,
@@ -735,9 +772,16 @@
         violations.extend(items.check_batch(&cut).await);
 
         items.site.engines[0].set_faults(EngineFaults::default());
-        items.scorer.set_stutter(copy_before_next("/score/", 1));
+        items.scorer.set_repetition(copy_before_next("/score/", 1));
         items.site.plain[0].fail_next(2);
         violations.extend(items.check_batch(&unscored).await);
+        let kept = (items.engine.kept(), items.scorer.kept());
+        assert!(kept.0 >= 3 && kept.1 >= 1, "answered twice: {kept:?}");
+        for relay in [&items.engine, &items.scorer] {
+            for connection in relay.connections() {
+                violations.extend(wrong_on_connection(&connection));
+            }
+        }
     }
     assert_eq!(violations, Vec::<String>::new());
 }
--- a/standins/tests/integration/raw_answers.rs
+++ b/standins/tests/integration/raw_answers.rs
@@ -9,8 +9,7 @@
     RawAnswer,
     RawEnd,
     SiteOptions,
-    TestSite,
-    server_entry, //
+    TestSite, //
 };
 use redwingpond::base::Millis;
 
@@ -154,12 +153,7 @@
     };
     let mut site = TestSite::open(options).await.unwrap();
     let relay = FaultyRelay::open(site.engines[0].address).await.unwrap();
-    site.runners[0] = None;
-    let mut entry = server_entry("engines", relay.address, "ready");
-    entry["born"] = site.engines[0].started_at().0.into();
-    let id = &site.engines[0].id;
-    site.store.put("servers", id, Some(&entry));
-    site.start_runner_via(0, relay.address).unwrap();
+    site.move_engine(0, relay.address).unwrap();
     (site, relay)
 }
 
