Ignore heartbeats with a token that no runner can have

What callers saw: nothing so far. After another writer had left a heartbeat with the highest token under each runner's key, the runners ran each other's items again.

Cause: a claim whose token is below its holder's heartbeat counts as one of an earlier incarnation, and its bundle is free. A token is the store's revision of its incarnation's first heartbeat, so it never exceeds the revision of a row, but nobody checked that.

--- a/src/runner/heartbeats.rs
+++ b/src/runner/heartbeats.rs
@@ -45,8 +45,9 @@
 }
 
 impl Heartbeats {
-    /// Records a heartbeat of `instance` with the store's `revision` of it; one that is
-    /// not newer than the known one changes nothing.
+    /// Records a heartbeat of `instance` with the store's `revision` of it, 0 for this runner's
+    /// own. One that is not newer than the known one, or that no runner can have written,
+    /// changes nothing.
     pub(super) fn record(
         &mut self,
         instance: &str,
@@ -54,6 +55,18 @@
         revision: u64,
         now: Millis,
     ) {
+        // A token is the revision of its incarnation's first heartbeat.
+        if revision > 0 && heartbeat.token > revision {
+            let token = heartbeat.token;
+            metrics::counter!("redwing_values_unreadable_total").increment(1);
+            tracing::warn!(
+                runner = instance,
+                token,
+                revision,
+                "heartbeat ignored: no runner has its token"
+            );
+            return;
+        }
         let order = |heartbeat: &Heartbeat| (heartbeat.token, heartbeat.sequence);
         let known = self.by_instance.get(instance);
         if known.is_some_and(|known| order(&known.heartbeat) >= order(&heartbeat)) {
--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use redwing_standins::site::{
     Batch,
+    Engine,
     PlainFault,
     PlainServer,
     SiteOptions,
@@ -14,7 +15,7 @@
 };
 use redwingpond::{
     base::{Clock, Millis},
-    batch::{self, Bundle, Head, ItemRef, WorkKey},
+    batch::{self, Bundle, Head, Heartbeat, ItemRef, WorkKey},
     platform::Store, //
 };
 use std::{
@@ -483,6 +484,37 @@
     check_whole(&batch, &site.read_results(&batch, 1, RESULTS_TIMEOUT).await);
 }
 
+/// Another writer leaves a heartbeat with the highest token under each runner's key. The runners
+/// took each other's claims for those of earlier incarnations, and ran the items again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_heartbeat_of_another_writer_ends_no_claim() {
+    let site = open_site().await;
+    for engine in &site.engines {
+        engine.set_event_time(Millis(20));
+    }
+    let batch = Batch::new("claimed", 2, 2, 250);
+    assert_eq!(site.submit(0, &batch).await, Some(202));
+    // Both runners have claimed by then, and are seen to work.
+    sleep(1_000).await;
+    for index in 0..site.engines.len() {
+        let name = format!("runner-{index}");
+        let heartbeat = Heartbeat {
+            sequence: u64::MAX,
+            service: "engines".to_owned(),
+            token: u64::MAX,
+            working: true,
+            ..Heartbeat::default()
+        };
+        let (part, value) = (batch::heartbeat_part(&name), batch::encode(&heartbeat));
+        site.store.put_row(batch::WORK, &part, &name, &value);
+    }
+    check_whole(&batch, &site.read_results(&batch, 4, RESULTS_TIMEOUT).await);
+    let mut runs: Vec<_> = site.engines.iter().flat_map(Engine::runs).collect();
+    runs.sort_by(|one, other| one.item.cmp(&other.item));
+    let items: Vec<&str> = runs.iter().map(|run| run.item.as_str()).collect();
+    assert_eq!(items.len(), 4, "runs of four items: {items:?}");
+}
+
 /// Answers each request on a free port with these bytes as JSON.
 async fn serve_json(body: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
