Refuse events of engines that no other can follow

What callers saw: nothing so far. With an engine that numbers an event 2^64 - 1 and sends another one, the item had no result, and its batch was never whole.

Cause: the number that is due after the last event was calculated without a check. With overflow checks the item's run ended without a word to its runner, which took it for running; a release build wraps, and waits for event 0.

The fix: the event reader takes such a number for none, as it does with one beyond 64 bits, and a stream with such an event is refused and tried again. The property of the event reader was not run without the fix.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -239,6 +239,9 @@
 /// The largest event. A larger one could not be saved, as a row of the store holds 44 KB.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
+/// The largest id of an event: another one can follow it.
+const MAX_EVENT_ID: u64 = u64::MAX - 1;
+
 impl EventReader {
     /// Appends the next bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -263,7 +266,7 @@
             let value = value.strip_prefix(' ').unwrap_or(value);
             match field {
                 "data" => data.push(value),
-                "id" => event.id = value.trim().parse().ok(),
+                "id" => event.id = read_event_id(value),
                 EVENT_VERSION_FIELD => event.version = value.trim().parse().ok(),
                 _ => {}
             }
@@ -284,6 +287,12 @@
     }
 }
 
+/// Parses the id of an event that another one may follow.
+fn read_event_id(value: &str) -> Option<u64> {
+    let id: u64 = value.trim().parse().ok()?;
+    (id <= MAX_EVENT_ID).then_some(id)
+}
+
 /// A request with a JSON body.
 fn json_request(method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
--- a/src/runner/text.rs
+++ b/src/runner/text.rs
@@ -121,7 +121,7 @@
 
     /// Adds an event that `version` generated. The text is unchanged if it returns an error.
     pub(super) fn push(&mut self, event: Event, version: u64) -> Result<(), EventError> {
-        let next = self.last_id.map_or(event.id, |last| Some(last + 1));
+        let next = self.last_id.map_or(event.id, |last| last.checked_add(1));
         if event.id.is_none() || event.id != next {
             return Err(EventError::OutOfOrder { id: event.id, next });
         }
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -48,6 +48,9 @@
     pub failing_items: Vec<String>,
     /// The ids of items whose next run is answered with 500, once for each entry.
     pub failing_runs: Vec<String>,
+    /// The ids of items whose next run begins with two events that have the last number there is,
+    /// once for each entry.
+    pub last_numbers: Vec<String>,
     /// The ids of items whose next run is refused, once for each entry.
     pub refused_runs: Vec<String>,
     /// The ids of items that are answered with 422.
@@ -506,6 +509,10 @@
         if self.is_broken_off() {
             return Some((Err(broken_off()), self));
         }
+        if take(&mut self.engine.state().faults.last_numbers, &self.item) {
+            let event = format!("id: {}\ndata: odd\n\n", u64::MAX);
+            return Some((Ok(Frame::data(event.repeat(2).into())), self));
+        }
         if self.cut_at == Some(self.next + 1) {
             self.cut_at = Some(self.next);
             let torn = Bytes::from(format!("id: {}\ndata: torn", self.next));
--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -7,6 +7,7 @@
 use redwing_standins::site::{
     Batch,
     Engine,
+    EngineFaults,
     PlainFault,
     PlainServer,
     SiteOptions,
@@ -515,6 +516,22 @@
     assert_eq!(items.len(), 4, "runs of four items: {items:?}");
 }
 
+/// An engine numbers an event with the last number there is, and sends another one. The number
+/// after it overflowed: the item's run ended without a result, and the batch was never whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_event_with_the_last_number_ends_no_run() {
+    let site = open_site().await;
+    let batch = Batch::new("numbers", 2, 2, 3);
+    for engine in &site.engines {
+        engine.set_faults(EngineFaults {
+            last_numbers: batch.item_ids(),
+            ..EngineFaults::default()
+        });
+    }
+    assert_eq!(site.submit(0, &batch).await, Some(202));
+    check_whole(&batch, &site.read_results(&batch, 4, RESULTS_TIMEOUT).await);
+}
+
 /// Answers each request on a free port with these bytes as JSON.
 async fn serve_json(body: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/tests/integration/odd_rows.rs
+++ b/tests/integration/odd_rows.rs
@@ -19,6 +19,7 @@
         encode, //
     },
     platform::{
+        EventReader,
         read_config,
         read_named_version,
         read_server, //
@@ -336,6 +337,20 @@
         }
     }
 
+    /// An engine's events with any numbers: the number after the last one overflowed.
+    #[test]
+    fn no_event_ends_a_reader(
+        id in prop_oneof![number(), Just(u64::MAX.to_string()), Just((u64::MAX - 1).to_string())],
+        bytes in proptest::collection::vec(any::<u8>(), 0..40),
+    ) {
+        let mut reader = EventReader::default();
+        reader.push(&bytes);
+        reader.push(format!("\n\nid: {id}\ndata: x\nx-weight-versions: {id}\n\n").as_bytes());
+        while let Some(event) = reader.next_event() {
+            prop_assert!(event.id.is_none_or(|id| id.checked_add(1).is_some()), "{event:?}");
+        }
+    }
+
     /// A configuration with absurd numbers: the sum of a route's weights overflowed.
     #[test]
     fn no_configuration_ends_a_reader(config in config()) {
