Let an engine's report contradict the start that is announced for it

What callers saw: nothing so far. After another writer had left an entry at each engine's address whose start is later than the engine's, runners claimed no work until the entry was mended, and batches had no results.

Cause: a report with a start before the announced one is taken for a report of the previous incarnation. Only starts after the year 2100 were refused.

Evidence: an_absurd_entry_of_an_engine_stops_no_runner failed without the fix with the two new rows: 0 of 4 items were whole after a start in 2100, and after one that is 1 s later than the engine's.

The fix: an engine starts before it is announced, so only a report that was requested before the announcement was seen can be from before that start. A later one shows that the announced start is wrong. This needs no comparison of clocks. The site keeps when it first saw each announced incarnation.

--- a/src/view/site.rs
+++ b/src/view/site.rs
@@ -30,6 +30,8 @@
 /// The configuration's version and each named version never decrease.
 pub struct Site {
     pub clock: Clock,
+    /// When the announced incarnation of each server was first seen.
+    announced: Mutex<HashMap<String, Millis>>,
     config: watch::Sender<Option<Arc<Config>>>,
     /// Since when the store hasn't answered the checks of [`super::watch_store`].
     unreachable_since: Mutex<Option<Millis>>,
@@ -51,6 +53,7 @@
     pub fn new(clock: Clock, revocation: Option<Millis>) -> Self {
         Self {
             clock,
+            announced: Mutex::default(),
             config: watch::Sender::new(None),
             unreachable_since: Mutex::default(),
             confirmed: Notify::new(),
@@ -181,6 +184,28 @@
         };
     }
 
+    /// When the announced incarnation of the server `id` was first seen; `None` if it is not
+    /// announced.
+    pub fn announced_at(&self, id: &str) -> Option<Millis> {
+        self.announcements().get(id).copied()
+    }
+
+    /// Records that a new incarnation of the server `id` is announced.
+    pub(super) fn record_announced(&self, id: &str, now: Millis) {
+        self.announcements().insert(id.to_owned(), now);
+    }
+
+    /// Drops when the server `id`, which is not in the directory any more, was announced.
+    pub(super) fn forget_announced(&self, id: &str) {
+        self.announcements().remove(id);
+    }
+
+    fn announcements(&self) -> MutexGuard<'_, HashMap<String, Millis>> {
+        self.announced
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The server of `service` at `address`.
     pub fn server_at(&self, address: SocketAddr, service: &str) -> Option<Arc<Server>> {
         self.directory().server_at(address, service).cloned()
--- a/src/view/sync.rs
+++ b/src/view/sync.rs
@@ -83,6 +83,7 @@
             _ = lapse_check.tick() => {
                 let gone = site.directory().remove_lapsed(site.now());
                 for server in gone {
+                    site.forget_announced(&server);
                     tracing::info!(server, "server removed: not announced after the outage");
                 }
             }
@@ -146,7 +147,7 @@
                 Ok(server) => server,
                 Err(error) => {
                     invalid.record(&key, &error);
-                    site.directory().remove(&key, now);
+                    remove_server(site, &key, now);
                     return;
                 }
             };
@@ -160,12 +161,24 @@
                 let (service, born) = (&server.service, incarnation.started_at.0);
                 tracing::info!(server = key, service, born, draining, "server announced");
             }
+            if before.is_none_or(|before| before.incarnation != *incarnation) {
+                site.record_announced(&key, now);
+            }
             directory.put(server);
         }
         Change::Removed { key, .. } => {
             tracing::info!(server = key, "server announcement removed");
             invalid.0.remove(&key);
-            site.directory().remove(&key, now);
+            remove_server(site, &key, now);
         }
     }
 }
+
+/// Removes the server `id`, unless the store's outage may have ended its announcement.
+fn remove_server(site: &Site, id: &str, now: Millis) {
+    let mut directory = site.directory();
+    directory.remove(id, now);
+    if directory.get(id).is_none() {
+        site.forget_announced(id);
+    }
+}
--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -331,6 +331,9 @@
         ("no slots", "batchSlots", "0"),
         ("last start", "born", "18446744073709551615"),
         ("no start", "born", "0"),
+        // The runners took the engines' reports for old ones, and had no engine.
+        ("latest start", "born", "4102444800000"),
+        ("later start", "born", "1764720001000"),
         (
             "last version",
             "models",
