Leave out conditions whose observer no instance is

What users saw: nothing so far. A row about a server's condition with an observer of 40 KB was used, and each instance logged a line as long.

Cause: the observer was not bounded where the row is decoded.

Evidence: a_condition_of_an_odd_observer_is_left_out failed without the fix: it was counted 0 times.

The fix: a longer name than a key can have is none of an instance. The row is left out, counted, and logged with its key and the name's length; the lines about rows of conditions that can't be decoded have the key now, too. The row counts again once it is mended.

--- a/src/view/condition_row.rs
+++ b/src/view/condition_row.rs
@@ -23,6 +23,10 @@
 
 const CALLS_PREFIX: &str = "calls/";
 
+/// The longest name of an observer, in bytes: an instance's name is part of a key, which has at
+/// most as many.
+const MAX_OBSERVER_BYTES: usize = 200;
+
 /// What a row is about.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Subject {
@@ -78,9 +82,20 @@
     })
 }
 
-/// Decodes a report, with its time by the store's clock; `None` if it is invalid.
-pub(super) fn decode_report(value: &[u8]) -> Option<Report> {
-    let value = decode::<ServerValue>("condition", value)?;
+/// Decodes the report in the row `key`, with its time by the store's clock; `None` if it is
+/// invalid.
+pub(super) fn decode_report(key: &str, value: &[u8]) -> Option<Report> {
+    let value = decode::<ServerValue>(key, value)?;
+    let observer_bytes = value.observer.len();
+    if observer_bytes > MAX_OBSERVER_BYTES {
+        metrics::counter!("redwing_values_unreadable_total").increment(1);
+        tracing::warn!(
+            key,
+            observer_bytes,
+            "condition ignored: no instance has its observer's name"
+        );
+        return None;
+    }
     Some(Report {
         at: value.at,
         observer: value.observer,
@@ -93,10 +108,10 @@
     encode(&CallsValue { at, demand })
 }
 
-/// Decodes an instance's calls, and when they were written, by the store's clock; `None` if the
-/// value is invalid.
-pub(super) fn decode_calls(value: &[u8]) -> Option<(Millis, InstanceDemand)> {
-    let value = decode::<CallsValue>("calls of an instance", value)?;
+/// Decodes the calls of an instance in the row `key`, and when they were written, by the store's
+/// clock; `None` if the value is invalid.
+pub(super) fn decode_calls(key: &str, value: &[u8]) -> Option<(Millis, InstanceDemand)> {
+    let value = decode::<CallsValue>(key, value)?;
     Some((value.at, value.demand))
 }
 
--- a/src/view/conditions.rs
+++ b/src/view/conditions.rs
@@ -233,7 +233,7 @@
         };
         match Subject::parse(&key) {
             Some(Subject::Instance(instance)) => {
-                let row = value.map(|value| decode_calls(&value));
+                let row = value.map(|value| decode_calls(&key, &value));
                 let row = match row {
                     Some(None) => return,
                     Some(Some((at, demand))) => Some((self.local_time(at), demand)),
@@ -242,7 +242,7 @@
                 self.state().demand.receive(&instance, row);
             }
             Some(Subject::Server(server)) => {
-                let report = value.map(|value| decode_report(&value));
+                let report = value.map(|value| decode_report(&key, &value));
                 let report = match report {
                     Some(None) => return,
                     Some(Some(report)) => Some(Report {
--- a/standins/tests/integration/odd_entries.rs
+++ b/standins/tests/integration/odd_entries.rs
@@ -17,7 +17,8 @@
 use redwingpond::{
     base::{Clock, Millis},
     batch::{self, Bundle, Head, Heartbeat, ItemRef, WorkKey},
-    platform::Store, //
+    platform::Store,
+    policy::{conditions::ServerState, load_features::LoadFeatures}, //
 };
 use std::{
     io,
@@ -35,6 +36,12 @@
 /// The key of the odd entries, which is the id of a server.
 const KEY: &str = "odd";
 
+/// The modules that log what they leave out of the servers' table, and what they use and leave out
+/// of the conditions.
+const ENTRIES: &str = "redwingpond::view::sync";
+const CONDITIONS: &str = "redwingpond::view::conditions";
+const CONDITION_ROWS: &str = "redwingpond::view::condition_row";
+
 /// The longest log line about an odd entry, in bytes.
 const MAX_LINE: usize = 800;
 
@@ -173,23 +180,32 @@
         std::env::var_os("RUST_LOG").is_none()
             && tracing_subscriber::fmt()
                 .with_ansi(false)
-                .with_env_filter("redwingpond::view::sync=warn")
+                .with_env_filter(format!(
+                    "{ENTRIES}=warn,{CONDITIONS}=info,{CONDITION_ROWS}=warn"
+                ))
                 .with_writer(|| LogWriter)
                 .try_init()
                 .is_ok()
     })
 }
 
-/// The logged lines about the entry `key`.
-fn lines_about(key: &str) -> Vec<String> {
+/// The logged lines of the module `target` about the server `key`.
+fn lines_about(target: &str, key: &str) -> Vec<String> {
     let all = logged().lock().unwrap_or_else(PoisonError::into_inner);
     let text = String::from_utf8_lossy(&all);
-    let field = format!("server=\"{key}\"");
-    let lines = text.lines().filter(|line| line.contains(&field));
+    let (target, key) = (format!(" {target}: "), format!("{key}\""));
+    let lines = text
+        .lines()
+        .filter(|line| line.contains(&target) && line.contains(&key));
     lines.map(str::to_owned).collect()
 }
 
+/// The number of entries that were left out.
 async fn counted(site: &TestSite) -> u64 {
+    counter(site, "redwing_entries_left_out_total").await
+}
+
+async fn counter(site: &TestSite, name: &str) -> u64 {
     let (address, within) = (site.gateways[0].metrics, std::time::Duration::from_secs(5));
     let asked = site
         .client
@@ -198,7 +214,7 @@
     let text = String::from_utf8_lossy(&text).into_owned();
     let line = text
         .lines()
-        .find_map(|line| line.strip_prefix("redwing_entries_left_out_total "));
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
     line.and_then(|count| count.parse().ok()).unwrap_or(0)
 }
 
@@ -281,7 +297,7 @@
     let mut violations = Vec::new();
     counted(&site).await;
     for entry in odd_entries(odd.address) {
-        let (before, lines) = (counted(&site).await, lines_about(KEY).len());
+        let (before, lines) = (counted(&site).await, lines_about(ENTRIES, KEY).len());
         // Gateways would keep to a server whose entry counts.
         odd.set_fault(PlainFault::Full);
         site.store.put_row("servers", "", KEY, &entry.value);
@@ -292,12 +308,15 @@
         // A process counts the entry just before it logs it.
         while entry.left_out
             && (counted(&site).await < before + readers as u64
-                || (is_kept && lines_about(KEY).len() < lines + readers))
+                || (is_kept && lines_about(ENTRIES, KEY).len() < lines + readers))
             && site.clock.now() < deadline
         {
             sleep(20).await;
         }
-        let (counted, lines) = (counted(&site).await - before, &lines_about(KEY)[lines..]);
+        let (counted, lines) = (
+            counted(&site).await - before,
+            &lines_about(ENTRIES, KEY)[lines..],
+        );
         let expected = if entry.left_out { readers } else { 0 };
         if counted < expected as u64 {
             report.push(format!("counted {counted} times"));
@@ -535,6 +554,61 @@
     check_whole(&batch, &site.read_results(&batch, 4, RESULTS_TIMEOUT).await);
 }
 
+/// Another writer leaves a row about a server's condition whose observer has a name of 40 KB. It
+/// was used, and logged by each instance as long as it is.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_condition_of_an_odd_observer_is_left_out() {
+    let is_kept = keep_log();
+    let options = SiteOptions {
+        engines: 1,
+        features: LoadFeatures {
+            conditions: true,
+            ..LoadFeatures::default()
+        },
+        gateways: GATEWAYS,
+        plain: 1,
+        ..SiteOptions::default()
+    };
+    let site = TestSite::open(options).await.unwrap();
+    sleep(1_500).await;
+    let readers = site.gateways.len() + site.runners.len();
+    let unreadable = "redwing_values_unreadable_total";
+    let put = |server: &str, observer: &str| {
+        let state = Some(ServerState::Failing);
+        let value = batch::encode(&(site.clock.now(), observer, state));
+        let key = format!("server/{server}/0");
+        site.store.put_row("conditions", "", &key, &value);
+    };
+    counter(&site, unreadable).await;
+    let before = counter(&site, unreadable).await;
+    put("observed-oddly", &"x".repeat(40_000));
+    put("observed", "gateway-x");
+    let deadline = site.clock.now() + RESULTS_TIMEOUT;
+    let left_out = || lines_about(CONDITION_ROWS, "server/observed-oddly/0");
+    let seen = |server: &str| lines_about(CONDITIONS, server).len();
+    while (counter(&site, unreadable).await < before + readers as u64
+        || (is_kept && (seen("observed") < readers || left_out().len() < readers)))
+        && site.clock.now() < deadline
+    {
+        sleep(20).await;
+    }
+    let counted = counter(&site, unreadable).await - before;
+    assert!(counted >= readers as u64, "counted {counted} times");
+    if !is_kept {
+        return;
+    }
+    let lines = left_out();
+    assert_eq!((lines.len(), seen("observed-oddly")), (readers, 0));
+    let longest = lines.iter().map(String::len).max();
+    assert!(longest <= Some(MAX_LINE), "a log line of {longest:?} bytes");
+    // The row counts again when it is mended.
+    put("observed-oddly", "gateway-x");
+    while seen("observed-oddly") < readers && site.clock.now() < deadline {
+        sleep(20).await;
+    }
+    assert_eq!(seen("observed-oddly"), readers);
+}
+
 /// Answers each request on a free port with these bytes as JSON.
 async fn serve_json(body: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
