Count the bytes of bodies that are not read to their end

Nothing showed how much a process reads of answers that it then gives up: of a server that sends bytes without end, one saw lost calls and a busy thread. `redwing_incomplete_body_bytes_total{role}` counts them, whether the body was too large, broke off, or its request's time was over.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -275,7 +275,7 @@
     ) -> Result<FullResponse, CallError> {
         let address = self.address;
         let mut body = BytesMut::new();
-        let mut hold = BodyHold::default();
+        let mut hold = BodyHold::open(self.pool.role());
         while let Some(part) = response.body.next(timeout).await? {
             let limit = MAX_RESPONSE_BYTES;
             (body.len() + part.len() <= limit)
@@ -287,6 +287,7 @@
                 .context(TooLargeSnafu { address, limit })?;
             body.extend_from_slice(&part);
         }
+        hold.complete();
         Ok(FullResponse {
             body: body.freeze(),
             headers: response.headers,
