Go by the head of a refusal, and read less of a server error

What callers saw: a call was answered 502 where its server had refused it with `X-Not-Executed` and a body without end, also on routes that run a request at most once, though another server could have taken it.

Cause: the body of each answer was read whole, up to 4 MB, before its head was looked at. A refusal's body is used for nothing, and an attempt whose body was too large counts as one that may have run. Server errors were read as far.

Of a server error 256 KB are read.

Tests: calls_end_in_time_when_an_answer_never_ends no longer allows 502 for a refusal; the_body_of_a_server_error_is_bounded is new.

--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     base::{Clock, Millis, stable_hash},
-    net::{CallError, FullResponse, Matching, Peer},
+    net::{CallError, Exchange, FullResponse, Matching, Peer},
     platform,
     policy::{
         connection_limit::max_open,
@@ -403,12 +403,13 @@
             completed: false,
             sent: &sent,
         };
-        let answer = match call.route.kind {
-            RouteKind::Safe => peer.call(request, timeout).await,
-            RouteKind::Batch | RouteKind::Stream { .. } | RouteKind::Unsafe => {
-                peer.call_once(request, timeout).await
-            }
+        let exchange = Exchange {
+            fresh_only: call.route.kind != RouteKind::Safe,
+            // A refusal's head says all that is used of it.
+            needs_body: |status, headers| !is_refusal(status, headers),
+            timeout,
         };
+        let answer = peer.exchange(request, exchange).await;
         guard.completed = true;
         drop(guard);
         // Refusals report the load as well; without `uneven` they are not read.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,7 +13,7 @@
 pub use self::{
     call_error::CallError,
     matching::{Matching, Mismatch},
-    peer::{FullResponse, Peer, StreamingResponse},
+    peer::{Exchange, FullResponse, Peer, StreamingResponse},
     reachability::Reachability,
     stream_body::StreamBody, //
 };
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -85,6 +85,27 @@
 /// The largest response body that is read into memory: several times a page of the store.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// The largest body of a server error that is read into memory. These bodies are messages, and
+/// a server that fails is more likely to send bytes without end.
+const MAX_ERROR_BYTES: usize = 256 * 1024;
+
+/// How long the rest of a body that is not needed may take. Reading it to the end lets the next
+/// request use the connection.
+const DISCARD_TIMEOUT: Millis = Millis(100);
+
+/// How a request is sent and its answer read.
+#[derive(Clone, Copy)]
+pub struct Exchange {
+    /// Whether the request is sent only over a new connection or one that was used a moment ago,
+    /// as it must run at most once.
+    pub fresh_only: bool,
+    /// Whether the body of an answer with this head is needed. Another one is discarded, and the
+    /// response has an empty body.
+    pub needs_body: fn(StatusCode, &HeaderMap) -> bool,
+    /// The time for the complete answer.
+    pub timeout: Millis,
+}
+
 /// A connection that was just opened.
 struct NewConnection {
     opened_at: Millis,
@@ -171,7 +192,12 @@
         request: Request<Full<Bytes>>,
         timeout: Millis,
     ) -> Result<FullResponse, CallError> {
-        self.exchange(request, timeout, false).await
+        let exchange = Exchange {
+            fresh_only: false,
+            needs_body: |_, _| true,
+            timeout,
+        };
+        self.exchange(request, exchange).await
     }
 
     /// As [`Peer::call`], for a request that must run at most once: it is sent over a new
@@ -185,7 +211,43 @@
         request: Request<Full<Bytes>>,
         timeout: Millis,
     ) -> Result<FullResponse, CallError> {
-        self.exchange(request, timeout, true).await
+        let exchange = Exchange {
+            fresh_only: true,
+            needs_body: |_, _| true,
+            timeout,
+        };
+        self.exchange(request, exchange).await
+    }
+
+    /// Sends `request` and reads the response as `exchange` says.
+    ///
+    /// # Errors
+    ///
+    /// A [`CallError`], whose verdict says whether the peer may have run the request.
+    pub async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        exchange: Exchange,
+    ) -> Result<FullResponse, CallError> {
+        let Exchange {
+            fresh_only,
+            timeout,
+            ..
+        } = exchange;
+        let progress = Progress::default();
+        let work = async {
+            let response = self.send(request, fresh_only, &progress).await?;
+            if (exchange.needs_body)(response.status, &response.headers) {
+                return self.read_body(response, timeout).await;
+            }
+            response.body.discard(timeout.min(DISCARD_TIMEOUT)).await;
+            Ok(FullResponse {
+                body: Bytes::new(),
+                headers: response.headers,
+                status: response.status,
+            })
+        };
+        self.with_timeout(work, timeout, &progress).await
     }
 
     /// Sends `request` and waits at most `timeout` for the head of the response.
@@ -230,21 +292,6 @@
         result.await.unwrap_or(false)
     }
 
-    /// Sends `request` and reads the response within `timeout`.
-    async fn exchange(
-        &self,
-        request: Request<Full<Bytes>>,
-        timeout: Millis,
-        fresh_only: bool,
-    ) -> Result<FullResponse, CallError> {
-        let progress = Progress::default();
-        let exchange = async {
-            let response = self.send(request, fresh_only, &progress).await?;
-            self.read_body(response, timeout).await
-        };
-        self.with_timeout(exchange, timeout, &progress).await
-    }
-
     /// Runs `work` for at most `timeout`. If it takes longer after the request was written,
     /// drops all idle connections.
     async fn with_timeout<T>(
@@ -274,10 +321,14 @@
         timeout: Millis,
     ) -> Result<FullResponse, CallError> {
         let address = self.address;
+        let max_bytes = match response.status.is_server_error() {
+            true => MAX_ERROR_BYTES,
+            false => MAX_RESPONSE_BYTES,
+        };
         let mut body = BytesMut::new();
         let mut hold = BodyHold::open(self.pool.role());
         while let Some(part) = response.body.next(timeout).await? {
-            let limit = MAX_RESPONSE_BYTES;
+            let limit = max_bytes;
             (body.len() + part.len() <= limit)
                 .then_some(())
                 .context(TooLargeSnafu { address, limit })?;
--- a/standins/tests/integration/raw_answers.rs
+++ b/standins/tests/integration/raw_answers.rs
@@ -222,7 +222,8 @@
                 None => true,
                 Some((200, whole)) => whole || answer.name == "long",
                 Some((429 | 503, _)) => refused && runs == 0,
-                Some((status, _)) => matches!(status, 500 | 502 | 504),
+                // The head of a refusal says that the request did not run.
+                Some((status, _)) => !refused && matches!(status, 500 | 502 | 504),
             };
             if !is_true {
                 report.push(format!("answered {status:?}"));
@@ -381,6 +382,33 @@
     }
 }
 
+/// The bodies of server errors were read up to 4 MB. A message of a usual length still reaches
+/// the caller whole.
+#[tokio::test]
+async fn the_body_of_a_server_error_is_bounded() {
+    let (site, _server, relay) = open_plain().await;
+    restore(&site, "first").await;
+    for (length, expected) in [(200 * 1024, 500), (300 * 1024, 502)] {
+        let body = vec![b'x'; length];
+        let head = head!("500 Failed", "content-length: ");
+        let head = format!("{head}{length}\r\n\r\n");
+        let answer = RawAnswer {
+            bytes: [head.as_bytes(), &body].concat(),
+            end: RawEnd::Close,
+            pause: Millis(0),
+        };
+        relay.set_answers("/once/", [answer]);
+        let id = format!("error-{length}");
+        let headers = [("x-attempt-id", id.as_str())];
+        let answer = site
+            .send(0, Method::POST, "/once/x", &headers, "body")
+            .await;
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, expected, "{length} bytes");
+        assert_eq!(answer.body == body, expected == 500, "{length} bytes");
+    }
+}
+
 /// The heads of answers that break off after each of their bytes.
 fn broken_heads(framing: &str) -> Vec<RawAnswer> {
     let head = format!(
