Check by events, not by time, what a handover keeps

The test long_texts_of_a_leaving_engine_go_on_elsewhere failed at times ("1000 ms of 1804 ms were kept"). Its check was wrong, not the handover: it took each kept event for 20 ms and compared that with the time between the runs, in which a busy machine makes fewer events.

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -26,6 +26,7 @@
     platform::ATTEMPT_ID, //
 };
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError}, //
@@ -97,6 +98,8 @@
     event_time: Millis,
     /// The number of complete events sent in all runs.
     events: u64,
+    /// The number of events of the text of each item, up to the last one sent.
+    events_of: HashMap<String, u64>,
     faults: EngineFaults,
     /// The number of runs whose last event was sent.
     ended_runs: usize,
@@ -149,6 +152,7 @@
             state: Mutex::new(State {
                 event_time: Millis(5),
                 events: 0,
+                events_of: HashMap::new(),
                 faults: EngineFaults::default(),
                 ended_runs: 0,
                 started_at: Millis(FIRST_START),
@@ -237,6 +241,12 @@
         self.inner.state().events
     }
 
+    /// The number of events of the text of `item`, up to the last one that was sent here.
+    pub fn events_of(&self, item: &str) -> u64 {
+        let state = self.inner.state();
+        state.events_of.get(item).copied().unwrap_or(0)
+    }
+
     /// The accepted orders of the current incarnation: holder, fencing token and version.
     pub fn orders(&self) -> Vec<(String, u64, u64)> {
         self.inner.state().orders.clone()
@@ -535,7 +545,10 @@
         let (id, item) = (self.next, &self.item);
         let event = format!("{changed}id: {id}\ndata: {item}-{id}\n\n");
         self.next += 1;
-        self.engine.state().events += 1;
+        let mut state = self.engine.state();
+        state.events += 1;
+        state.events_of.insert(self.item.clone(), self.next);
+        drop(state);
         Some((Ok(Frame::data(event.into())), self))
     }
 }
