Send no request behind one that its server has answered but not read

A server may answer a call before it has read the call's long body.

Connection::is_ready waits at most 20 ms now; after that the connection is closed and the request goes over another one. The task that drives a connection needs less to see that an answer has ended; on a busy machine the price is a new connection.

The test a_request_does_not_wait_for_one_that_is_answered_but_not_read fails without the limit. The other new tests probe the matching of answers at the level of connections.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection to a peer, and what the peer has sent of an answer's head.
 
 use super::matching::RequestKey;
+use crate::base::Millis;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -38,6 +39,11 @@
 /// The most requests with an id that one connection carries, as it remembers them.
 const MAX_REQUESTS: usize = 256;
 
+/// How long the task that drives a connection may take to see that an answer has ended. A peer
+/// that has answered before it read the whole request may take longer than a caller has to read
+/// the rest.
+const READY_TIMEOUT: Millis = Millis(20);
+
 /// What has arrived on a connection that awaits no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum IdleState {
@@ -118,9 +124,12 @@
         self.requests.is_closed()
     }
 
-    /// Waits until a request can be sent; false if the connection is closed.
+    /// Waits until a request can be sent; false if the connection is closed, or if the request
+    /// before is still being written after [`READY_TIMEOUT`].
     pub(super) async fn is_ready(&mut self) -> bool {
-        self.requests.ready().await.is_ok()
+        let ready = self.requests.ready();
+        let ready = tokio::time::timeout(READY_TIMEOUT.as_duration(), ready).await;
+        matches!(ready, Ok(Ok(())))
     }
 
     /// Sends the request `key`, if it has an id, and waits for the head of the answer.
--- a/tests/integration/late_answers.rs
+++ b/tests/integration/late_answers.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
+    Method,
     Request,
     header::HeaderName, //
 };
@@ -12,7 +13,8 @@
 };
 use std::{
     io,
-    sync::{Arc, Mutex}, //
+    sync::{Arc, Mutex},
+    time::Duration, //
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -90,7 +92,11 @@
 /// The header of an answer that is asked for by `name=value` in the request's query.
 fn header_line(parameter: &str) -> String {
     match parameter.split_once('=') {
-        Some((name, value)) => format!("{name}: {value}\r\n"),
+        Some((name, value)) => {
+            let value = value.replace("%20", " ").replace("%09", "\t");
+            let value = value.replace("%22", "\"");
+            format!("{name}: {value}\r\n")
+        }
         None => String::new(),
     }
 }
@@ -286,3 +292,470 @@
     assert!(first.is_ok() && second.is_ok() && third.is_ok());
     assert_eq!(server.connections(), [0, 0, 1]);
 }
+
+/// What a server does on its first connection.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Reads the head of a request.
+    Head,
+    /// Reads the rest of a request's body.
+    Body,
+    /// Waits until what was sent has arrived.
+    Pause,
+    Send(&'static str),
+    /// Reads nothing for a time.
+    Stall,
+}
+
+/// How a request ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    /// It gets its own answer.
+    Own,
+    /// The answer to another request came in place of its own.
+    Foreign,
+    /// No whole answer came.
+    Broken,
+}
+
+/// A server whose first connection follows a list of steps. Each request after them and on other
+/// connections gets its own answer.
+struct ScriptedServer {
+    /// The connection of each request, in the order of the requests.
+    connections: Arc<Mutex<Vec<usize>>>,
+    /// One permit once the steps have ended.
+    done: Arc<Semaphore>,
+}
+
+/// How long bytes take to arrive.
+const DELIVERY_TIME: Duration = Duration::from_millis(20);
+
+/// How long a server reads nothing. A request that could be sent at once takes far less.
+const STALL_TIME: Duration = Duration::from_millis(2_500);
+
+impl ScriptedServer {
+    async fn open(steps: Vec<Step>) -> (Self, Peer) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = Self {
+            connections: Arc::default(),
+            done: Arc::new(Semaphore::new(0)),
+        };
+        let (connections, done) = (server.connections.clone(), server.done.clone());
+        tokio::spawn(async move {
+            for number in 0.. {
+                let Ok((stream, _)) = listener.accept().await else {
+                    return;
+                };
+                let (connections, done) = (connections.clone(), done.clone());
+                let steps = match number {
+                    0 => steps.clone(),
+                    _ => Vec::new(),
+                };
+                tokio::spawn(async move {
+                    let mut served = ScriptedConnection::new(number, connections, stream);
+                    let followed = served.follow(&steps).await;
+                    if number == 0 {
+                        done.add_permits(1);
+                    }
+                    followed?;
+                    served.answer_all().await
+                });
+            }
+        });
+        let peer = Peer::open_as("server", Matching::Id(ID), address, Clock::open());
+        (server, peer)
+    }
+
+    fn connections(&self) -> Vec<usize> {
+        self.connections.lock().unwrap().clone()
+    }
+}
+
+/// A connection to a [`ScriptedServer`].
+struct ScriptedConnection {
+    connections: Arc<Mutex<Vec<usize>>>,
+    /// The bytes of the request's body that are still to be read.
+    body: usize,
+    buffer: Vec<u8>,
+    id: String,
+    number: usize,
+    stream: TcpStream,
+}
+
+impl ScriptedConnection {
+    fn new(number: usize, connections: Arc<Mutex<Vec<usize>>>, stream: TcpStream) -> Self {
+        stream.set_nodelay(true).unwrap();
+        Self {
+            connections,
+            body: 0,
+            buffer: Vec::new(),
+            id: String::new(),
+            number,
+            stream,
+        }
+    }
+
+    async fn read_head(&mut self) -> io::Result<()> {
+        let end = loop {
+            if let Some(end) = self.buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+                break end + 4;
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        };
+        let rest = self.buffer.split_off(end);
+        let head = String::from_utf8(std::mem::replace(&mut self.buffer, rest)).unwrap();
+        let value = |name: &str| {
+            let line = head.lines().find_map(|line| line.strip_prefix(name));
+            line.unwrap_or_default().to_owned()
+        };
+        self.id = value("x-attempt-id: ");
+        self.body = value("content-length: ").parse().unwrap_or(0);
+        self.connections.lock().unwrap().push(self.number);
+        Ok(())
+    }
+
+    async fn read_body(&mut self) -> io::Result<()> {
+        while self.buffer.len() < self.body {
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        self.buffer.drain(..self.body);
+        Ok(())
+    }
+
+    async fn follow(&mut self, steps: &[Step]) -> io::Result<()> {
+        for step in steps {
+            match step {
+                Step::Head => self.read_head().await?,
+                Step::Body => self.read_body().await?,
+                Step::Pause => tokio::time::sleep(DELIVERY_TIME).await,
+                Step::Stall => tokio::time::sleep(STALL_TIME).await,
+                Step::Send(bytes) => self.stream.write_all(bytes.as_bytes()).await?,
+            }
+        }
+        Ok(())
+    }
+
+    async fn answer_all(&mut self) -> io::Result<()> {
+        loop {
+            self.read_head().await?;
+            self.read_body().await?;
+            let id = &self.id;
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: 3\r\n\r\nown");
+            self.stream.write_all(answer.as_bytes()).await?;
+        }
+    }
+}
+
+/// The own answer to the request with this id.
+macro_rules! own {
+    ($id:literal) => {
+        concat!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: ",
+            $id,
+            "\r\ncontent-length: 3\r\n\r\nown"
+        )
+    };
+}
+
+/// The answer to an earlier request.
+const LATE: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: z\r\ncontent-length: 4\r\n\r\nlate";
+
+/// Sends the request with this id and checks that nothing of another's answer is read.
+async fn ask(peer: &Peer, method: &Method, id: &str, body: usize) -> Outcome {
+    let request = Request::builder()
+        .method(method)
+        .uri("/x")
+        .header(ID, id)
+        .body(Full::new(Bytes::from(vec![0; body])));
+    let answer = match peer.call(request.unwrap(), TIMEOUT).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            assert!(error.verdict().may_have_run(), "{error}");
+            assert!(!matches!(error, CallError::Timeout { .. }), "{error}");
+            return match error {
+                CallError::Foreign { .. } => Outcome::Foreign,
+                _ => Outcome::Broken,
+            };
+        }
+    };
+    assert_eq!(answer.headers[ID], id);
+    assert!(!answer.headers.contains_key("x-late"));
+    let has_body = method != Method::HEAD && !matches!(answer.status.as_u16(), 204 | 304);
+    assert_eq!(answer.body, if has_body { "own" } else { "" });
+    Outcome::Own
+}
+
+/// What a server does, and how its first two requests end.
+struct ScriptTest {
+    steps: Vec<Step>,
+    method: Method,
+    /// The length of the first request's body.
+    body: usize,
+    first: Outcome,
+    second: Outcome,
+    /// Whether the second request goes over the first one's connection.
+    reused: bool,
+}
+
+impl ScriptTest {
+    async fn check(self) {
+        let Self {
+            steps,
+            method,
+            body,
+            first,
+            second,
+            reused,
+        } = self;
+        let name = format!("{method} {steps:?}");
+        let (server, peer) = ScriptedServer::open(steps).await;
+        assert_eq!(ask(&peer, &method, "a", body).await, first, "{name}");
+        if !reused {
+            let done = server.done.acquire();
+            let done = tokio::time::timeout(TIMEOUT.as_duration(), done).await;
+            drop(done.expect("the server has sent all"));
+        }
+        assert_eq!(ask(&peer, &Method::GET, "b", 0).await, second, "{name}");
+        let third = ask(&peer, &Method::GET, "c", 0).await;
+        assert_eq!(third, Outcome::Own, "{name}");
+        let connections = server.connections();
+        let second_on = usize::from(!reused);
+        // A connection that carried a foreign answer carries no other request.
+        let third_on = match second {
+            Outcome::Own => second_on,
+            Outcome::Foreign | Outcome::Broken => second_on + 1,
+        };
+        assert_eq!(connections, [0, second_on, third_on], "{name}");
+    }
+}
+
+/// Guards against bytes behind a complete answer that are read by the next request, also if they
+/// name it.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_behind_an_answer_are_read_by_no_request() {
+    let answers = [
+        (Method::GET, own!("a")),
+        (
+            Method::GET,
+            "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\ntransfer-encoding: chunked\r\n\r\n\
+             3\r\nown\r\n0\r\n\r\n",
+        ),
+        (
+            Method::GET,
+            "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\ntransfer-encoding: chunked\r\n\r\n\
+             3\r\nown\r\n0\r\nx-late: 1\r\n\r\n",
+        ),
+        (
+            Method::GET,
+            "HTTP/1.1 204 No Content\r\nx-attempt-id: a\r\n\r\n",
+        ),
+        (
+            Method::GET,
+            "HTTP/1.1 304 Not Modified\r\nx-attempt-id: a\r\ncontent-length: 4\r\n\r\n",
+        ),
+        (
+            Method::HEAD,
+            "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\ncontent-length: 4\r\n\r\n",
+        ),
+    ];
+    let bytes = [
+        LATE,
+        "HTTP/1.1 200 OK\r\nx-attempt-id: b\r\nx-late: 1\r\ncontent-length: 4\r\n\r\nlate",
+        "HTTP/1.1 200 OK\r\nx-late: 1\r\ncontent-length: 4\r\n\r\nlate",
+        "HTTP/1.1 200 OK\r\nx-attem",
+        "HTTP/1.1 103 Early Hints\r\nx-attempt-id: z\r\n\r\n",
+        "late",
+        "\r\n",
+    ];
+    for (method, answer) in answers {
+        for bytes in bytes {
+            for is_apart in [false, true] {
+                let joined: &'static str = format!("{answer}{bytes}").leak();
+                let sent = match is_apart {
+                    false => vec![Step::Send(joined)],
+                    true => vec![Step::Send(answer), Step::Send(bytes), Step::Pause],
+                };
+                let test = ScriptTest {
+                    steps: [vec![Step::Head], sent].concat(),
+                    method: method.clone(),
+                    body: 0,
+                    first: Outcome::Own,
+                    second: Outcome::Own,
+                    reused: false,
+                };
+                test.check().await;
+            }
+        }
+    }
+}
+
+/// More than a connection's buffers hold.
+const LONG_BODY: usize = 16 * 1024 * 1024;
+
+/// Guards against another request's answer that arrives before the own one: while the request is
+/// still being written, in parts, or with interim responses.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_answer_before_the_own_one_is_not_read() {
+    use Step::{Body, Head, Pause, Send};
+
+    let early = "HTTP/1.1 103 Early Hints\r\nx-attempt-id: z\r\nx-late: 1\r\n\r\n";
+    let continues = "HTTP/1.1 100 Continue\r\n\r\n";
+    let switching = "HTTP/1.1 101 Switching Protocols\r\nx-attempt-id: z\r\n\
+                     connection: upgrade\r\nupgrade: late\r\n\r\n";
+    let half = "HTTP/1.1 200 OK\r\nx-attempt-id: ";
+    let rest = "z\r\ncontent-length: 4\r\n\r\nlate";
+    let test = |steps: &[Step], first| ScriptTest {
+        steps: steps.to_vec(),
+        method: Method::GET,
+        body: 0,
+        first,
+        second: Outcome::Own,
+        reused: false,
+    };
+    let long = |steps: &[Step], first| ScriptTest {
+        body: LONG_BODY,
+        method: Method::POST,
+        ..test(steps, first)
+    };
+    let reused = |steps: &[Step], second| ScriptTest {
+        second,
+        reused: true,
+        ..test(steps, Outcome::Own)
+    };
+    let (a, b) = (own!("a"), own!("b"));
+    let (own, foreign) = (Outcome::Own, Outcome::Foreign);
+    for test in [
+        long(&[Head, Send(LATE), Pause, Body, Send(a)], foreign),
+        long(
+            &[Head, Send(half), Pause, Send(rest), Body, Send(a)],
+            foreign,
+        ),
+        // The own answer may come before the request is written, and other bytes behind it.
+        long(&[Head, Send(a), Send(LATE), Pause, Body], own),
+        test(&[Head, Send(LATE), Send(a)], foreign),
+        test(&[Head, Send(early), Send(LATE), Send(a)], foreign),
+        test(&[Head, Send(continues), Send(LATE), Send(a)], foreign),
+        test(&[Head, Send(switching), Send(a)], foreign),
+        // Half of the other answer waits as the next request is about to be written.
+        test(&[Head, Send(a), Send(half), Pause], own),
+        // It arrives after that.
+        reused(
+            &[Head, Send(a), Head, Send(half), Pause, Send(rest), Send(b)],
+            foreign,
+        ),
+        reused(
+            &[Head, Send(a), Head, Send(early), Send(LATE), Send(b)],
+            foreign,
+        ),
+        // An interim response has no content that a caller gets.
+        reused(&[Head, Send(early), Pause, Send(a)], own),
+        reused(&[Head, Send(continues), Send(a)], own),
+    ] {
+        test.check().await;
+    }
+}
+
+/// Guards against a request that waits, up to its timeout, for a server to read the rest of a
+/// request that it has answered already.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_does_not_wait_for_one_that_is_answered_but_not_read() {
+    let steps = vec![Step::Head, Step::Send(own!("a")), Step::Stall, Step::Body];
+    let (server, peer) = ScriptedServer::open(steps).await;
+    let first = ask(&peer, &Method::POST, "a", LONG_BODY).await;
+    assert_eq!(first, Outcome::Own);
+    assert_eq!(ask(&peer, &Method::GET, "b", 0).await, Outcome::Own);
+    assert_eq!(server.connections(), [0, 1]);
+}
+
+/// Guards against parts of another's answer in the place of an own answer's rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_short_is_not_completed_by_another() {
+    for cut in [
+        "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\now",
+        "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\ntransfer-encoding: chunked\r\n\r\n\
+         3\r\nown\r\n",
+        "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\n",
+    ] {
+        let test = ScriptTest {
+            steps: vec![Step::Head, Step::Send(cut), Step::Send(LATE)],
+            method: Method::GET,
+            body: 0,
+            first: Outcome::Broken,
+            second: Outcome::Own,
+            reused: false,
+        };
+        test.check().await;
+    }
+}
+
+/// Guards against bytes that arrive as the next request is being written: half of another's
+/// answer before it, the rest after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_arrives_around_the_next_request_is_not_read() {
+    const HALF: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: z\r\nx-late: 1\r\ncontent-len";
+    const REST: &str = "gth: 4\r\n\r\nlate";
+
+    for _ in 0..200 {
+        let steps = vec![
+            Step::Head,
+            Step::Send(own!("a")),
+            Step::Send(HALF),
+            Step::Head,
+            Step::Send(REST),
+            Step::Send(own!("b")),
+        ];
+        let (server, peer) = ScriptedServer::open(steps).await;
+        assert_eq!(ask(&peer, &Method::GET, "a", 0).await, Outcome::Own);
+        // The next request is on its way before the late bytes or after them.
+        let second = ask(&peer, &Method::GET, "b", 0).await;
+        let connections = server.connections();
+        let expected = match connections[1] {
+            0 => Outcome::Foreign,
+            _ => Outcome::Own,
+        };
+        assert_eq!(second, expected, "{connections:?}");
+        assert_eq!(ask(&peer, &Method::GET, "c", 0).await, Outcome::Own);
+        assert_ne!(server.connections()[2], 0);
+    }
+}
+
+/// Guards against ids that are taken for each other, or for none. The white space around an id is
+/// no part of it.
+#[tokio::test]
+async fn ids_are_compared_without_the_white_space_around_them() {
+    struct Test {
+        id: &'static str,
+        echoed: &'static str,
+        is_own: bool,
+    }
+
+    let test = |id, echoed, is_own| Test { id, echoed, is_own };
+    for test in [
+        test("a", "%20%20a%09", true),
+        test("a", "a,a", false),
+        test("a", "%22a%22", false),
+        test("a", "a%20a", false),
+        test("aB", "Ab", false),
+        test("a", "", false),
+        test("", "", true),
+        test("", "%20", true),
+        test("", "a", false),
+    ] {
+        let (server, peer) = Server::open().await;
+        let Test { id, echoed, is_own } = test;
+        let target = format!("/200?x-attempt-id={echoed}");
+        for _ in 0..2 {
+            let answer = peer.call(request(Some(id), &target), TIMEOUT).await;
+            assert_eq!(answer.is_ok(), is_own, "{id:?} {echoed:?}");
+        }
+        // An id goes once over a connection, also an empty one.
+        assert_eq!(server.connections(), [0, 1], "{id:?} {echoed:?}");
+    }
+}
