--- a/standins/tests/integration/late_answers.rs
+++ b/standins/tests/integration/late_answers.rs
@@ -20,6 +20,7 @@
         TestSite, //
     },
 };
+use redwingpond::base::Millis;
 use std::{
     collections::BTreeSet,
     panic::{AssertUnwindSafe, catch_unwind}, //
@@ -238,11 +239,12 @@
         self.wait_answered().await;
         let runs = self.runs_of(id);
         let mut violations = Vec::new();
-        if path != "/safe/late/x" && runs > 1 {
+        let is_safe = path.starts_with("/safe/");
+        if !is_safe && runs > 1 {
             violations.push(format!("{id}: {runs} runs"));
         }
         // The call may have run at the server whose second answer came in place of its own.
-        let may_be_lost = path != "/safe/late/x" && moment != LateMoment::WhileIdle;
+        let may_be_lost = !is_safe && moment != LateMoment::WhileIdle;
         let Some(answer) = answer else {
             if path != "/live/late/x" || !may_be_lost {
                 violations.push(format!("{id}: no answer"));
@@ -327,6 +329,110 @@
     violations
 }
 
+/// The paths of calls that are answered twice, and of calls that are hedged.
+const ANSWERED_TWICE: &str = "/safe/late/twice";
+const HEDGED: &str = "/safe/late/hedged";
+
+/// How long a server takes for a call that is hedged. A hedged attempt is sent after about 200 ms.
+const SLOW_TIME: Millis = Millis(1_000);
+
+/// Servers answer calls twice, the second time in place of both attempts of a hedged call. Its
+/// caller got the status, the headers and the body of another's answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hedged_call_is_not_answered_by_late_answers_to_others() {
+    let names = ["copy", "whole", "full", "failed", "bare", "twoIdsFull"];
+    let mut lates = late_answers();
+    lates.retain(|late| names.contains(&late.name));
+    assert_eq!(lates.len(), names.len());
+    let checks = lates.into_iter().map(check_hedged);
+    let violations = futures_util::future::join_all(checks).await.concat();
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Hedges calls until both attempts of one have met a late answer; returns what is wrong.
+async fn check_hedged(late: LateAnswer) -> Vec<String> {
+    let calls = CallSite::open(2).await;
+    calls.restore(&format!("before-{}", late.name)).await;
+    let mut violations = Vec::new();
+    for round in 0..MAX_CALLS {
+        let sent: Vec<usize> = calls.relays.iter().map(RepeatingRelay::sent).collect();
+        calls.set_repetition(Repetition {
+            answer: late.answer,
+            moment: LateMoment::BeforeNext,
+            reader: HEDGED,
+            skipped: 0,
+            source: ANSWERED_TWICE,
+        });
+        let name = format!("{}-{round}", late.name);
+        // One server after the other refuses calls, so that each answers one last.
+        for (refusing, id) in ["twice0", "twice1"].iter().enumerate() {
+            calls.servers[refusing].set_fault(PlainFault::Full);
+            calls.answer_twice(&format!("{name}-{id}")).await;
+            calls.servers[refusing].set_fault(PlainFault::None);
+        }
+
+        let id = format!("{name}-hedged");
+        let (wrong, both_run) = calls.check_hedged_call(&id).await;
+        violations.extend(wrong);
+        let mut relays = calls.relays.iter().zip(sent);
+        let both_late = relays.all(|(relay, sent)| relay.sent() > sent);
+        if both_run && both_late {
+            let after = calls.requests_after_late();
+            if !after.is_empty() {
+                violations.push(format!("{name}: on a connection after it: {after:?}"));
+            }
+            return violations;
+        }
+    }
+    violations.push(format!("{}: no two attempts met late answers", late.name));
+    violations
+}
+
+impl CallSite {
+    /// Calls the servers until the one that doesn't refuse calls has answered.
+    async fn answer_twice(&self, name: &str) {
+        let deadline = self.site.clock.now() + RESULTS_TIMEOUT;
+        for number in 0.. {
+            assert!(
+                self.site.clock.now() < deadline,
+                "{name}: no server answers"
+            );
+            let id = format!("{name}-{number}");
+            let answer = self.call(ANSWERED_TWICE, &id).await;
+            if answer.is_some_and(|answer| answer.status == 200) {
+                return;
+            }
+        }
+    }
+
+    /// Sends a call that both servers run at the same time, if it is hedged before the first has
+    /// run it. Returns what is wrong, and whether both have run it.
+    async fn check_hedged_call(&self, id: &str) -> (Vec<String>, bool) {
+        let set_time = |time| {
+            for server in &self.servers {
+                server.set_service_time(time);
+            }
+        };
+        set_time(SLOW_TIME);
+        let both_run = async {
+            let deadline = self.site.clock.now() + SLOW_TIME;
+            let both_run = loop {
+                let mut servers = self.servers.iter();
+                let both_run = servers.all(|server| server.runs_of(id) > 0);
+                if both_run || self.site.clock.now() >= deadline {
+                    break both_run;
+                }
+                sleep(1).await;
+            };
+            // A third attempt takes no longer than usual.
+            set_time(Millis(5));
+            both_run
+        };
+        let checked = self.check_call(HEDGED, LateMoment::BeforeNext, id);
+        tokio::join!(checked, both_run)
+    }
+}
+
 /// A server refuses a call twice, the second time when the call is tried again under its id
 /// and runs. The caller got a refusal of a call that ran.
 #[tokio::test(flavor = "multi_thread")]
