--- a/tests/integration/late_answers.rs
+++ b/tests/integration/late_answers.rs
@@ -353,13 +353,13 @@
                     _ => Vec::new(),
                 };
                 tokio::spawn(async move {
-                    let mut served = ScriptedConnection::new(number, connections, stream);
-                    let followed = served.follow(&steps).await;
+                    let mut carried = ScriptedConnection::new(number, connections, stream);
+                    let followed = carried.follow(&steps).await;
                     if number == 0 {
                         done.add_permits(1);
                     }
                     followed?;
-                    served.answer_all().await
+                    carried.answer_all().await
                 });
             }
         });
