Run bundles whose claim got no answer

What callers saw: items at no engine for the whole of an outage of the store that began as they were claimed, and once for 8 s around an outage.

Cause: a runner took a claim without an answer for not written and dropped the bundle. If the claim was written, the others had seen it and left the bundle to its holder.

The fix: only an error that says that nothing was written drops the bundle. Otherwise the runner runs it, as holder or as second runner. Claims are advisory: if this one was not written, another runner may run the bundle as well, and the first complete results count.

No log that was read shows a lost claim: runners had not read their items after 150 ms, or did not know each other. The test now waits until each runner runs items and has written two heartbeats, and no longer for a fixed time; it also checks that groups are left unclaimed.

--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -186,7 +186,9 @@
         self.fetch(id, offer.bundle);
     }
 
-    /// Runs the bundle if the claim was written; otherwise leaves it to its holder.
+    /// Runs the bundle if the claim was written or may have been; otherwise leaves it to its
+    /// holder. If an unknown claim was not written, another runner may run the bundle as well, and
+    /// the first complete results count.
     pub(super) fn on_claim_written(
         &mut self,
         claim: Claim,
@@ -205,13 +207,7 @@
             Ok(TransactionOutcome::Done { revision }) => {
                 let begun = batch.claims.contains_key(&bundle);
                 batch.set_claim(bundle, claim, revision, now);
-                match begun {
-                    true => self.resume(&id, bundle),
-                    false => {
-                        batch.own_bundles.insert(bundle, BundleState::Fetching);
-                        self.start(&id, bundle);
-                    }
-                }
+                self.start_claimed(&id, bundle, begun);
             }
             Ok(TransactionOutcome::Conflict { rows }) => {
                 let mut ours = false;
@@ -232,11 +228,31 @@
                     batch.own_bundles.remove(&bundle);
                 }
             }
-            Err(error) => {
-                tracing::info!(batch = id, bundle, %error, "outcome of a claim unknown");
+            Err(error) if error.is_not_done() => {
+                tracing::info!(batch = id, bundle, %error, "claim not written");
                 batch.own_bundles.remove(&bundle);
                 self.retry_at = now + STORE_RETRY_DELAY;
             }
+            // The other runners leave the bundle to this one if the claim was written.
+            Err(error) => {
+                tracing::info!(batch = id, bundle, %error, "outcome of a claim unknown: running the bundle");
+                self.retry_at = now + STORE_RETRY_DELAY;
+                let begun = batch.claims.contains_key(&bundle);
+                self.start_claimed(&id, bundle, begun);
+            }
+        }
+    }
+
+    /// Starts the runs of a claimed bundle. If another runner had `begun` it, they continue from
+    /// the texts that it saved, which can't be read while the store is unreachable.
+    fn start_claimed(&mut self, id: &str, bundle: u16, begun: bool) {
+        if begun && !self.store.is_unreachable() {
+            self.resume(id, bundle);
+            return;
+        }
+        if let Some(batch) = self.batches.get_mut(id) {
+            batch.own_bundles.insert(bundle, BundleState::Fetching);
+            self.start(id, bundle);
         }
     }
 }
--- a/standins/src/site/faults.rs
+++ b/standins/src/site/faults.rs
@@ -23,6 +23,9 @@
     pub late_writes: Option<(u64, Millis)>,
     /// `n`: every n-th write is applied, but never answered.
     pub lost_answers: Option<u64>,
+    /// `(n, outage)`: the n-th claim from now on is stored, but its answer is lost, and from then
+    /// on the store fails like this.
+    pub lost_claim: Option<(u64, Outage)>,
     pub outage: Outage,
     /// Added to the time of each answer.
     pub delay: Millis,
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -21,6 +21,7 @@
 use percent_encoding::percent_decode_str;
 use redwingpond::{
     base::{Clock, Millis},
+    batch::{WORK, WorkKey},
     duty::{Answer, text}, //
 };
 use serde::Deserialize;
@@ -45,11 +46,17 @@
     _server: Server,
 }
 
+/// One address of the store, with its own faults.
 struct Inner {
+    faults: Mutex<StoreFaults>,
+    shared: Arc<Shared>,
+}
+
+/// What all addresses of a store have in common.
+struct Shared {
     /// Counts up to wake held feed requests, after a write or a change of the faults.
     changed: watch::Sender<u64>,
     clock: Clock,
-    faults: Mutex<StoreFaults>,
     /// GET requests received.
     reads: AtomicU64,
     rows: Mutex<Rows>,
@@ -84,16 +91,37 @@
     }
 }
 
+impl WireTransaction {
+    /// Whether the transaction writes a runner's claim.
+    fn sets_claim(&self) -> bool {
+        let mut rows = self.set_keys.iter().filter(|row| row.table == WORK);
+        rows.any(|row| matches!(WorkKey::parse(&row.key), Some(WorkKey::Claim(_))))
+    }
+}
+
 impl Store {
     /// Starts an empty store on a free port.
     pub async fn open() -> io::Result<Self> {
-        let inner = Arc::new(Inner {
+        Self::open_address(Arc::new(Shared {
             changed: watch::Sender::new(0),
             clock: Clock::open(),
-            faults: Mutex::default(),
             reads: AtomicU64::new(0),
             rows: Mutex::default(),
             writes: AtomicU64::new(0),
+        }))
+        .await
+    }
+
+    /// Opens another address of the same store, with faults of its own: the store may fail for
+    /// some machines only.
+    pub async fn open_another(&self) -> io::Result<Self> {
+        Self::open_address(self.inner.shared.clone()).await
+    }
+
+    async fn open_address(shared: Arc<Shared>) -> io::Result<Self> {
+        let inner = Arc::new(Inner {
+            faults: Mutex::default(),
+            shared,
         });
         let answer = |inner: Arc<Inner>, request| async move { inner.answer(request).await };
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -113,7 +141,7 @@
 
     /// Forgets the history of changes; feeds that need it are answered with 410.
     pub fn forget_history(&self) {
-        lock(&self.inner.rows).forget_history();
+        lock(&self.inner.shared.rows).forget_history();
     }
 
     /// Writes a row with a JSON value as operators and backend servers do, regardless of
@@ -136,28 +164,35 @@
     fn write(&self, table: &str, part: &str, key: &str, value: Option<String>) {
         let row_key = (table.to_owned(), part.to_owned(), key.to_owned());
         // A transaction without expected revisions can't fail.
-        let _ = lock(&self.inner.rows).transact(&[], vec![(row_key, value)]);
+        let _ = lock(&self.inner.shared.rows).transact(&[], vec![(row_key, value)]);
         self.inner.notify_feeds();
     }
 
+    /// The value of a row; `None` if there is none or its value isn't valid base64.
+    pub fn row(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
+        let row_key = (table.to_owned(), part.to_owned(), key.to_owned());
+        let row = lock(&self.inner.shared.rows).row(&row_key)?;
+        BASE64_STANDARD.decode(row.value?).ok()
+    }
+
     /// The number of rows in a part, over all tables.
     pub fn rows_in_part(&self, part: &str) -> usize {
-        lock(&self.inner.rows).rows_in_part(part)
+        lock(&self.inner.shared.rows).rows_in_part(part)
     }
 
     /// The number of rows in a part of `table`.
     pub fn rows_in_table(&self, table: &str, part: &str) -> usize {
-        lock(&self.inner.rows).rows_in_table(table, part)
+        lock(&self.inner.shared.rows).rows_in_table(table, part)
     }
 
     /// The number of GET requests so far, answered or not.
     pub fn reads(&self) -> u64 {
-        self.inner.reads.load(Ordering::Relaxed)
+        self.inner.shared.reads.load(Ordering::Relaxed)
     }
 
     /// The number of transactions executed or delayed so far.
     pub fn writes(&self) -> u64 {
-        self.inner.writes.load(Ordering::Relaxed)
+        self.inner.shared.writes.load(Ordering::Relaxed)
     }
 }
 
@@ -179,7 +214,7 @@
             })
             .collect();
         if head.method == Method::GET {
-            self.reads.fetch_add(1, Ordering::Relaxed);
+            self.shared.reads.fetch_add(1, Ordering::Relaxed);
         }
         let faults = *lock(&self.faults);
         if let Some(answer) = self.outage_answer().await? {
@@ -192,14 +227,14 @@
             (Method::POST, "/redwingpond/rows-tx") => self.transact(&body, faults).await,
             (Method::GET, "/redwingpond/rows-get") => {
                 let limit = get("limit").parse().unwrap_or(500);
-                let rows = lock(&self.rows);
+                let rows = lock(&self.shared.rows);
                 let (found, more) = rows.list(get("table"), get("part"), get("from"), limit);
                 Ok(self.listing(StatusCode::OK, &rows, &found, more))
             }
             (Method::GET, "/redwingpond/rows-parts") => {
-                let rows = lock(&self.rows);
+                let rows = lock(&self.shared.rows);
                 let parts = rows.parts(get("table"));
-                let now = self.clock.now().0;
+                let now = self.shared.clock.now().0;
                 let body = serde_json::json!(
                     {"parts": parts, "hasMore": false, "ver": rows.revision, "nowMs": now}
                 );
@@ -230,7 +265,7 @@
     /// Executes a transaction request as the faults at its arrival demand.
     async fn transact(self: Arc<Self>, body: &[u8], faults: StoreFaults) -> io::Result<Answer> {
         let wire: WireTransaction = serde_json::from_slice(body).map_err(io::Error::other)?;
-        let count = self.writes.fetch_add(1, Ordering::Relaxed) + 1;
+        let count = self.shared.writes.fetch_add(1, Ordering::Relaxed) + 1;
         let due = |every: u64| count.is_multiple_of(every.max(1));
         if let Some((_, delay)) = faults.late_writes.filter(|(every, _)| due(*every)) {
             tokio::spawn(async move {
@@ -239,15 +274,40 @@
             });
             return std::future::pending().await;
         }
-        let answer = self.apply(&wire);
+        let answer = self.execute(&wire);
+        let is_lost = answer.status() == StatusCode::OK && wire.sets_claim() && self.lose_claim();
+        self.notify_feeds();
+        if is_lost {
+            return Err(io::Error::other("reset by an injected fault"));
+        }
         match faults.lost_answers.is_some_and(due) {
             true => std::future::pending().await,
             false => Ok(answer),
         }
     }
 
+    /// Whether the answer to a claim that was just stored is lost; the store then fails.
+    fn lose_claim(&self) -> bool {
+        let mut faults = lock(&self.faults);
+        let Some((count, outage)) = faults.lost_claim else {
+            return false;
+        };
+        let is_lost = count <= 1;
+        faults.lost_claim = (!is_lost).then_some((count - 1, outage));
+        if is_lost {
+            faults.outage = outage;
+        }
+        is_lost
+    }
+
+    /// Applies a transaction and wakes held feed requests.
+    fn apply(&self, wire: &WireTransaction) {
+        self.execute(wire);
+        self.notify_feeds();
+    }
+
     /// Applies a transaction; answers 412 with the expected rows if one of them has changed.
-    fn apply(&self, wire: &WireTransaction) -> Answer {
+    fn execute(&self, wire: &WireTransaction) -> Answer {
         let expected: Vec<(RowKey, u64)> = wire
             .expected_rev
             .iter()
@@ -259,23 +319,20 @@
             .map(|key| (key.row_key(), key.value.clone()));
         let removed = wire.remove.iter().map(|key| (key.row_key(), None));
         let changes = set.chain(removed).collect();
-        let mut rows = lock(&self.rows);
-        let answer = match rows.transact(&expected, changes) {
+        let mut rows = lock(&self.shared.rows);
+        match rows.transact(&expected, changes) {
             Ok(_) => self.listing(StatusCode::OK, &rows, &[], false),
             Err(found) => self.listing(StatusCode::PRECONDITION_FAILED, &rows, &found, false),
-        };
-        drop(rows);
-        self.notify_feeds();
-        answer
+        }
     }
 
     /// Answers with the changes of a table after a revision; waits up to `max_wait` for one.
     async fn feed(&self, table: &str, after: u64, max_wait: Millis) -> Answer {
-        let deadline = self.clock.now() + max_wait;
-        let mut changed = self.changed.subscribe();
+        let deadline = self.shared.clock.now() + max_wait;
+        let mut changed = self.shared.changed.subscribe();
         loop {
             {
-                let rows = lock(&self.rows);
+                let rows = lock(&self.shared.rows);
                 match rows.changes(table, after) {
                     None => return status(410),
                     Some(found) if !found.is_empty() => {
@@ -284,10 +341,10 @@
                     Some(_) => {}
                 }
             }
-            let left = deadline.since(self.clock.now());
+            let left = deadline.since(self.shared.clock.now());
             let unreachable = lock(&self.faults).outage != Outage::None;
             if left == Millis(0) || unreachable {
-                return self.listing(StatusCode::OK, &lock(&self.rows), &[], false);
+                return self.listing(StatusCode::OK, &lock(&self.shared.rows), &[], false);
             }
             let _ = tokio::time::timeout(left.as_duration(), changed.changed()).await;
         }
@@ -296,7 +353,7 @@
     /// An answer with rows, as JSON.
     fn listing(&self, status: StatusCode, rows: &Rows, found: &[Change], more: bool) -> Answer {
         let records: Vec<serde_json::Value> = found.iter().map(record).collect();
-        let now = self.clock.now().0;
+        let now = self.shared.clock.now().0;
         let body = serde_json::json!(
             {"records": records, "hasMore": more, "ver": rows.revision, "nowMs": now}
         );
@@ -305,7 +362,7 @@
 
     /// Wakes held feed requests.
     fn notify_feeds(&self) {
-        self.changed.send_modify(|count| *count += 1);
+        self.shared.changed.send_modify(|count| *count += 1);
     }
 }
 
--- a/standins/src/site/test_site.rs
+++ b/standins/src/site/test_site.rs
@@ -151,11 +151,17 @@
 
     /// Starts the runner of an engine, which reaches it at the address `engine`.
     pub fn start_runner_via(&mut self, index: usize, engine: SocketAddr) -> io::Result<()> {
-        let settings = RunnerSettings {
-            common: self.common(&format!("runner-{index}")),
-            engine,
-            service: "engines".to_owned(),
-        };
+        let settings = self.runner_settings(index, engine);
+        let runner = Runner::open(settings).map_err(io::Error::other)?;
+        self.runners[index] = Some(runner);
+        Ok(())
+    }
+
+    /// Starts the runner of an engine anew, which uses the store at the address `store`.
+    pub fn move_runner(&mut self, index: usize, store: SocketAddr) -> io::Result<()> {
+        self.runners[index] = None;
+        let mut settings = self.runner_settings(index, self.engines[index].address);
+        settings.common.store = store;
         let runner = Runner::open(settings).map_err(io::Error::other)?;
         self.runners[index] = Some(runner);
         Ok(())
@@ -336,6 +342,14 @@
         }
     }
 
+    fn runner_settings(&self, index: usize, engine: SocketAddr) -> RunnerSettings {
+        RunnerSettings {
+            common: self.common(&format!("runner-{index}")),
+            engine,
+            service: "engines".to_owned(),
+        }
+    }
+
     /// The settings that gateways and runners have in common.
     fn common(&self, instance: &str) -> SiteSettings {
         SiteSettings {
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -4,6 +4,7 @@
 mod integration {
     mod bad_input;
     mod call_queue;
+    mod claims;
     mod conditions;
     mod connections;
     mod crashes;
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -30,6 +30,48 @@
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
 
+/// Waits until `condition` holds, at most for `within`; returns whether it does.
+pub(super) async fn holds_within(
+    site: &TestSite,
+    within: Millis,
+    condition: impl Fn() -> bool,
+) -> bool {
+    let deadline = site.clock.now() + within;
+    while !condition() {
+        if site.clock.now() >= deadline {
+            return false;
+        }
+        sleep(10).await;
+    }
+    true
+}
+
+/// The last heartbeat of a runner in the store.
+pub(super) fn heartbeat(site: &TestSite, runner: usize) -> Option<Heartbeat> {
+    let name = format!("runner-{runner}");
+    let part = batch::heartbeat_part(&name);
+    let row = site.store.row(batch::WORK, &part, &name)?;
+    batch::decode("heartbeat", &row)
+}
+
+/// Waits until all runners work and know it of each other: each of them has written two
+/// heartbeats since all work.
+pub(super) async fn wait_for_runners(site: &TestSite) {
+    let runners = 0..site.engines.len();
+    let beats = || runners.clone().map(|runner| heartbeat(site, runner));
+    let all_work = || beats().all(|beat| beat.is_some_and(|beat| beat.working));
+    assert!(holds_within(site, RESULTS_TIMEOUT, all_work).await);
+    let sequences = || -> Vec<u64> { beats().flatten().map(|beat| beat.sequence).collect() };
+    let before = sequences();
+    let all_again = || {
+        sequences()
+            .iter()
+            .zip(&before)
+            .all(|(now, before)| *now >= before + 2)
+    };
+    assert!(holds_within(site, RESULTS_TIMEOUT, all_again).await);
+}
+
 /// Checks a finished batch: each item is listed once, with its complete text and its own
 /// score.
 pub(super) fn check_whole(batch: &Batch, results: &[ItemResult]) {
@@ -457,20 +499,38 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn unclaimed_groups_run_through_an_outage() {
     let site = TestSite::open(SiteOptions::default()).await.unwrap();
+    // Few groups are claimed until each runner has some.
     for engine in &site.engines {
-        engine.set_event_time(Millis(20));
+        engine.set_event_time(Millis(100));
     }
+    wait_for_runners(&site).await;
     let batch = Batch::new("dark", 12, 4, 10);
     assert_eq!(site.submit(0, &batch).await, Some(202));
-    sleep(150).await;
+    // Each runner has read items then, which it can't do during the outage.
+    let all_run = || site.engines.iter().all(|engine| !engine.runs().is_empty());
+    assert!(holds_within(&site, RESULTS_TIMEOUT, all_run).await);
+    let part = batch::batch_part(&batch.id);
+    let is_claimed = |group: &u16| {
+        let key = WorkKey::Claim(*group).to_string();
+        site.store.row(batch::WORK, &part, &key).is_some()
+    };
+    assert!(
+        !(0..12).all(|group| is_claimed(&group)),
+        "all groups are claimed"
+    );
     site.store.set_faults(StoreFaults {
         outage: Outage::Reset,
         ..StoreFaults::default()
     });
-    sleep(3_000).await;
-    let runs = site.engines.iter().flat_map(Engine::runs);
-    let begun: BTreeSet<String> = runs.map(|run| run.item).collect();
-    assert_eq!(begun.len(), 48, "items begun during the outage");
+    for engine in &site.engines {
+        engine.set_event_time(Millis(20));
+    }
+    let begun = || {
+        let runs = site.engines.iter().flat_map(Engine::runs);
+        runs.map(|run| run.item).collect::<BTreeSet<_>>().len()
+    };
+    holds_within(&site, RESULTS_TIMEOUT, || begun() == 48).await;
+    assert_eq!(begun(), 48, "items begun during the outage");
     site.store.set_faults(StoreFaults::default());
     check_whole(&batch, &site.read_results(&batch, 48, Millis(3_000)).await);
 }
