Revert "End a call at its deadline also where timers are late"

By reading, a call that only waited in the queue could end as one that may have run, as the check goes before the queue's own timer.

--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -38,11 +38,8 @@
 use hyper::Request;
 use std::{
     collections::HashMap,
-    future::poll_fn,
     net::SocketAddr,
-    pin::pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
-    task::Poll, //
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak}, //
 };
 
 /// Sends calls to backend servers and records how the servers perform. Shared by all calls
@@ -171,15 +168,8 @@
             return CallOutcome::TimedOut;
         }
         let left = call.deadline - now;
-        let mut run = pin!(CallRun::new(self, call).run());
-        // Timers fire late while the thread is busy, for instance with the bytes of an answer
-        // that never ends.
-        let run = poll_fn(|cx| match run.as_mut().poll(cx) {
-            Poll::Ready(outcome) => Poll::Ready(outcome),
-            Poll::Pending if self.site.now() >= call.deadline => Poll::Ready(CallOutcome::TimedOut),
-            Poll::Pending => Poll::Pending,
-        });
-        match tokio::time::timeout(left.as_duration(), run).await {
+        let run = CallRun::new(self, call);
+        match tokio::time::timeout(left.as_duration(), run.run()).await {
             Ok(outcome) => outcome,
             Err(_) => CallOutcome::TimedOut,
         }
