Return a server's own long failure whole, and wait once for idle connections

- Of a server error only 256 KB were read, so its caller got 502 in place of the answer, which callers get unchanged.
The bound is that of all answers again.
- A request waited 20 ms for each idle connection whose server had answered but not read the request before, up to 640 ms.
It waits 20 ms for all of them together.

The 12 tests of late answers at the level of connections and the 8 of raw answers pass.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -39,11 +39,6 @@
 /// The most requests with an id that one connection carries, as it remembers them.
 const MAX_REQUESTS: usize = 256;
 
-/// How long the task that drives a connection may take to see that an answer has ended. A peer
-/// that has answered before it read the whole request may take longer than a caller has to read
-/// the rest.
-const READY_TIMEOUT: Millis = Millis(20);
-
 /// What has arrived on a connection that awaits no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum IdleState {
@@ -124,11 +119,10 @@
         self.requests.is_closed()
     }
 
-    /// Waits until a request can be sent; false if the connection is closed, or if the request
-    /// before is still being written after [`READY_TIMEOUT`].
-    pub(super) async fn is_ready(&mut self) -> bool {
-        let ready = self.requests.ready();
-        let ready = tokio::time::timeout(READY_TIMEOUT.as_duration(), ready).await;
+    /// Waits at most `wait` until a request can be sent; false if the connection is closed, or
+    /// the request before is still being written then.
+    pub(super) async fn is_ready(&mut self, wait: Millis) -> bool {
+        let ready = tokio::time::timeout(wait.as_duration(), self.requests.ready()).await;
         matches!(ready, Ok(Ok(())))
     }
 
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -85,9 +85,9 @@
 /// The largest response body that is read into memory: several times a page of the store.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
-/// The largest body of a server error that is read into memory. These bodies are messages, and
-/// a server that fails is more likely to send bytes without end.
-const MAX_ERROR_BYTES: usize = 256 * 1024;
+/// How long a request waits for idle connections to be ready, all of them together. A connection
+/// is not ready while the peer, which has answered already, still reads the request before.
+const READY_TIMEOUT: Millis = Millis(20);
 
 /// How long the rest of a body that is not needed may take. Reading it to the end lets the next
 /// request use the connection.
@@ -321,14 +321,10 @@
         timeout: Millis,
     ) -> Result<FullResponse, CallError> {
         let address = self.address;
-        let max_bytes = match response.status.is_server_error() {
-            true => MAX_ERROR_BYTES,
-            false => MAX_RESPONSE_BYTES,
-        };
         let mut body = BytesMut::new();
         let mut hold = BodyHold::open(self.pool.role());
         while let Some(part) = response.body.next(timeout).await? {
-            let limit = max_bytes;
+            let limit = MAX_RESPONSE_BYTES;
             (body.len() + part.len() <= limit)
                 .then_some(())
                 .context(TooLargeSnafu { address, limit })?;
@@ -440,6 +436,7 @@
         if key.is_none() && matches!(self.matching, Matching::Id(_)) {
             return Grant::Place(self.pool.take_extra_place());
         }
+        let mut patience = READY_TIMEOUT;
         loop {
             let grant = match self.pool.take(key, fresh_only) {
                 Turn::Now(grant) => Some(grant),
@@ -450,8 +447,10 @@
                 Some(Grant::Place(place)) => return Grant::Place(place),
                 None => continue,
             };
-            if idle.connection.is_ready().await && self.is_empty(&idle.connection) {
-                return Grant::Idle(idle);
+            match idle.connection.is_ready(patience).await {
+                true if self.is_empty(&idle.connection) => return Grant::Idle(idle),
+                true => {}
+                false => patience = Millis(0),
             }
         }
     }
