--- a/src/runner/claims.rs
+++ b/src/runner/claims.rs
@@ -228,17 +228,18 @@
                     batch.own_bundles.remove(&bundle);
                 }
             }
-            Err(error) if error.is_not_done() => {
-                tracing::info!(batch = id, bundle, %error, "claim not written");
-                batch.own_bundles.remove(&bundle);
-                self.retry_at = now + STORE_RETRY_DELAY;
-            }
-            // The other runners leave the bundle to this one if the claim was written.
             Err(error) => {
-                tracing::info!(batch = id, bundle, %error, "outcome of a claim unknown: running the bundle");
                 self.retry_at = now + STORE_RETRY_DELAY;
-                let begun = batch.claims.contains_key(&bundle);
-                self.start_claimed(&id, bundle, begun);
+                // The other runners leave the bundle to this one if the claim was written. Without
+                // the items it would only take the slots of bundles that can run.
+                let runs = !error.is_not_done() && batch.has_items(bundle);
+                tracing::info!(batch = id, bundle, runs, %error, "claim not answered");
+                if runs {
+                    let begun = batch.claims.contains_key(&bundle);
+                    self.start_claimed(&id, bundle, begun);
+                } else {
+                    batch.own_bundles.remove(&bundle);
+                }
             }
         }
     }
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -134,6 +134,15 @@
         items
     }
 
+    /// Whether the items of `bundle` that this runner would run are in memory.
+    pub(super) fn has_items(&self, bundle: u16) -> bool {
+        let items = self.waiting(bundle);
+        let mut chunks = items
+            .iter()
+            .map(|index| self.head.items[usize::from(*index)].chunk);
+        chunks.all(|chunk| self.chunks.contains_key(&chunk))
+    }
+
     /// Whether the item at `index` has a result, in the log or in memory.
     fn has_result(&self, index: u16) -> bool {
         self.log.contains(index) || self.results.contains(index)
