--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -69,6 +69,7 @@
 
 impl<'de> Deserialize<'de> for Head {
     fn deserialize<D: Deserializer<'de>>(decoder: D) -> Result<Self, D::Error> {
+        // The derived function, which shadows the one of the trait.
         let mut head = Self::deserialize(decoder)?;
         let mut indices = head.bundles.iter().flat_map(|bundle| &bundle.items);
         if let Some(index) = indices.find(|index| usize::from(**index) >= head.items.len()) {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -2,7 +2,7 @@
 
 use super::{
     excerpt::excerpt,
-    server_entry::MAX_INTEGER, //
+    server_entry::MAX_VERSION, //
 };
 use crate::{
     base::Millis,
@@ -25,7 +25,7 @@
     Syntax { source: serde_json::Error },
     #[snafu(display("route `{}` has the unknown type `{}`", excerpt(route), excerpt(found)))]
     UnknownType { route: String, found: String },
-    #[snafu(display("version {version} is larger than {MAX_INTEGER}"))]
+    #[snafu(display("version {version} is larger than {MAX_VERSION}"))]
     Version { version: u64 },
 }
 
@@ -143,7 +143,7 @@
 pub fn read_config(value: &[u8]) -> Result<Config, ConfigError> {
     let wire: WireConfig = serde_json::from_slice(value).context(SyntaxSnafu)?;
     let version = wire.version;
-    ensure!(version <= MAX_INTEGER, VersionSnafu { version });
+    ensure!(version <= MAX_VERSION, VersionSnafu { version });
     let routes: Result<Vec<Route>, ConfigError> = wire.routes.into_iter().map(route).collect();
     let services = wire.services.into_iter().map(service).collect();
     let limits = Limits {
@@ -239,7 +239,7 @@
 /// gives `None`, as does a version that no trainer names: all later ones would count as older.
 pub fn read_named_version(value: &[u8]) -> Option<NamedVersion> {
     match serde_json::from_slice::<NamedVersion>(value) {
-        Ok(named) if named.version <= MAX_INTEGER => Some(named),
+        Ok(named) if named.version <= MAX_VERSION => Some(named),
         Ok(NamedVersion { version, .. }) => {
             tracing::warn!(version, "named weight version ignored: it is too large");
             None
--- a/src/platform/server_entry.rs
+++ b/src/platform/server_entry.rs
@@ -14,9 +14,9 @@
 };
 use std::net::SocketAddr;
 
-/// The largest integer that all writers of JSON represent exactly. No weight version is larger,
-/// and what is calculated with versions stays within 64 bits.
-pub(super) const MAX_INTEGER: u64 = (1 << 53) - 1;
+/// The largest version, of weights or of a configuration: the largest integer that all writers of
+/// JSON represent exactly. What is calculated with versions stays within 64 bits.
+pub(super) const MAX_VERSION: u64 = (1 << 53) - 1;
 
 /// The most requests that a server runs at once; servers run some tens. The slots of all engines
 /// of the largest site together stay within 32 bits.
@@ -24,7 +24,7 @@
 
 /// No server has started later than this: the year 2100. A runner takes its engine's reports from
 /// before the announced start for those of an earlier incarnation.
-const MAX_START: u64 = 4_102_444_800_000;
+const MAX_START_MS: u64 = 4_102_444_800_000;
 
 /// The longest name in an announcement, in bytes. Names are logged, and label metrics.
 const MAX_NAME_BYTES: usize = 1_024;
@@ -85,7 +85,7 @@
     ensure!(wire.address.port() > 0, PortSnafu);
     let (slots, start) = (wire.batch_slots, wire.born);
     ensure!(slots <= MAX_SLOTS, SlotsSnafu { slots });
-    ensure!(start <= MAX_START, StartSnafu { start });
+    ensure!(start <= MAX_START_MS, StartSnafu { start });
     for (field, name) in [("service", &wire.service), ("zone", &wire.zone)] {
         ensure!(name.len() <= MAX_NAME_BYTES, NameSnafu { field });
     }
@@ -93,7 +93,7 @@
         let field = "models";
         ensure!(name.len() <= MAX_NAME_BYTES, NameSnafu { field });
         let version = *version;
-        ensure!(version <= MAX_INTEGER, VersionSnafu { version });
+        ensure!(version <= MAX_VERSION, VersionSnafu { version });
     }
     Ok(Server {
         address: wire.address,
@@ -121,7 +121,7 @@
     Slots { slots: u32 },
     #[snafu(display("the start at {start} ms is later than that of any server"))]
     Start { start: u64 },
-    #[snafu(display("weight version {version} is larger than {MAX_INTEGER}"))]
+    #[snafu(display("weight version {version} is larger than {MAX_VERSION}"))]
     Version { version: u64 },
 }
 
--- a/src/policy/demand.rs
+++ b/src/policy/demand.rs
@@ -63,7 +63,7 @@
 /// The most workspaces in a row, for each service.
 const MAX_WORKSPACES: usize = 8;
 
-/// The most running calls of other instances that are believed of a workspace: more than all
+/// The most running calls of other instances that are counted for a workspace: more than all
 /// servers of a site run. The queue of calls adds its own to them.
 const MAX_RUNNING: u32 = 1 << 24;
 
--- a/src/runner/engine_state.rs
+++ b/src/runner/engine_state.rs
@@ -41,11 +41,9 @@
             .as_ref()
             .map_or(Millis(0), |server| server.incarnation.started_at);
         let fresh = self.report.as_ref().is_some_and(|received| {
-            // A report from before the announced start belongs to the previous
-            // incarnation. Combined with the new id, it named an incarnation that never
-            // existed and whose apparent crash counted against items just started. One that was
-            // requested after the announcement was seen shows that the announced start is
-            // wrong, as in an entry of another writer.
+            // A report from before the announced start belongs to the previous incarnation, and
+            // must not be combined with the new id. One that was requested after the announcement
+            // was seen shows that the announced start is wrong, as in an entry of another writer.
             let reported_start = received.report.started_at;
             let is_contradicted = announced_at.is_none_or(|seen| seen < received.asked_at);
             let is_before = reported_start.0 > 0 && reported_start < started && !is_contradicted;
--- a/standins/src/site/faulty_relay.rs
+++ b/standins/src/site/faulty_relay.rs
@@ -44,9 +44,8 @@
     pub pause: Millis,
 }
 
-/// The bytes of an endless answer that the operating system holds for the client: enough for
-/// 10 Gbit/s over a round trip of 0.2 ms. By itself it takes 4 MB on each connection, and copying
-/// what is never read takes processor time that a server's own machine would spend.
+/// The bytes of an endless answer that the operating system holds for a client. The default of
+/// several MB costs processor time that a server on another machine would spend.
 const SEND_BUFFER: usize = 256 * 1024;
 
 /// The requests to answer with other bytes.
--- a/standins/tests/integration/handover.rs
+++ b/standins/tests/integration/handover.rs
@@ -172,10 +172,12 @@
             runs.map(|run| self.leaving().events_of(&run.item))
         };
         let before: Vec<u64> = events().collect();
+        let deadline = self.site.clock.now() + RESULTS_TIMEOUT;
         while events()
             .zip(&before)
             .any(|(now, before)| now < before + more)
         {
+            assert!(self.site.clock.now() < deadline, "a run makes no events");
             sleep(POLL_INTERVAL).await;
         }
         events().collect()
