--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -60,7 +60,8 @@
     let runners = 0..site.engines.len();
     let beats = || runners.clone().map(|runner| heartbeat(site, runner));
     let all_work = || beats().all(|beat| beat.is_some_and(|beat| beat.working));
-    assert!(holds_within(site, RESULTS_TIMEOUT, all_work).await);
+    let work = holds_within(site, RESULTS_TIMEOUT, all_work).await;
+    assert!(work, "last heartbeats: {:?}", beats().collect::<Vec<_>>());
     let sequences = || -> Vec<u64> { beats().flatten().map(|beat| beat.sequence).collect() };
     let before = sequences();
     let all_again = || {
@@ -69,7 +70,8 @@
             .zip(&before)
             .all(|(now, before)| *now >= before + 2)
     };
-    assert!(holds_within(site, RESULTS_TIMEOUT, all_again).await);
+    let again = holds_within(site, RESULTS_TIMEOUT, all_again).await;
+    assert!(again, "heartbeats {before:?} and {:?}", sequences());
 }
 
 /// Checks a finished batch: each item is listed once, with its complete text and its own
