--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -23,7 +23,7 @@
         Mutex,
         OnceLock,
         PoisonError,
-        atomic::{AtomicU32, Ordering}, //
+        atomic::{AtomicU32, AtomicUsize, Ordering}, //
     },
 };
 use tokio::sync::{
@@ -121,6 +121,8 @@
     /// The id of the current incarnation.
     incarnation: Mutex<String>,
     load: Mutex<Load>,
+    /// Larger bodies are answered with 413.
+    max_body: AtomicUsize,
     /// Notified when a slot becomes free.
     slot_freed: Notify,
     /// The number of requests in progress.
@@ -144,6 +146,7 @@
             failing: AtomicU32::new(0),
             incarnation: Mutex::new(id.to_owned()),
             load: Mutex::default(),
+            max_body: AtomicUsize::new(usize::MAX),
             slot_freed: Notify::new(),
             open_requests: AtomicU32::new(0),
             runs: Mutex::default(),
@@ -216,6 +219,11 @@
         *lock(&self.inner.service_time) = service_time;
     }
 
+    /// Runs requests with bodies of more than `bytes`, and answers them with 413.
+    pub fn refuse_larger(&self, bytes: usize) {
+        self.inner.max_body.store(bytes, Ordering::Relaxed);
+    }
+
     /// The number of requests in progress.
     pub fn open_requests(&self) -> u32 {
         self.inner.open_requests.load(Ordering::Relaxed)
@@ -390,7 +398,11 @@
             PlainFault::TimesOut => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::OK,
         };
-        let mut answer = text(status, "text/plain", body);
+        let too_large = body.len() > self.max_body.load(Ordering::Relaxed);
+        let mut answer = match too_large {
+            true => text(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", "too large"),
+            false => text(status, "text/plain", body),
+        };
         let headers = answer.headers_mut();
         if fault == PlainFault::Foreign {
             headers.insert(ATTEMPT_ID, HeaderValue::from_static("another"));
