Count bodies on every deployment, and give up those that stop

Callers saw a gateway die: bodies of legal size that stop just short of their end stayed in memory until their route's deadline, and nothing counted them.

Every gateway now has the budget; without limits in the settings it follows an instance of 512 MB. All bodies go through one reader that reserves before it reads. A body that is arriving is a kind of its own: while memory is short, those that moved under 2 KB in 2 s are given up, the largest first, with 408, which is true as they have not run. At no shortage a slow body is read to its deadline. A request without a body is refused as well while more is held than the budget allows. Batches count their decoded and encoded parts.

--- a/src/duty/http_server.rs
+++ b/src/duty/http_server.rs
@@ -235,6 +235,18 @@
     }
 }
 
+/// The response to a request that has not run and never will: status 503, with `wait` as its
+/// `Retry-After` in fractional seconds, and one line of plain text.
+pub fn unavailable(wait: Millis, reason: &str) -> Answer {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut answer = text(status, "text/plain", format!("{reason}\n"));
+    let seconds = format!("{}.{:03}", wait.0 / 1_000, wait.0 % 1_000);
+    if let Ok(value) = hyper::header::HeaderValue::from_str(&seconds) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
 /// A response with `body`, whose content type is `kind`.
 pub fn text(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Answer {
     let body = Full::new(body.into()).map_err(|never| match never {});
--- a/src/gateway/memory.rs
+++ b/src/duty/memory.rs
@@ -1,14 +1,19 @@
-//! Counts what a gateway holds in memory for its callers, and cuts slow readers.
+//! Counts what a process holds in memory for its clients, and cuts those that make no progress
+//! while it is short.
 
+use super::{
+    Answer,
+    Connection, //
+};
 use crate::{
     base::{Clock, Millis, stable_hash},
-    duty::{Answer, Connection},
     policy::memory_budget::{
         HeldKind,
         HoldId,
         MemoryBudget,
         MemoryRefusal,
         MemoryRequest,
+        SlowHold,
         budget_size,
         spread_wait, //
     },
@@ -27,24 +32,48 @@
     collections::HashMap,
     io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{AtomicU64, Ordering}, //
+    },
     task::{Poll, ready}, //
 };
+use tokio::sync::Notify;
 
-/// The memory that a gateway holds for its callers, and its limit.
-pub(super) struct Memory {
+/// The memory that a process holds for its clients, and its limit.
+pub struct Memory {
     clock: Clock,
     state: Mutex<State>,
 }
 
 struct State {
     budget: MemoryBudget,
-    /// The connections that answers are written to.
-    readers: HashMap<HoldId, Arc<Connection>>,
+    /// The clients whose progress is watched.
+    clients: HashMap<HoldId, Client>,
+}
+
+/// The client that a hold waits for.
+#[derive(Clone)]
+enum Client {
+    /// It reads an answer.
+    Reader(Arc<Connection>),
+    /// It sends a body.
+    Sender(Arc<Upload>),
+}
+
+/// The progress of a body that is arriving.
+pub(super) struct Upload {
+    arrived: AtomicU64,
+    cut: Notify,
+    /// The request's id.
+    id: String,
 }
 
 /// Memory that is held until this is dropped.
-pub(super) struct Hold {
+pub struct Hold {
     bytes: usize,
     id: HoldId,
     memory: Arc<Memory>,
@@ -52,51 +81,81 @@
 
 /// Whose answer it is, and what it is.
 #[derive(Clone)]
-pub(super) struct Reader {
-    pub(super) connection: Option<Arc<Connection>>,
-    pub(super) kind: HeldKind,
+pub struct Reader {
+    pub connection: Option<Arc<Connection>>,
+    pub kind: HeldKind,
     /// Empty for callers without one.
-    pub(super) workspace: String,
+    pub workspace: String,
 }
 
-/// How often slow readers are looked for.
+/// How often stalled clients are looked for, while something is held and otherwise.
 const CHECK_INTERVAL: Millis = Millis(250);
+const IDLE_INTERVAL: Millis = Millis(1_000);
 
 impl Memory {
     /// An unused budget for a process with this memory limit, in bytes.
-    pub(super) fn open(limit: usize, clock: Clock) -> Arc<Self> {
+    pub fn open(limit: usize, clock: Clock) -> Arc<Self> {
         Arc::new(Self {
             clock,
             state: Mutex::new(State {
                 budget: MemoryBudget::new(budget_size(limit)),
-                readers: HashMap::new(),
+                clients: HashMap::new(),
             }),
         })
     }
 
     /// The bytes held.
-    pub(super) fn held(&self) -> usize {
+    pub fn held(&self) -> usize {
         self.state().budget.held()
     }
 
     /// Holds the memory that is asked for, if it fits.
-    pub(super) fn reserve(
-        self: &Arc<Self>,
-        request: MemoryRequest<'_>,
-    ) -> Result<Hold, MemoryRefusal> {
+    pub fn reserve(self: &Arc<Self>, request: MemoryRequest<'_>) -> Result<Hold, MemoryRefusal> {
         let reserved = self.state().budget.reserve(request, self.clock.now());
         reserved.map(|id| self.as_hold(id, request.bytes))
     }
 
+    /// Holds the memory for a body that is arriving, if it fits.
+    pub(super) fn reserve_upload(
+        self: &Arc<Self>,
+        bytes: usize,
+        id: &str,
+        workspace: &str,
+    ) -> Result<(Hold, Arc<Upload>), MemoryRefusal> {
+        let hold = self.reserve(MemoryRequest {
+            bytes,
+            kind: HeldKind::Upload,
+            workspace,
+        })?;
+        let upload = Arc::new(Upload {
+            arrived: AtomicU64::new(0),
+            cut: Notify::new(),
+            id: id.to_owned(),
+        });
+        let client = Client::Sender(upload.clone());
+        self.state().clients.insert(hold.id, client);
+        Ok((hold, upload))
+    }
+
+    /// Whether anything may be added at present; if not, how long a caller has to wait.
+    pub fn check_room(&self) -> Result<(), MemoryRefusal> {
+        let now = self.clock.now();
+        let mut state = self.state();
+        match state.budget.has_room() {
+            true => Ok(()),
+            false => Err(state.budget.refuse_full(now)),
+        }
+    }
+
     /// Records that the request `id` is refused, as `what` does not fit. Returns the time after
     /// which its caller may return.
-    pub(super) fn refuse(&self, id: &str, what: HeldKind, refusal: MemoryRefusal) -> Millis {
+    pub fn refuse(&self, id: &str, what: HeldKind, refusal: MemoryRefusal) -> Millis {
         let (held, budget) = {
             let state = self.state();
             (state.budget.held(), state.budget.size())
         };
         let wait = spread_wait(refusal.wait, stable_hash(&[id.as_bytes()]));
-        let (reason, wait_ms, what) = (refusal.reason, wait.0, name(what));
+        let (reason, wait_ms, what) = (refusal.reason, wait.0, what.name());
         tracing::warn!(
             id,
             held,
@@ -110,7 +169,7 @@
     }
 
     /// Counts an answer as held until the last of it was taken from the process.
-    pub(super) fn hold_answer(self: &Arc<Self>, answer: Answer, reader: Reader) -> Answer {
+    pub fn hold_answer(self: &Arc<Self>, answer: Answer, reader: Reader) -> Answer {
         let whole = answer.body().size_hint().exact();
         answer.map(|body| {
             let whole = whole.filter(|bytes| *bytes > 0);
@@ -126,15 +185,19 @@
         })
     }
 
-    /// Looks for slow readers, and updates the metrics, until the program ends.
-    pub(super) async fn run(self: Arc<Self>) {
+    /// Looks for stalled clients, and updates the metrics, until the program ends.
+    pub async fn run(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(CHECK_INTERVAL.as_duration()).await;
+            let wait = match self.held() {
+                0 => IDLE_INTERVAL,
+                _ => CHECK_INTERVAL,
+            };
+            tokio::time::sleep(wait.as_duration()).await;
             self.cut_slow();
             let state = self.state();
-            for kind in [HeldKind::Answer, HeldKind::Body, HeldKind::Page] {
+            for kind in HeldKind::ALL {
                 let held = state.budget.held_for(kind) as f64;
-                metrics::gauge!("redwing_memory_held_bytes", "kind" => name(kind)).set(held);
+                metrics::gauge!("redwing_memory_held_bytes", "kind" => kind.name()).set(held);
             }
         }
     }
@@ -142,16 +205,13 @@
     fn cut_slow(&self) {
         let now = self.clock.now();
         let mut state = self.state();
-        let State { budget, readers } = &mut *state;
-        for (id, connection) in readers.iter() {
-            budget.record_taken(*id, connection.written(), now);
+        let State { budget, clients } = &mut *state;
+        for (id, client) in clients.iter() {
+            budget.record_taken(*id, client.moved(), now);
         }
-        for reader in budget.cut_slow(now) {
-            let (held, taken) = (reader.bytes, reader.taken);
-            tracing::warn!(held, taken, "slow reader cut");
-            metrics::counter!("redwing_readers_cut_total").increment(1);
-            if let Some(connection) = readers.get(&reader.id) {
-                connection.cut();
+        for slow in budget.cut_slow(now) {
+            if let Some(client) = clients.get(&slow.id) {
+                client.cut(slow);
             }
         }
     }
@@ -167,7 +227,8 @@
         let mut state = self.state();
         let id = state.budget.hold(request, taken, self.clock.now());
         if let Some(connection) = connection {
-            state.readers.insert(id, connection.clone());
+            let client = Client::Reader(connection.clone());
+            state.clients.insert(id, client);
         }
         drop(state);
         self.as_hold(id, bytes)
@@ -183,9 +244,56 @@
     }
 }
 
+impl Client {
+    /// The bytes that the client has moved.
+    fn moved(&self) -> u64 {
+        match self {
+            Self::Reader(connection) => connection.written(),
+            Self::Sender(upload) => upload.arrived.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Ends what the client keeps in memory.
+    fn cut(&self, slow: SlowHold) {
+        let SlowHold { bytes, taken, .. } = slow;
+        match self {
+            Self::Reader(connection) => {
+                tracing::warn!(held = bytes, taken, "slow reader cut");
+                metrics::counter!("redwing_readers_cut_total").increment(1);
+                connection.cut();
+            }
+            Self::Sender(upload) => {
+                let id = &upload.id;
+                tracing::warn!(id, held = bytes, arrived = taken, "stalled body cut");
+                metrics::counter!("redwing_bodies_cut_total").increment(1);
+                upload.cut.notify_one();
+            }
+        }
+    }
+}
+
+impl Upload {
+    /// Counts bytes that have arrived.
+    pub(super) fn add(&self, bytes: usize) {
+        self.arrived.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Waits until the body is to be given up.
+    pub(super) async fn cut(&self) {
+        self.cut.notified().await;
+    }
+}
+
 impl Hold {
+    /// The body that is held has arrived whole.
+    pub(super) fn set_arrived(&mut self) {
+        let mut state = self.memory.state();
+        state.budget.set_arrived(self.id);
+        state.clients.remove(&self.id);
+    }
+
     /// Raises the hold to `bytes`, if that fits.
-    pub(super) fn grow(&mut self, bytes: usize) -> Result<(), MemoryRefusal> {
+    pub fn grow(&mut self, bytes: usize) -> Result<(), MemoryRefusal> {
         let now = self.memory.clock.now();
         self.memory.state().budget.grow(self.id, bytes, now)?;
         self.bytes = bytes;
@@ -194,7 +302,7 @@
 
     /// The same content, which holds the memory until the last of its clones and slices is
     /// dropped.
-    pub(super) fn attach(self, content: Bytes) -> Bytes {
+    pub fn attach(self, content: Bytes) -> Bytes {
         Bytes::from_owner(HeldBytes {
             content,
             _hold: self,
@@ -207,7 +315,7 @@
         let now = self.memory.clock.now();
         let mut state = self.memory.state();
         state.budget.release(self.id, now);
-        state.readers.remove(&self.id);
+        state.clients.remove(&self.id);
     }
 }
 
@@ -261,12 +369,3 @@
         self.body.size_hint()
     }
 }
-
-/// The name of a kind in logs and metrics.
-fn name(kind: HeldKind) -> &'static str {
-    match kind {
-        HeldKind::Answer => "answer",
-        HeldKind::Body => "body",
-        HeldKind::Page => "page",
-    }
-}
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -6,11 +6,13 @@
 //! are unbounded, so they carry nothing whose rate a caller controls.
 
 mod admin;
+mod body;
 mod connection;
 mod control;
 mod handle;
 mod http_server;
 mod log;
+mod memory;
 mod signals;
 mod supervisor;
 mod telemetry;
@@ -18,11 +20,15 @@
 
 pub use self::{
     admin::{AdminRoute, serve_admin},
+    body::{BodyError, BodyReader},
     connection::Connection,
     control::{ControlMessage, Phase},
     handle::ProgramHandle,
-    http_server::{Answer, HttpLimits, HttpServer, json, problem, problem_details, text},
+    http_server::{
+        Answer, HttpLimits, HttpServer, json, problem, problem_details, text, unavailable,
+    },
     log::{LogGuard, open_log, open_stdout_log},
+    memory::{Hold, Memory, Reader},
     signals::wait_for_stop,
     supervisor::{Health, Supervisor, SupervisorMessage},
     telemetry::render_metrics,
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -1,9 +1,6 @@
 //! Answers trainers' calls about batches: submission, results, bodies of items, end.
 
-use super::{
-    memory::{Hold, Memory},
-    reply, //
-};
+use super::reply;
 use crate::{
     base::{Clock, Millis},
     batch::{
@@ -23,7 +20,7 @@
         read_page,
         stored_name, //
     },
-    duty::Answer,
+    duty::{Answer, Hold, Memory},
     platform::{MAX_READ_ROWS, Store, read_submission, write_page},
     policy::memory_budget::{HeldKind, MemoryRefusal, MemoryRequest},
     store::{Key, StoreError, Transaction, TransactionOutcome},
@@ -41,8 +38,8 @@
     clock: Clock,
     /// Cached heads of batches, by stored name. A head never changes.
     cached_heads: Mutex<HashMap<String, Arc<Head>>>,
-    /// The budget for pages that are read; `None` without a limit.
-    memory: Option<Arc<Memory>>,
+    /// The budget for pages that are read.
+    memory: Arc<Memory>,
     site: Arc<Site>,
     store: Store,
 }
@@ -98,7 +95,7 @@
 
 impl Batches {
     /// Answers calls from `store`; pages count toward the budget of `memory`.
-    pub(super) fn new(site: &Arc<Site>, store: &Store, memory: Option<Arc<Memory>>) -> Self {
+    pub(super) fn new(site: &Arc<Site>, store: &Store, memory: Arc<Memory>) -> Self {
         Self {
             clock: site.clock,
             cached_heads: Mutex::new(HashMap::new()),
@@ -390,22 +387,19 @@
         Ok(Some(head))
     }
 
-    /// Reserves memory for a page that is going to be read, if there is a budget.
-    fn reserve_page(&self, workspace: &str) -> Result<Option<Hold>, MemoryRefusal> {
-        let request = MemoryRequest {
+    /// Reserves memory for a page that is going to be read.
+    fn reserve_page(&self, workspace: &str) -> Result<Hold, MemoryRefusal> {
+        self.memory.reserve(MemoryRequest {
             bytes: PAGE_BYTES,
             kind: HeldKind::Page,
             workspace,
-        };
-        let memory = self.memory.as_ref();
-        memory.map(|memory| memory.reserve(request)).transpose()
+        })
     }
 
     /// The response to a trainer whose page doesn't fit.
     fn refuse_page(&self, id: &str, refusal: MemoryRefusal) -> Answer {
-        let memory = self.memory.as_ref();
-        let wait = memory.map(|memory| memory.refuse(id, HeldKind::Page, refusal));
-        reply::refusal(wait.unwrap_or(refusal.wait), "no memory for the page")
+        let wait = self.memory.refuse(id, HeldKind::Page, refusal);
+        reply::refusal(wait, "no memory for the page")
     }
 
     fn cached_heads(&self) -> std::sync::MutexGuard<'_, HashMap<String, Arc<Head>>> {
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -1,109 +1,47 @@
-//! Reads the bodies of requests.
+//! Answers callers whose bodies can't be read.
 
-use super::{
-    memory::Memory,
-    reply, //
-};
+use super::reply;
 use crate::{
-    duty::{Answer, Connection},
-    policy::memory_budget::{HeldKind, MemoryRefusal, MemoryRequest},
-};
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
+    duty::{Answer, BodyError, Connection, Memory},
+    policy::memory_budget::HeldKind, //
 };
 use hyper::{
     StatusCode,
     Version,
-    body::{Body, Incoming},
     header::{CONNECTION, HeaderValue},
     http::request::Parts, //
 };
 use std::sync::Arc;
 
-/// How a body is read into memory of a budget.
-pub(super) struct BudgetedRead<'a> {
-    /// How many copies of the body the gateway will hold.
-    pub(super) copies: usize,
-    /// The request's id.
-    pub(super) id: &'a str,
-    /// The maximum size in bytes.
-    pub(super) limit: usize,
-    pub(super) memory: &'a Arc<Memory>,
-    /// Empty for a caller without one.
-    pub(super) workspace: &'a str,
+/// The bytes of memory that a call takes for a body of `bytes`.
+pub(super) fn call_price(bytes: usize) -> usize {
+    bytes
 }
 
-/// The first reservation for a body whose length is unknown, in bytes.
-const FIRST_BYTES: usize = 16 * 1024;
-
-/// Reads a request's body of at most `limit` bytes, or answers the caller.
-pub(super) async fn read(body: Incoming, limit: usize) -> Result<Bytes, Answer> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-        Err(error) => {
-            tracing::debug!(%error, "request body could not be read");
-            Err(broke_off())
-        }
-    }
+/// The bytes of memory that a batch takes for a body of `bytes`: its items are decoded,
+/// encoded and sent to the store in parts.
+pub(super) fn batch_price(bytes: usize) -> usize {
+    bytes + 4 * bytes.min(MAX_PART_BYTES)
 }
 
-impl BudgetedRead<'_> {
-    /// Reads a request's body, which counts as held until it is dropped, or answers the caller.
-    /// A body that doesn't fit is refused before it is read, or, if its length wasn't
-    /// announced, when it can't grow.
-    pub(super) async fn read(&self, mut body: Incoming) -> Result<Bytes, Answer> {
-        let announced = body.size_hint().exact().map(|bytes| bytes as usize);
-        if announced == Some(0) {
-            return Ok(Bytes::new());
+/// The most bytes of a body that are in one request to the store.
+const MAX_PART_BYTES: usize = 1024 * 1024;
+
+/// The response to the request `id`, whose body was not read to its end.
+pub(super) fn refuse(error: &BodyError, id: &str, memory: &Memory) -> Answer {
+    match error {
+        BodyError::Broken { source } => {
+            tracing::debug!(error = %source, "request body could not be read");
+            reply::status(StatusCode::BAD_REQUEST, "the body broke off")
         }
-        if announced.is_some_and(|bytes| bytes > self.limit) {
-            return Err(too_large());
+        BodyError::Cut => reply::status(StatusCode::REQUEST_TIMEOUT, "the body stopped arriving"),
+        BodyError::Refused { refusal } => {
+            let wait = memory.refuse(id, HeldKind::Body, *refusal);
+            reply::refusal(wait, "no memory for the body")
         }
-        let first = announced.unwrap_or(FIRST_BYTES.min(self.limit));
-        let request = MemoryRequest {
-            bytes: first * self.copies,
-            kind: HeldKind::Body,
-            workspace: self.workspace,
-        };
-        let mut hold = self
-            .memory
-            .reserve(request)
-            .map_err(|refusal| self.refuse(refusal))?;
-        let mut content = BytesMut::with_capacity(first);
-        let mut room = first;
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| {
-                tracing::debug!(%error, "request body could not be read");
-                broke_off()
-            })?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let length = content.len() + data.len();
-            if length > self.limit {
-                return Err(too_large());
-            }
-            if length > room {
-                room = length.max(room * 2).min(self.limit);
-                let grown = hold.grow(room * self.copies);
-                grown.map_err(|refusal| self.refuse(refusal))?;
-                content.reserve(room - content.len());
-            }
-            content.extend_from_slice(&data);
+        BodyError::TooLarge { .. } => {
+            reply::status(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         }
-        Ok(hold.attach(content.freeze()))
-    }
-
-    fn refuse(&self, refusal: MemoryRefusal) -> Answer {
-        let wait = self.memory.refuse(self.id, HeldKind::Body, refusal);
-        reply::refusal(wait, "no memory for the body")
     }
 }
 
@@ -119,15 +57,7 @@
     }
 }
 
-fn too_large() -> Answer {
-    reply::status(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
-}
-
 /// The response to a request whose body did not arrive by its deadline.
 pub(super) fn too_late() -> Answer {
     reply::status(StatusCode::REQUEST_TIMEOUT, "the body came too late")
 }
-
-fn broke_off() -> Answer {
-    reply::status(StatusCode::BAD_REQUEST, "the body broke off")
-}
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -3,9 +3,8 @@
 use super::{
     access::{self, AccessControl, Admitted, BatchScope},
     batches::{Batches, Submitter, store_failed},
-    body::{self, BudgetedRead},
+    body,
     buffered,
-    memory::Reader,
     pressure::Pressure,
     reply,
     streams, //
@@ -13,7 +12,7 @@
 use crate::{
     base::{Clock, Fingerprint, FingerprintInput, Millis},
     calls::{Call, Dispatcher},
-    duty::{Answer, Connection, Context, Phase},
+    duty::{Answer, BodyReader, Connection, Context, Phase, Reader},
     platform::{self, BatchCall, Ingress},
     policy::{call_queue::Urgency, memory_budget::HeldKind},
     routing::{Route, RouteKind, Workspace}, //
@@ -195,27 +194,23 @@
         let limit = admitted.config.limits.max_body;
         let deadline = deadline_of(arrived, &admitted.route, head);
         let time_left = deadline.since(self.clock.now()).as_duration();
-        let Some(memory) = &self.pressure.memory else {
-            let read = tokio::time::timeout(time_left, body::read(body, limit));
-            return read.await.map_err(|_| body::too_late())?;
-        };
+        let memory = &self.pressure.memory;
         let id = head.headers.get(platform::ATTEMPT_ID);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let workspace = admitted.workspace.as_ref();
-        let reading = BudgetedRead {
-            // The decoded items of a batch take as much as its body.
-            copies: match is_submission(&admitted.route, head) {
-                true => 2,
-                false => 1,
-            },
-            id: id.and_then(|id| id.to_str().ok()).unwrap_or_default(),
+        let reader = BodyReader {
+            id,
             limit,
             memory,
+            price: match is_submission(&admitted.route, head) {
+                true => body::batch_price,
+                false => body::call_price,
+            },
             workspace: workspace.map_or("", |workspace| workspace.name.as_str()),
         };
-        let read = tokio::time::timeout(time_left, reading.read(body));
-        let mut answer = match read.await {
+        let mut answer = match tokio::time::timeout(time_left, reader.read(body)).await {
             Ok(Ok(body)) => return Ok(body),
-            Ok(Err(answer)) => answer,
+            Ok(Err(error)) => body::refuse(&error, id, memory),
             Err(_) => body::too_late(),
         };
         body::close_unread(head, &mut answer);
@@ -224,15 +219,12 @@
 
     /// Counts an answer toward the memory budget until its caller has read it.
     fn hold_answer(&self, answer: Answer, head: &Parts, kind: HeldKind, workspace: &str) -> Answer {
-        let Some(memory) = &self.pressure.memory else {
-            return answer;
-        };
         let reader = Reader {
             connection: head.extensions.get::<Arc<Connection>>().cloned(),
             kind,
             workspace: workspace.to_owned(),
         };
-        memory.hold_answer(answer, reader)
+        self.pressure.memory.hold_answer(answer, reader)
     }
 }
 
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -4,14 +4,15 @@
     access::AccessControl,
     batches::Batches,
     frontend::Frontend,
-    memory::Memory,
     pressure::Pressure,
     readiness::is_ready, //
 };
 use crate::{
     base::{Clock, Millis},
     calls::{Dispatcher, LoadControl},
-    duty::{self, AdminRoute, DutyError, HttpLimits, HttpServer, ProgramHandle, serve_admin},
+    duty::{
+        self, AdminRoute, DutyError, HttpLimits, HttpServer, Memory, ProgramHandle, serve_admin,
+    },
     platform::Store,
     policy::quarantine::CrashPolicy,
     relay::{Identity, Relay},
@@ -39,7 +40,7 @@
     /// The address for callers and trainers.
     pub callers: SocketAddr,
     pub handle: ProgramHandle,
-    memory: Option<Arc<Memory>>,
+    memory: Arc<Memory>,
     /// The address of the metrics endpoint.
     pub metrics: SocketAddr,
     /// The address of the readiness check.
@@ -159,15 +160,15 @@
         Ok(Self {
             callers: addresses.0,
             handle,
-            memory: pressure.memory,
+            memory: pressure.memory.clone(),
             metrics: addresses.1,
             ready: addresses.2,
         })
     }
 
-    /// The bytes that the gateway holds for its callers; 0 if it has no memory budget.
+    /// The bytes that the gateway holds for its callers.
     pub fn held_bytes(&self) -> usize {
-        self.memory.as_ref().map_or(0, |memory| memory.held())
+        self.memory.held()
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,6 @@
 mod frontend;
 mod gateway_handle;
 mod lag;
-mod memory;
 mod pressure;
 mod readiness;
 mod reply;
--- a/src/gateway/pressure.rs
+++ b/src/gateway/pressure.rs
@@ -1,24 +1,20 @@
 //! What protects a gateway from more callers than its instance can bear.
 
-use super::{
-    lag::LagWatch,
-    memory::Memory, //
-};
+use super::lag::LagWatch;
 use crate::{
     base::Clock,
-    duty::HttpLimits,
+    duty::{HttpLimits, Memory},
     platform::Store,
     policy::memory_budget::max_connections,
     settings::SiteSettings, //
 };
 use std::sync::Arc;
 
-/// The protections that the settings switch on. Without any of them, callers are served as if
-/// they did not exist.
-#[derive(Clone, Default)]
+/// The protections of a gateway: its memory, and what the settings switch on.
+#[derive(Clone)]
 pub(super) struct Pressure {
     pub(super) lag: Option<Arc<LagWatch>>,
-    pub(super) memory: Option<Arc<Memory>>,
+    pub(super) memory: Arc<Memory>,
 }
 
 /// The send buffer of a caller's connection, in bytes. By itself, Linux buffers up to 4 MB for a
@@ -29,14 +25,11 @@
 impl Pressure {
     /// The protections for a gateway with these settings.
     pub(super) fn open(settings: &SiteSettings, store: &Store, clock: Clock) -> Self {
-        let limits = settings.limits;
-        let has_limits = limits.descriptors.is_some() || limits.memory.is_some();
-        if !settings.features.memory || !has_limits {
-            return Self::default();
-        }
+        let watched = settings.features.memory;
+        let lag = watched.then(|| LagWatch::open(&settings.instance, store.clone(), clock));
         Self {
-            lag: Some(LagWatch::open(&settings.instance, store.clone(), clock)),
-            memory: limits.memory.map(|limit| Memory::open(limit, clock)),
+            lag,
+            memory: Memory::open(settings.limits.memory(), clock),
         }
     }
 
@@ -61,8 +54,6 @@
         if let Some(lag) = &self.lag {
             tokio::spawn(lag.clone().run());
         }
-        if let Some(memory) = &self.memory {
-            tokio::spawn(memory.clone().run());
-        }
+        tokio::spawn(self.memory.clone().run());
     }
 }
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -1,7 +1,8 @@
 //! Builds the responses to callers.
 
+pub(super) use crate::duty::unavailable as refusal;
+
 use crate::{
-    base::Millis,
     duty::Answer,
     net,
     platform, //
@@ -13,8 +14,7 @@
 };
 use hyper::{
     Response,
-    StatusCode,
-    header::{HeaderValue, RETRY_AFTER}, //
+    StatusCode, //
 };
 
 /// A response with this status and one line of plain text.
@@ -27,17 +27,6 @@
     crate::duty::text(StatusCode::OK, "application/json", body)
 }
 
-/// The response to a request that has not run and never will: status 503, with `wait`
-/// as its `Retry-After` in fractional seconds.
-pub(super) fn refusal(wait: Millis, text: &str) -> Answer {
-    let mut answer = status(StatusCode::SERVICE_UNAVAILABLE, text);
-    let seconds = format!("{}.{:03}", wait.0 / 1_000, wait.0 % 1_000);
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        answer.headers_mut().insert(RETRY_AFTER, value);
-    }
-    answer
-}
-
 /// The response of a backend server, without the headers that are not forwarded.
 pub(super) fn from_server(answer: net::FullResponse) -> Answer {
     let body = Full::new(answer.body).map_err(|never| match never {});
--- a/src/policy/memory_budget.rs
+++ b/src/policy/memory_budget.rs
@@ -15,10 +15,27 @@
 pub enum HeldKind {
     /// A response that is being written to its caller.
     Answer,
-    /// A request body that is being read or forwarded.
+    /// A request body that has arrived and is being forwarded or stored.
     Body,
     /// A page of a batch's results, being read or being written to its trainer.
     Page,
+    /// A request body that is arriving.
+    Upload,
+}
+
+impl HeldKind {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [Self::Answer, Self::Body, Self::Page, Self::Upload];
+
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Body => "body",
+            Self::Page => "page",
+            Self::Upload => "upload",
+        }
+    }
 }
 
 /// Identifies one hold of a budget.
@@ -54,12 +71,13 @@
     pub wait: Millis,
 }
 
-/// An answer whose reader is to be cut.
+/// A hold that is to be cut, as its client makes no progress.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct SlowReader {
+pub struct SlowHold {
     pub bytes: usize,
     pub id: HoldId,
-    /// The bytes that its connection has taken since the answer began.
+    pub kind: HeldKind,
+    /// The bytes that were moved since the hold began.
     pub taken: u64,
 }
 
@@ -84,20 +102,21 @@
 #[derive(Debug)]
 struct Hold {
     bytes: usize,
-    /// Its reader is being cut.
+    /// Its client is being cut.
     cut: bool,
     kind: HeldKind,
-    /// The reader's progress, for answers and pages.
+    /// The client's progress, for what is arriving or being read.
     progress: Progress,
     workspace: String,
 }
 
-/// How much a connection has taken, counted over all that was sent on it.
+/// How much a client has moved: what its connection has taken in all, or what has arrived of a
+/// body.
 #[derive(Clone, Copy, Debug)]
 struct Progress {
-    /// When it last took something.
+    /// When it last moved something.
     at: Millis,
-    /// What it had taken when the answer began.
+    /// What it had moved when the hold began.
     first: u64,
     latest: u64,
 }
@@ -120,9 +139,13 @@
 /// Bodies of at most this many bytes may use the reserve.
 pub const SMALL_BODY: usize = 64 * 1024;
 
-/// How long a reader may take nothing before it can be cut.
+/// How long a client may move nothing before it can be cut.
 pub const STALL_TIME: Millis = Millis(2_000);
 
+/// The least that counts as progress of a body, in bytes. A client that sends single bytes
+/// would never be cut otherwise.
+const LEAST_ARRIVED: u64 = 2 * 1024;
+
 /// What the program itself needs, in bytes: connections, tables and code.
 const PROGRAM_BYTES: usize = 48 * 1024 * 1024;
 
@@ -137,7 +160,7 @@
 /// [`MAX_WAIT`], twice as late at most.
 const ASK_TIME: Millis = Millis(2_000);
 
-/// How long a refusal counts as a shortage, for which slow readers are cut.
+/// How long a refusal counts as a shortage, for which stalled clients are cut.
 const SHORTAGE_TIME: Millis = Millis(1_000);
 
 /// The time over which the rate of freed memory is averaged.
@@ -252,6 +275,28 @@
         id
     }
 
+    /// The body of a hold has arrived whole: from now on its client is not waited for.
+    pub fn set_arrived(&mut self, id: HoldId) {
+        if let Some(hold) = self.holds.get_mut(&id) {
+            hold.kind = HeldKind::Body;
+        }
+    }
+
+    /// Records that a request is refused as there is no room for anything.
+    pub fn refuse_full(&mut self, now: Millis) -> MemoryRefusal {
+        let missing = self.held.saturating_sub(self.size);
+        self.shortage = Some((now, 0));
+        MemoryRefusal {
+            reason: RefusalReason::Full,
+            wait: self.drained.time_for(missing, now),
+        }
+    }
+
+    /// Whether anything may be added at present.
+    pub fn has_room(&self) -> bool {
+        self.held <= self.size
+    }
+
     /// Ends a hold.
     pub fn release(&mut self, id: HoldId, now: Millis) {
         let Some(hold) = self.holds.remove(&id) else {
@@ -264,21 +309,22 @@
         self.drained.add(hold.bytes, now);
     }
 
-    /// Records what the connection of an answer's reader has taken in all.
+    /// Records what the client of a hold has moved in all.
     pub fn record_taken(&mut self, id: HoldId, taken: u64, now: Millis) {
         if let Some(hold) = self.holds.get_mut(&id)
-            && taken > hold.progress.latest
+            && taken >= hold.progress.latest + hold.least_progress()
         {
             hold.progress.at = now;
             hold.progress.latest = taken;
         }
     }
 
-    /// The readers to be cut now. While memory is short and most of it holds answers, the
-    /// largest answers whose readers took nothing for [`STALL_TIME`] are cut, and no more of
-    /// them than needed.
-    pub fn cut_slow(&mut self, now: Millis) -> Vec<SlowReader> {
-        let answers = self.held - self.held_for(HeldKind::Body);
+    /// The holds to be cut now. While memory is short, the largest ones whose clients moved
+    /// nothing for [`STALL_TIME`] are cut, and no more of them than needed: bodies that stopped
+    /// arriving, and answers that are not read if most of the memory holds answers.
+    pub fn cut_slow(&mut self, now: Millis) -> Vec<SlowHold> {
+        let answers = self.held_for(HeldKind::Answer) + self.held_for(HeldKind::Page);
+        let mostly_answers = answers * 2 >= self.held;
         let cut = self.holds.values().filter(|hold| hold.cut);
         let leaving: usize = cut.map(|hold| hold.bytes).sum();
         let shortage = self
@@ -286,30 +332,28 @@
             .filter(|(at, _)| now.since(*at) < SHORTAGE_TIME);
         let wanted = shortage.map_or(0, |(_, bytes)| bytes);
         let mut excess = (self.held - leaving + wanted).saturating_sub(self.room(usize::MAX));
-        if answers * 2 < self.held {
-            return Vec::new();
-        }
         let mut stalled: Vec<_> = self
             .holds
             .iter_mut()
-            .filter(|(_, hold)| hold.kind != HeldKind::Body && !hold.cut)
+            .filter(|(_, hold)| hold.waits_for_client(mostly_answers) && !hold.cut)
             .filter(|(_, hold)| now.since(hold.progress.at) >= STALL_TIME)
             .collect();
         stalled.sort_by_key(|(_, hold)| (std::cmp::Reverse(hold.bytes), hold.progress.at));
-        let mut readers = Vec::new();
+        let mut slow = Vec::new();
         for (id, hold) in stalled {
             if excess == 0 {
                 break;
             }
             excess = excess.saturating_sub(hold.bytes);
             hold.cut = true;
-            readers.push(SlowReader {
+            slow.push(SlowHold {
                 bytes: hold.bytes,
                 id: *id,
+                kind: hold.kind,
                 taken: hold.progress.latest - hold.progress.first,
             });
         }
-        readers
+        slow
     }
 
     /// The budget for a body of `bytes`: only small ones may use the reserve.
@@ -374,6 +418,26 @@
     }
 }
 
+impl Hold {
+    /// The least that counts as progress, in bytes.
+    fn least_progress(&self) -> u64 {
+        match self.kind {
+            HeldKind::Upload => LEAST_ARRIVED,
+            HeldKind::Answer | HeldKind::Body | HeldKind::Page => 1,
+        }
+    }
+
+    /// Whether the memory is free as soon as the client moves its bytes. Answers count only if
+    /// `answers` is set.
+    fn waits_for_client(&self, answers: bool) -> bool {
+        match self.kind {
+            HeldKind::Answer | HeldKind::Page => answers,
+            HeldKind::Body => false,
+            HeldKind::Upload => true,
+        }
+    }
+}
+
 impl DrainRate {
     /// The decayed sum of freed bytes.
     fn bytes_at(&self, now: Millis) -> f64 {
--- a/src/settings/load_settings.rs
+++ b/src/settings/load_settings.rs
@@ -6,7 +6,8 @@
     policy::load_features::LoadFeatures, //
 };
 
-/// What the instance allows the process to use; `None` where the settings don't say.
+/// What the instance allows the process to use; `None` where the settings don't say, and the
+/// defaults apply.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct InstanceLimits {
     /// Open file descriptors.
@@ -15,7 +16,15 @@
     pub memory: Option<usize>,
 }
 
+/// The memory of an instance whose settings name none, in bytes.
+const DEFAULT_MEMORY: usize = 512 * 1024 * 1024;
+
 impl InstanceLimits {
+    /// The memory that the process may use, in bytes.
+    pub fn memory(&self) -> usize {
+        self.memory.unwrap_or(DEFAULT_MEMORY)
+    }
+
     pub(super) fn read(reader: &Reader<'_>) -> Self {
         let section = reader.section("limits");
         let number = |key: &str, range| {
