Limit connections by memory and descriptors, and replace the stalled

Callers saw a gateway die, or no answer: thousands of connections with small bodies, heads that never end or requests sent ahead filled its memory beside the budget and used up its descriptors. The maximum of 16,384 connections followed neither, except under pressure; a connection whose client had stopped midway never made room; the kernel kept megabytes of each connection unread; the readiness and metrics ports had the callers' maximum.

The callers' maximum is now the lesser of what the descriptors and a fifth of the memory bear, 48 KB each. At the maximum a new connection takes the place of an idle one, or else of the one whose client has moved under 2 KB for longest, at least 2 s, while the gateway waits for its head, its body or its reading. If there is none, it is closed, and for a second responses ask busy clients to close theirs. Ports for operators and checks bear 64 connections.

--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -37,7 +37,7 @@
     /// Starts an agent with its duties `door` (accepts links), `work` and `admin`.
     pub fn open(settings: AgentSettings) -> Result<Self, DutyError> {
         let mut handle = ProgramHandle::open(settings.common.drain.timeout)?;
-        let admin = HttpServer::bind(settings.common.admin, HttpLimits::default())?;
+        let admin = HttpServer::bind(settings.common.admin, HttpLimits::admin("admin"))?;
         let listener = link_listener::bind(settings.common.links)?;
         let (admin_address, links) = (admin.address, listener.address);
         let incarnation = Incarnation::started_at(Clock::open().now());
--- a/src/duty/body.rs
+++ b/src/duty/body.rs
@@ -1,6 +1,9 @@
 //! Reads the bodies of requests into memory that is counted.
 
-use super::Memory;
+use super::{
+    Connection,
+    Memory, //
+};
 use crate::policy::memory_budget::MemoryRefusal;
 use bytes::{
     Bytes,
@@ -16,6 +19,8 @@
 
 /// How a body is read.
 pub struct BodyReader<'a> {
+    /// The connection on which the body arrives.
+    pub connection: Option<&'a Arc<Connection>>,
     /// The request's id.
     pub id: &'a str,
     /// The maximum size in bytes.
@@ -43,6 +48,9 @@
 /// The first reservation for a body whose length is unknown, in bytes.
 const FIRST_BYTES: usize = 16 * 1024;
 
+/// A body of more bytes gets a larger receive window while it arrives.
+const WINDOW_BYTES: usize = 64 * 1024;
+
 impl BodyReader<'_> {
     /// Reads a request's body, which counts as held until it is dropped. A body that doesn't fit
     /// is refused before it is read, or, if its length wasn't announced, when it can't grow. One
@@ -62,6 +70,7 @@
             .memory
             .reserve_upload((self.price)(first), self.id, self.workspace);
         let (mut hold, upload) = reserved.map_err(refused)?;
+        let _arriving = self.connection.map(|connection| connection.expect_body());
         let mut content = BytesMut::with_capacity(first);
         let mut room = first;
         loop {
@@ -88,6 +97,11 @@
                 content.reserve(room - content.len());
             }
             content.extend_from_slice(&data);
+            if room > WINDOW_BYTES
+                && let Some(connection) = self.connection
+            {
+                connection.widen();
+            }
         }
         hold.set_arrived();
         Ok(hold.attach(content.freeze()))
--- a/src/duty/connection.rs
+++ b/src/duty/connection.rs
@@ -15,6 +15,7 @@
     Frame,
     SizeHint, //
 };
+use socket2::SockRef;
 use std::{
     collections::HashMap,
     io,
@@ -52,8 +53,16 @@
     receiving: AtomicBool,
     /// The number of requests under way.
     requests: AtomicUsize,
+    /// The bytes that were moved when the client was last seen to make progress, and when that
+    /// was, in ms.
+    progress: (AtomicU64, AtomicU64),
+    read: AtomicU64,
     /// The socket, once the HTTP connection on it has ended.
     stream: Mutex<Option<TcpStream>>,
+    /// The number of requests whose bodies are arriving.
+    uploads: AtomicUsize,
+    /// A larger receive window is wanted.
+    widens: AtomicBool,
     written: AtomicU64,
 }
 
@@ -68,6 +77,20 @@
 /// connection has usually sent its request by then.
 const MIN_IDLE: Millis = Millis(500);
 
+/// How long a client must have kept its connection waiting before it is closed in favour of a
+/// new one.
+const MIN_STALL: Millis = Millis(2_000);
+
+/// How long responses ask clients to close their connections after a new one found no place.
+/// Busy clients would keep all places otherwise.
+const CROWDED_TIME: Millis = Millis(1_000);
+
+/// The least that counts as progress of a client, in bytes.
+const LEAST_MOVED: u64 = 2 * 1024;
+
+/// The receive buffer of a connection on which a large body arrives, in bytes.
+const WIDE_BUFFER: usize = 64 * 1024;
+
 impl Connection {
     /// Closes the connection without finishing its responses.
     pub fn cut(&self) {
@@ -84,6 +107,36 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Asks for a larger receive window, as a large body is being read.
+    pub(super) fn widen(&self) {
+        self.widens.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts a body as arriving until the guard is dropped.
+    pub(super) fn expect_body(self: &Arc<Self>) -> UploadGuard {
+        self.uploads.fetch_add(1, Ordering::Relaxed);
+        UploadGuard {
+            connection: self.clone(),
+        }
+    }
+
+    /// Since when the client has kept the connection waiting, with a head, a body or an answer
+    /// that it doesn't read; `None` if it makes progress, or waits itself. Progress is seen only
+    /// at each call.
+    fn stalled_since(&self, now: Millis) -> Option<Millis> {
+        let load = |number: &AtomicU64| number.load(Ordering::Relaxed);
+        let moved = load(&self.read) + load(&self.written);
+        let (seen, at) = &self.progress;
+        if moved >= load(seen) + LEAST_MOVED {
+            seen.store(moved, Ordering::Relaxed);
+            at.store(now.0, Ordering::Relaxed);
+        }
+        let uploads = self.uploads.load(Ordering::Relaxed);
+        let only_uploads = self.requests.load(Ordering::Relaxed) <= uploads;
+        let waits = only_uploads || self.blocked.load(Ordering::Relaxed);
+        waits.then(|| Millis(load(at)))
+    }
+
     /// Since when no request has been under way; `None` while one is, while one arrives, or
     /// while the client doesn't read what was written to it. On a multiplexed connection, bytes
     /// may also arrive without a request.
@@ -149,6 +202,17 @@
     }
 }
 
+/// Counts a body as arriving until it is dropped.
+pub(super) struct UploadGuard {
+    connection: Arc<Connection>,
+}
+
+impl Drop for UploadGuard {
+    fn drop(&mut self) {
+        self.connection.uploads.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 struct GuardedBody {
     body: UnsyncBoxBody<Bytes, io::Error>,
     _guard: RequestGuard,
@@ -177,6 +241,8 @@
 /// The open connections of a server.
 #[derive(Debug, Default)]
 pub(super) struct Connections {
+    /// Until when responses ask clients to close their connections, in ms.
+    crowded_until: AtomicU64,
     next: AtomicU64,
     open: Mutex<HashMap<u64, Arc<Connection>>>,
 }
@@ -189,26 +255,39 @@
 }
 
 impl Connections {
-    /// Counts a new connection. At the maximum, the connection that has been idle for longest
-    /// is closed instead, if `close_idle` allows it; `None` if there is none.
+    /// Counts a new connection of `listener`. At the maximum, it takes the place of the one that
+    /// has been idle for longest, or else of the one whose client has kept it waiting for
+    /// longest; `None` if there is none.
     pub(super) fn open(
         self: &Arc<Self>,
+        listener: &'static str,
         max: usize,
-        close_idle: bool,
         now: Millis,
     ) -> Option<OpenConnection> {
         let mut open = lock(&self.open);
         if open.len() >= max {
-            let since = open
-                .iter()
-                .filter_map(|(id, state)| Some((state.idle_since()?, *id)));
-            let longest = since.min().filter(|(at, _)| now.since(*at) >= MIN_IDLE);
-            let (_, id) = longest.filter(|_| close_idle)?;
-            let idle = open.remove(&id)?;
-            idle.closing.notify_one();
+            let Some((id, is_idle)) = replaced(&open, now) else {
+                let until = now + CROWDED_TIME;
+                self.crowded_until.store(until.0, Ordering::Relaxed);
+                tracing::warn!(listener, max, "connection refused: all places are in use");
+                metrics::counter!("redwing_connections_refused_total", "listener" => listener)
+                    .increment(1);
+                return None;
+            };
+            let old = open.remove(&id)?;
+            match is_idle {
+                true => old.closing.notify_one(),
+                false => {
+                    tracing::warn!(listener, max, "stalled connection cut for a new one");
+                    metrics::counter!("redwing_connections_cut_total", "listener" => listener)
+                        .increment(1);
+                    old.cut();
+                }
+            }
         }
         let state = Arc::new(Connection {
             idle_since: AtomicU64::new(now.0),
+            progress: (AtomicU64::new(0), AtomicU64::new(now.0)),
             ..Connection::default()
         });
         let id = self.next.fetch_add(1, Ordering::Relaxed);
@@ -221,6 +300,47 @@
     }
 }
 
+impl OpenConnection {
+    /// The state of the listener that this connection shares with the others.
+    pub(super) fn crowd(&self) -> Crowd {
+        Crowd(self.connections.clone())
+    }
+}
+
+/// Tells whether new connections find no place.
+#[derive(Clone)]
+pub(super) struct Crowd(Arc<Connections>);
+
+impl Crowd {
+    pub(super) fn is_present(&self, now: Millis) -> bool {
+        now.0 < self.0.crowded_until.load(Ordering::Relaxed)
+    }
+}
+
+/// The connection that a new one replaces, and whether it is idle.
+fn replaced(open: &HashMap<u64, Arc<Connection>>, now: Millis) -> Option<(u64, bool)> {
+    let mut idle = None;
+    let mut stalled = None;
+    for (id, state) in open {
+        // Progress is only seen here, so every connection is looked at.
+        let stall = state.stalled_since(now);
+        let since = stall.filter(|at| now.since(*at) >= MIN_STALL);
+        stalled = earlier(stalled, since.map(|at| (at, *id)));
+        let since = state.idle_since();
+        let since = since.filter(|at| now.since(*at) >= MIN_IDLE);
+        idle = earlier(idle, since.map(|at| (at, *id)));
+    }
+    let idle = idle.map(|(_, id)| (id, true));
+    idle.or(stalled.map(|(_, id)| (id, false)))
+}
+
+fn earlier(a: Option<(Millis, u64)>, b: Option<(Millis, u64)>) -> Option<(Millis, u64)> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         lock(&self.connections.open).remove(&self.id);
@@ -270,9 +390,16 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        if self.state.widens.swap(false, Ordering::Relaxed)
+            && let Some(stream) = &self.stream
+        {
+            let _ = SockRef::from(stream).set_recv_buffer_size(WIDE_BUFFER);
+        }
         let read = self.stream()?.poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        let bytes = buffer.filled().len() - before;
+        if bytes > 0 {
             self.state.receiving.store(true, Ordering::Relaxed);
+            self.state.read.fetch_add(bytes as u64, Ordering::Relaxed);
         }
         read
     }
--- a/src/duty/http_server.rs
+++ b/src/duty/http_server.rs
@@ -26,7 +26,7 @@
     StatusCode,
     Version,
     body::Incoming,
-    header::{CONTENT_TYPE, RETRY_AFTER},
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     service::service_fn, //
 };
 use hyper_util::{
@@ -52,15 +52,18 @@
 /// Limits of one server for its clients.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
-    /// Whether connections above the maximum take the place of idle ones.
-    pub close_idle: bool,
-    /// The maximum number of open connections; further ones are closed at once, unless there
-    /// are idle ones to be closed instead.
+    /// What the listener is for, in logs and metrics.
+    pub listener: &'static str,
+    /// The maximum number of open connections; further ones take the place of idle or stalled
+    /// ones, or are closed at once.
     pub max_connections: usize,
     /// The maximum size of a request's head, in bytes.
     pub max_head: usize,
     /// The maximum time for a request's head to arrive.
     pub head_timeout: Millis,
+    /// The size of the kernel's receive buffer for each connection, in bytes, until a large body
+    /// arrives; `None` for a size that the kernel adapts.
+    pub receive_buffer: Option<usize>,
     /// The size of the kernel's send buffer for each connection, in bytes; `None` for a size
     /// that the kernel adapts.
     pub send_buffer: Option<usize>,
@@ -69,15 +72,36 @@
 impl Default for HttpLimits {
     fn default() -> Self {
         Self {
-            close_idle: false,
+            listener: "peers",
             max_connections: 16_384,
             max_head: 64 * 1024,
             head_timeout: Millis(10_000),
+            receive_buffer: None,
             send_buffer: None,
         }
     }
 }
 
+/// The most connections of operators and of checks, such as those of readiness.
+const ADMIN_CONNECTIONS: usize = 64;
+
+impl HttpLimits {
+    /// The limits of a listener for operators and checks.
+    pub fn admin(listener: &'static str) -> Self {
+        Self {
+            listener,
+            max_connections: ADMIN_CONNECTIONS,
+            max_head: 16 * 1024,
+            receive_buffer: Some(SMALL_BUFFER),
+            ..Self::default()
+        }
+    }
+}
+
+/// The receive buffer of a connection that sends small requests, in bytes. Otherwise, a client
+/// could leave megabytes unread in it.
+pub const SMALL_BUFFER: usize = 16 * 1024;
+
 /// A bound listener that is not serving yet.
 pub struct HttpServer {
     pub address: SocketAddr,
@@ -89,6 +113,10 @@
     /// Binds `address`; for port 0 the system chooses one.
     pub fn bind(address: SocketAddr, limits: HttpLimits) -> Result<Self, DutyError> {
         let (address, listener) = bind_listener(address)?;
+        if let Some(bytes) = limits.receive_buffer {
+            // Accepted sockets have the listener's size from their first byte on.
+            let _ = SockRef::from(&listener).set_recv_buffer_size(bytes);
+        }
         Ok(Self {
             address,
             limits,
@@ -137,7 +165,7 @@
             };
             let limits = self.limits;
             let (max, now) = (limits.max_connections, context.clock.now());
-            let Some(open) = connections.open(max, limits.close_idle, now) else {
+            let Some(open) = connections.open(limits.listener, max, now) else {
                 continue;
             };
             let (clock, stop) = (context.clock, stop.clone());
@@ -200,20 +228,20 @@
         .keep_alive_interval(Millis(10_000).as_duration())
         .max_concurrent_streams(1_024)
         .max_header_list_size(limits.max_head as u32);
-    let shared = state.clone();
+    let (shared, crowd) = (state.clone(), open.crowd());
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(shared.clone());
         let multiplexed = request.version() == Version::HTTP_2;
-        let guard = limits
-            .close_idle
-            .then(|| RequestGuard::new(&shared, multiplexed, clock));
+        let guard = RequestGuard::new(&shared, multiplexed, clock);
         let answer = handler(request);
+        let crowd = crowd.clone();
         async move {
-            let answer = answer.await;
-            Ok::<_, Infallible>(match guard {
-                Some(guard) => guard.attach(answer),
-                None => answer,
-            })
+            let mut answer = answer.await;
+            if !multiplexed && crowd.is_present(clock.now()) {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(guard.attach(answer))
         }
     });
     let stream = CountedStream::new(stream, state.clone());
@@ -241,7 +269,7 @@
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut answer = text(status, "text/plain", format!("{reason}\n"));
     let seconds = format!("{}.{:03}", wait.0 / 1_000, wait.0 % 1_000);
-    if let Ok(value) = hyper::header::HeaderValue::from_str(&seconds) {
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
         answer.headers_mut().insert(RETRY_AFTER, value);
     }
     answer
@@ -252,7 +280,7 @@
     let body = Full::new(body.into()).map_err(|never| match never {});
     let mut answer = Response::new(body.boxed_unsync());
     *answer.status_mut() = status;
-    let kind = hyper::header::HeaderValue::from_static(kind);
+    let kind = HeaderValue::from_static(kind);
     answer.headers_mut().insert(CONTENT_TYPE, kind);
     answer
 }
@@ -286,7 +314,7 @@
     let body = problem_details(failure, request);
     let mut answer = text(status, "application/problem+json", body);
     if let Some(wait) = failure.retry_after {
-        let seconds = hyper::header::HeaderValue::from(wait.0.div_ceil(1_000));
+        let seconds = HeaderValue::from(wait.0.div_ceil(1_000));
         answer.headers_mut().insert(RETRY_AFTER, seconds);
     }
     answer
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -25,7 +25,8 @@
     control::{ControlMessage, Phase},
     handle::ProgramHandle,
     http_server::{
-        Answer, HttpLimits, HttpServer, json, problem, problem_details, text, unavailable,
+        Answer, HttpLimits, HttpServer, SMALL_BUFFER, json, problem, problem_details, text,
+        unavailable,
     },
     log::{LogGuard, open_log, open_stdout_log},
     memory::{Hold, Memory, Reader},
--- a/src/entry/entry_handle.rs
+++ b/src/entry/entry_handle.rs
@@ -51,7 +51,7 @@
     pub fn open(settings: EntrySettings) -> Result<Self, DutyError> {
         let common = &settings.common;
         let mut handle = ProgramHandle::open(common.drain.timeout)?;
-        let admin = HttpServer::bind(common.admin, HttpLimits::default())?;
+        let admin = HttpServer::bind(common.admin, HttpLimits::admin("admin"))?;
         let callers = HttpServer::bind(settings.callers, HttpLimits::default())?;
         let (links, link_listener) = duty::bind_listener(common.links)?;
         let addresses = (admin.address, callers.address);
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -199,6 +199,7 @@
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let workspace = admitted.workspace.as_ref();
         let reader = BodyReader {
+            connection: head.extensions.get::<Arc<Connection>>(),
             id,
             limit,
             memory,
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -57,7 +57,7 @@
 const CALLER_IDLE_TIMEOUT: Millis = Millis(20_000);
 
 /// The maximum size of a request's head; the users' own limit is 16 KiB.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 impl Gateway {
     /// Binds the gateway's listeners and starts its tasks.
@@ -65,8 +65,8 @@
         let common = &settings.common;
         let mut handle = ProgramHandle::open(common.stop_timeout())?;
         let callers = bind_callers(&settings)?;
-        let ready = HttpServer::bind(settings.ready, HttpLimits::default())?;
-        let metrics = HttpServer::bind(common.metrics, HttpLimits::default())?;
+        let ready = HttpServer::bind(settings.ready, HttpLimits::admin("ready"))?;
+        let metrics = HttpServer::bind(common.metrics, HttpLimits::admin("metrics"))?;
         let peers = HttpServer::bind(common.peers, HttpLimits::default())?;
         let addresses = (callers.address, metrics.address, ready.address);
         tracing::info!(
@@ -175,6 +175,7 @@
 /// Binds the listener for callers and trainers.
 fn bind_callers(settings: &GatewaySettings) -> Result<HttpServer, DutyError> {
     let limits = HttpLimits {
+        listener: "callers",
         max_head: MAX_HEAD_BYTES,
         head_timeout: CALLER_IDLE_TIMEOUT,
         ..HttpLimits::default()
--- a/src/gateway/pressure.rs
+++ b/src/gateway/pressure.rs
@@ -3,9 +3,9 @@
 use super::lag::LagWatch;
 use crate::{
     base::Clock,
-    duty::{HttpLimits, Memory},
+    duty::{HttpLimits, Memory, SMALL_BUFFER},
     platform::Store,
-    policy::memory_budget::max_connections,
+    policy::memory_budget::{connections_in_memory, max_connections},
     settings::SiteSettings, //
 };
 use std::sync::Arc;
@@ -35,16 +35,12 @@
 
     /// The limits of the callers' listener.
     pub(super) fn http_limits(settings: &SiteSettings, limits: HttpLimits) -> HttpLimits {
-        if !settings.features.memory {
-            return limits;
-        }
         let own = settings.limits;
+        let descriptors = max_connections(own.descriptors());
         HttpLimits {
-            close_idle: own.descriptors.is_some(),
-            max_connections: own
-                .descriptors
-                .map_or(limits.max_connections, max_connections),
-            send_buffer: own.memory.map(|_| SEND_BUFFER),
+            max_connections: descriptors.min(connections_in_memory(own.memory())),
+            receive_buffer: Some(SMALL_BUFFER),
+            send_buffer: Some(SEND_BUFFER),
             ..limits
         }
     }
--- a/src/policy/memory_budget.rs
+++ b/src/policy/memory_budget.rs
@@ -177,6 +177,13 @@
 /// The least number of callers' connections.
 const LEAST_CONNECTIONS: usize = 16;
 
+/// What one connection can take at most beside what the budget counts, in bytes: its tasks, a
+/// head in its read buffer, and unread bytes in the kernel's.
+const CONNECTION_BYTES: usize = 48 * 1024;
+
+/// The share of the memory limit that callers' connections may take, as a divisor.
+const CONNECTIONS_SHARE: usize = 5;
+
 /// The budget of a process with this memory limit, both in bytes.
 pub fn budget_size(limit: usize) -> usize {
     let rest = limit.saturating_sub(PROGRAM_BYTES);
@@ -189,6 +196,11 @@
     (rest / 4 * 3).max(LEAST_CONNECTIONS)
 }
 
+/// The number of callers' connections that fit into a process with this memory limit, in bytes.
+pub fn connections_in_memory(limit: usize) -> usize {
+    (limit / CONNECTIONS_SHARE / CONNECTION_BYTES).max(LEAST_CONNECTIONS)
+}
+
 /// The `Retry-After` of one of many refused callers: between `wait` and twice as long, by
 /// `hash`, so that they don't return at the same moment.
 pub fn spread_wait(wait: Millis, hash: u64) -> Millis {
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -46,7 +46,7 @@
     pub fn open(settings: RunnerSettings) -> Result<Self, DutyError> {
         let common = settings.common;
         let mut handle = ProgramHandle::open(common.stop_timeout())?;
-        let metrics = HttpServer::bind(common.metrics, HttpLimits::default())?;
+        let metrics = HttpServer::bind(common.metrics, HttpLimits::admin("metrics"))?;
         let peers = HttpServer::bind(common.peers, HttpLimits::default())?;
         let address = metrics.address;
         tracing::info!(
--- a/src/settings/load_settings.rs
+++ b/src/settings/load_settings.rs
@@ -19,12 +19,20 @@
 /// The memory of an instance whose settings name none, in bytes.
 const DEFAULT_MEMORY: usize = 512 * 1024 * 1024;
 
+/// The descriptors of an instance whose settings name none.
+const DEFAULT_DESCRIPTORS: usize = 8_200;
+
 impl InstanceLimits {
     /// The memory that the process may use, in bytes.
     pub fn memory(&self) -> usize {
         self.memory.unwrap_or(DEFAULT_MEMORY)
     }
 
+    /// The descriptors that the process may open.
+    pub fn descriptors(&self) -> usize {
+        self.descriptors.unwrap_or(DEFAULT_DESCRIPTORS)
+    }
+
     pub(super) fn read(reader: &Reader<'_>) -> Self {
         let section = reader.section("limits");
         let number = |key: &str, range| {
