Count the requests of HTTP/2 connections

A dozen connections with many requests each filled a gateway with heads: 1,024 requests a connection, each with up to 64 KB of head, and windows of a megabyte, outside of every count.

Each request on a multiplexed connection now holds its head twice (as it came and in the request's fields) and its window of 64 KB in the budget, or is refused with 503 and Retry-After before it runs. A connection bears 64 requests at a time, and its window is 64 KB.

--- a/src/duty/http_server.rs
+++ b/src/duty/http_server.rs
@@ -4,17 +4,18 @@
 use super::{
     Context,
     DutyError,
+    Hold,
+    Memory,
     Phase,
     bind_listener,
     connection::{Connections, CountedStream, OpenConnection, RequestGuard}, //
 };
-use crate::base::{
-    Clock,
-    Failure,
-    Millis,
-    RequestId, //
+use crate::{
+    base::{Clock, Failure, Millis, RequestId},
+    policy::memory_budget::{HeldKind, MemoryRequest}, //
 };
 use bytes::Bytes;
+use futures_util::future::Either;
 use http_body_util::{
     BodyExt,
     Full,
@@ -102,11 +103,21 @@
 /// could leave megabytes unread in it.
 pub const SMALL_BUFFER: usize = 16 * 1024;
 
+/// The most requests at a time on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 64;
+
+/// How often the bytes of a head are held: as they came, and in the request's own fields.
+const HEAD_COPIES: usize = 2;
+
+/// The window of an HTTP/2 connection, and of each of its streams, in bytes.
+const STREAM_WINDOW: u32 = 64 * 1024;
+
 /// A bound listener that is not serving yet.
 pub struct HttpServer {
     pub address: SocketAddr,
     limits: HttpLimits,
     listener: std::net::TcpListener,
+    memory: Option<Arc<Memory>>,
 }
 
 impl HttpServer {
@@ -121,9 +132,18 @@
             address,
             limits,
             listener,
+            memory: None,
         })
     }
 
+    /// Counts the requests of multiplexed connections toward the budget of `memory`.
+    pub fn count_requests(self, memory: Arc<Memory>) -> Self {
+        Self {
+            memory: Some(memory),
+            ..self
+        }
+    }
+
     /// Accepts connections until `close_delay` after the program began to drain, so that a
     /// load balancer that has not noticed the drain yet still gets responses. Then finishes
     /// the open requests. Returns at once when the program is stopped.
@@ -169,9 +189,9 @@
                 continue;
             };
             let (clock, stop) = (context.clock, stop.clone());
-            let handler = handler.clone();
+            let (handler, memory) = (handler.clone(), self.memory.clone());
             tokio::spawn(async move {
-                serve_connection(stream, limits, &open, stop, clock, handler).await;
+                serve_connection(stream, limits, memory, &open, stop, clock, handler).await;
                 open.state.finish().await;
             });
         }
@@ -189,6 +209,7 @@
 async fn serve_connection<H, Fut>(
     stream: TcpStream,
     limits: HttpLimits,
+    memory: Option<Arc<Memory>>,
     open: &OpenConnection,
     mut stop: watch::Receiver<bool>,
     clock: Clock,
@@ -226,17 +247,34 @@
         .http2()
         .timer(TokioTimer::new())
         .keep_alive_interval(Millis(10_000).as_duration())
-        .max_concurrent_streams(1_024)
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_connection_window_size(STREAM_WINDOW)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .max_send_buf_size(STREAM_WINDOW as usize)
         .max_header_list_size(limits.max_head as u32);
     let (shared, crowd) = (state.clone(), open.crowd());
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(shared.clone());
         let multiplexed = request.version() == Version::HTTP_2;
         let guard = RequestGuard::new(&shared, multiplexed, clock);
-        let answer = handler(request);
+        let counted = memory.as_ref().filter(|_| multiplexed);
+        let counted = counted
+            .map(|memory| hold_head(memory, &request))
+            .transpose();
+        let answer = match counted {
+            Ok(hold) => Either::Left((handler(request), hold)),
+            Err(refused) => Either::Right(refused),
+        };
         let crowd = crowd.clone();
         async move {
-            let mut answer = answer.await;
+            let mut answer = match answer {
+                Either::Left((answer, hold)) => {
+                    let answer = answer.await;
+                    drop(hold);
+                    answer
+                }
+                Either::Right(refused) => refused,
+            };
             if !multiplexed && crowd.is_present(clock.now()) {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
@@ -263,6 +301,23 @@
     }
 }
 
+/// Counts a request of a multiplexed connection, or refuses it.
+fn hold_head(memory: &Arc<Memory>, request: &Request<Incoming>) -> Result<Hold, Answer> {
+    let headers = request.headers().iter();
+    let size: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    let reserved = memory.reserve(MemoryRequest {
+        bytes: HEAD_COPIES * size + STREAM_WINDOW as usize,
+        kind: HeldKind::Head,
+        workspace: "",
+    });
+    reserved.map_err(|refusal| {
+        let wait = memory.refuse("", HeldKind::Head, refusal);
+        unavailable(wait, "no memory for the request")
+    })
+}
+
 /// The response to a request that has not run and never will: status 503, with `wait` as its
 /// `Retry-After` in fractional seconds, and one line of plain text.
 pub fn unavailable(wait: Millis, reason: &str) -> Answer {
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -115,7 +115,7 @@
 
         let supervisor = handle.supervisor().clone();
         let health = handle.health();
-        let shared_pressure = pressure.clone();
+        let (shared_pressure, counted) = (pressure.clone(), pressure.memory.clone());
         let shared_site = site.clone();
         let shared_crashes = crashes.clone();
         let serve = move |context: duty::Context| async move {
@@ -140,6 +140,7 @@
                 let context = request_context.clone();
                 async move { frontend.answer(&context, request).await }
             };
+            let callers = callers.count_requests(counted);
             callers.serve(&context, DRAIN_ACCEPT_TIME, handler).await;
             tracing::info!("callers' requests drained");
             context.mark_drained();
--- a/src/policy/memory_budget.rs
+++ b/src/policy/memory_budget.rs
@@ -17,6 +17,9 @@
     Answer,
     /// A request body that has arrived and is being forwarded or stored.
     Body,
+    /// A request on a connection that carries several at a time: its head, and its part of the
+    /// connection's window.
+    Head,
     /// A page of a batch's results, being read or being written to its trainer.
     Page,
     /// A request body that is arriving.
@@ -25,13 +28,20 @@
 
 impl HeldKind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [Self::Answer, Self::Body, Self::Page, Self::Upload];
+    pub const ALL: [Self; 5] = [
+        Self::Answer,
+        Self::Body,
+        Self::Head,
+        Self::Page,
+        Self::Upload,
+    ];
 
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Answer => "answer",
             Self::Body => "body",
+            Self::Head => "head",
             Self::Page => "page",
             Self::Upload => "upload",
         }
@@ -435,7 +445,7 @@
     fn least_progress(&self) -> u64 {
         match self.kind {
             HeldKind::Upload => LEAST_ARRIVED,
-            HeldKind::Answer | HeldKind::Body | HeldKind::Page => 1,
+            HeldKind::Answer | HeldKind::Body | HeldKind::Head | HeldKind::Page => 1,
         }
     }
 
@@ -444,7 +454,7 @@
     fn waits_for_client(&self, answers: bool) -> bool {
         match self.kind {
             HeldKind::Answer | HeldKind::Page => answers,
-            HeldKind::Body => false,
+            HeldKind::Body | HeldKind::Head => false,
             HeldKind::Upload => true,
         }
     }
