Read answers and pages only while there is room for them

Callers saw a gateway die when many asked for large answers, streams or pages of results and read none of them. An answer that was ready was held whether it fitted or not, so the budget bounded it by nothing; a page took 64 KB of the budget while it was read, and up to several MB in truth; streams left megabytes unread in the sockets of their servers.

An answer now waits for its place before it is read from its server, which keeps it meanwhile, and has the place until the caller's connection has taken it: a fifth of the memory limit, 24 MB at most. Sockets to servers have a receive buffer of 32 KB. A streamed call reserves its buffers before it is sent, or is refused with 503. Pages and items are read a few at a time and reserve their real size before they are kept, or are refused.

--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     base::{Clock, Millis, stable_hash},
-    net::{CallError, Exchange, FullResponse, Matching, Peer},
+    net::{AnswerBudget, CallError, Exchange, FullResponse, Matching, Peer},
     platform,
     policy::{
         connection_limit::max_open,
@@ -60,6 +60,8 @@
 /// The behaviour under load, and what other instances tell of theirs.
 #[derive(Clone)]
 pub struct LoadControl {
+    /// The memory for the servers' answers.
+    pub answers: Arc<AnswerBudget>,
     pub conditions: Arc<Conditions>,
     pub features: LoadFeatures,
 }
@@ -339,11 +341,12 @@
     /// The HTTP client of `address`, which all calls share.
     pub(super) fn peer(&self, address: SocketAddr) -> Peer {
         let mut state = self.state();
-        let clock = self.site.clock;
+        let (clock, answers) = (self.site.clock, &self.load.answers);
         let peer = state.peers.entry(address);
         peer.or_insert_with(|| {
             let matching = Matching::Id(platform::ATTEMPT_ID);
-            Peer::open_as("server", matching, address, clock)
+            let peer = Peer::open_as("server", matching, address, clock);
+            peer.for_callers(answers.clone())
         })
         .clone()
     }
--- a/src/duty/connection.rs
+++ b/src/duty/connection.rs
@@ -107,6 +107,11 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Whether the last write found the client's window full.
+    pub(super) fn is_blocked(&self) -> bool {
+        self.blocked.load(Ordering::Relaxed)
+    }
+
     /// Asks for a larger receive window, as a large body is being read.
     pub(super) fn widen(&self) {
         self.widens.store(true, Ordering::Relaxed);
@@ -133,7 +138,7 @@
         }
         let uploads = self.uploads.load(Ordering::Relaxed);
         let only_uploads = self.requests.load(Ordering::Relaxed) <= uploads;
-        let waits = only_uploads || self.blocked.load(Ordering::Relaxed);
+        let waits = only_uploads || self.is_blocked();
         waits.then(|| Millis(load(at)))
     }
 
--- a/src/duty/memory.rs
+++ b/src/duty/memory.rs
@@ -7,6 +7,7 @@
 };
 use crate::{
     base::{Clock, Millis, stable_hash},
+    net::AnswerBudget,
     policy::memory_budget::{
         HeldKind,
         HoldId,
@@ -14,7 +15,9 @@
         MemoryRefusal,
         MemoryRequest,
         SlowHold,
+        answers_size,
         budget_size,
+        max_reads,
         spread_wait, //
     },
 };
@@ -45,7 +48,9 @@
 
 /// The memory that a process holds for its clients, and its limit.
 pub struct Memory {
+    answers: Arc<AnswerBudget>,
     clock: Clock,
+    max_reads: usize,
     state: Mutex<State>,
 }
 
@@ -62,6 +67,8 @@
     Reader(Arc<Connection>),
     /// It sends a body.
     Sender(Arc<Upload>),
+    /// It reads a streamed answer, which may pause.
+    Stream(Arc<Connection>),
 }
 
 /// The progress of a body that is arriving.
@@ -88,6 +95,10 @@
     pub workspace: String,
 }
 
+/// The buffers of a streamed answer, in bytes: what its server's connection holds for a caller
+/// that doesn't read, in the kernel and in the process.
+const STREAM_BYTES: usize = 128 * 1024;
+
 /// How often stalled clients are looked for, while something is held and otherwise.
 const CHECK_INTERVAL: Millis = Millis(250);
 const IDLE_INTERVAL: Millis = Millis(1_000);
@@ -96,7 +107,9 @@
     /// An unused budget for a process with this memory limit, in bytes.
     pub fn open(limit: usize, clock: Clock) -> Arc<Self> {
         Arc::new(Self {
+            answers: AnswerBudget::open(answers_size(limit)),
             clock,
+            max_reads: max_reads(limit),
             state: Mutex::new(State {
                 budget: MemoryBudget::new(budget_size(limit)),
                 clients: HashMap::new(),
@@ -104,6 +117,16 @@
         })
     }
 
+    /// The memory for servers' answers, until their callers have read them.
+    pub fn answers(&self) -> Arc<AnswerBudget> {
+        self.answers.clone()
+    }
+
+    /// How many pages may be read from the store at a time.
+    pub fn max_reads(&self) -> usize {
+        self.max_reads
+    }
+
     /// The bytes held.
     pub fn held(&self) -> usize {
         self.state().budget.held()
@@ -137,6 +160,20 @@
         Ok((hold, upload))
     }
 
+    /// Holds the buffers of a streamed answer, if they fit.
+    pub fn reserve_stream(self: &Arc<Self>, reader: &Reader) -> Result<Hold, MemoryRefusal> {
+        let hold = self.reserve(MemoryRequest {
+            bytes: STREAM_BYTES,
+            kind: HeldKind::Answer,
+            workspace: &reader.workspace,
+        })?;
+        if let Some(connection) = &reader.connection {
+            let client = Client::Stream(connection.clone());
+            self.state().clients.insert(hold.id, client);
+        }
+        Ok(hold)
+    }
+
     /// Whether anything may be added at present; if not, how long a caller has to wait.
     pub fn check_room(&self) -> Result<(), MemoryRefusal> {
         let now = self.clock.now();
@@ -194,6 +231,8 @@
             };
             tokio::time::sleep(wait.as_duration()).await;
             self.cut_slow();
+            let waiting = self.answers.waiting() as f64;
+            metrics::gauge!("redwing_answers_waiting_bytes").set(waiting);
             let state = self.state();
             for kind in HeldKind::ALL {
                 let held = state.budget.held_for(kind) as f64;
@@ -207,9 +246,19 @@
         let mut state = self.state();
         let State { budget, clients } = &mut *state;
         for (id, client) in clients.iter() {
-            budget.record_taken(*id, client.moved(), now);
+            match client {
+                Client::Stream(connection) if !connection.is_blocked() => {
+                    budget.record_pause(*id, now);
+                }
+                _ => budget.record_taken(*id, client.moved(), now),
+            }
+        }
+        let mut cut = budget.cut_slow(now);
+        let waiting = self.answers.waiting();
+        if waiting > 0 {
+            cut.extend(budget.cut_readers(waiting, now));
         }
-        for slow in budget.cut_slow(now) {
+        for slow in cut {
             if let Some(client) = clients.get(&slow.id) {
                 client.cut(slow);
             }
@@ -248,7 +297,7 @@
     /// The bytes that the client has moved.
     fn moved(&self) -> u64 {
         match self {
-            Self::Reader(connection) => connection.written(),
+            Self::Reader(connection) | Self::Stream(connection) => connection.written(),
             Self::Sender(upload) => upload.arrived.load(Ordering::Relaxed),
         }
     }
@@ -257,7 +306,7 @@
     fn cut(&self, slow: SlowHold) {
         let SlowHold { bytes, taken, .. } = slow;
         match self {
-            Self::Reader(connection) => {
+            Self::Reader(connection) | Self::Stream(connection) => {
                 tracing::warn!(held = bytes, taken, "slow reader cut");
                 metrics::counter!("redwing_readers_cut_total").increment(1);
                 connection.cut();
@@ -300,6 +349,11 @@
         Ok(())
     }
 
+    /// The same answer, which holds the memory until its body is dropped.
+    pub fn keep(self, answer: Answer) -> Answer {
+        answer.map(|body| KeptBody { body, _hold: self }.boxed_unsync())
+    }
+
     /// The same content, which holds the memory until the last of its clones and slices is
     /// dropped.
     pub fn attach(self, content: Bytes) -> Bytes {
@@ -330,6 +384,32 @@
     }
 }
 
+/// A response body that holds memory until it is dropped.
+struct KeptBody {
+    body: UnsyncBoxBody<Bytes, io::Error>,
+    _hold: Hold,
+}
+
+impl Body for KeptBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A response body whose frames count as held until they were written.
 struct HeldBody {
     body: UnsyncBoxBody<Bytes, io::Error>,
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -22,7 +22,7 @@
     },
     duty::{Answer, Hold, Memory},
     platform::{MAX_READ_ROWS, Store, read_submission, write_page},
-    policy::memory_budget::{HeldKind, MemoryRefusal, MemoryRequest},
+    policy::memory_budget::{HeldKind, MemoryRefusal, MemoryRequest, RefusalReason},
     store::{Key, StoreError, Transaction, TransactionOutcome},
     view::Site, //
 };
@@ -32,6 +32,10 @@
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError}, //
 };
+use tokio::sync::{
+    Semaphore,
+    SemaphorePermit, //
+};
 
 /// Answers calls about batches by reading and writing the store.
 pub(super) struct Batches {
@@ -40,6 +44,8 @@
     cached_heads: Mutex<HashMap<String, Arc<Head>>>,
     /// The budget for pages that are read.
     memory: Arc<Memory>,
+    /// The turns of those that read pages and items from the store.
+    reads: Semaphore,
     site: Arc<Site>,
     store: Store,
 }
@@ -57,6 +63,10 @@
 /// real size counts once it is known.
 const PAGE_BYTES: usize = 64 * 1024;
 
+/// How long a reader waits for its turn at least, and how often it looks.
+const READ_TURN_TIMEOUT: Millis = Millis(1_000);
+const READ_TURN_INTERVAL: Millis = Millis(20);
+
 /// The delay before a failed call to the store is repeated.
 const STORE_RETRY_DELAY: Millis = Millis(40);
 
@@ -93,12 +103,28 @@
     pub(super) workspace: Option<&'a str>,
 }
 
+/// A page or an item, and the memory that it takes until it is written.
+pub(super) struct PageAnswer {
+    pub(super) answer: Answer,
+    pub(super) _hold: Option<Hold>,
+}
+
+impl From<Answer> for PageAnswer {
+    fn from(answer: Answer) -> Self {
+        Self {
+            answer,
+            _hold: None,
+        }
+    }
+}
+
 impl Batches {
     /// Answers calls from `store`; pages count toward the budget of `memory`.
     pub(super) fn new(site: &Arc<Site>, store: &Store, memory: Arc<Memory>) -> Self {
         Self {
             clock: site.clock,
             cached_heads: Mutex::new(HashMap::new()),
+            reads: Semaphore::new(memory.max_reads()),
             memory,
             site: site.clone(),
             store: store.clone(),
@@ -233,36 +259,81 @@
         workspace: &str,
         from: usize,
         wait: Millis,
-    ) -> Answer {
+    ) -> PageAnswer {
         let deadline = self.clock.now() + wait;
         loop {
-            let room = match self.reserve_page(workspace) {
-                Ok(room) => room,
-                Err(_) if self.clock.now() + RESULTS_POLL_INTERVAL < deadline => {
-                    tokio::time::sleep(RESULTS_POLL_INTERVAL.as_duration()).await;
-                    continue;
-                }
+            let read = match self.take_turn(workspace, deadline).await {
+                Ok(_turn) => self.read_results(id, from).await,
                 Err(refusal) => return self.refuse_page(id, refusal),
             };
-            let (total, page) = match self.read_results(id, from).await {
+            let (total, page) = match read {
                 Ok(Some(found)) => found,
-                Ok(None) => return unknown_batch(id),
+                Ok(None) => return unknown_batch(id).into(),
                 // A waiting trainer gets the results as soon as the store recovers; one
                 // that is refused asks again only half a second later.
                 Err(_) if self.clock.now() < deadline => continue,
-                Err(error) => return store_failed(id, &error),
+                Err(error) => return store_failed(id, &error).into(),
             };
             let out_of_time = self.clock.now() + RESULTS_POLL_INTERVAL > deadline;
             if !page.samples.is_empty() || from >= total || out_of_time {
                 let (count, first) = (page.samples.len(), from);
                 tracing::debug!(batch = id, first, count, total, "results read");
-                return reply::json(write_page(from, total, &page));
+                let body = write_page(from, total, &page);
+                return self.hold_page(id, workspace, body, reply::json);
             }
-            drop(room);
             tokio::time::sleep(RESULTS_POLL_INTERVAL.as_duration()).await;
         }
     }
 
+    /// Waits for this reader's turn: few pages are read from the store at a time, and only while
+    /// there is room for one. Refuses after `deadline`, or after [`READ_TURN_TIMEOUT`] if
+    /// that is later.
+    async fn take_turn(
+        &self,
+        workspace: &str,
+        deadline: Millis,
+    ) -> Result<(SemaphorePermit<'_>, Hold), MemoryRefusal> {
+        let deadline = deadline.max(self.clock.now() + READ_TURN_TIMEOUT);
+        loop {
+            let refusal = match self.reserve_page(workspace) {
+                Ok(hold) => match self.reads.try_acquire() {
+                    Ok(permit) => return Ok((permit, hold)),
+                    Err(_) => MemoryRefusal {
+                        reason: RefusalReason::Full,
+                        wait: READ_TURN_TIMEOUT,
+                    },
+                },
+                Err(refusal) => refusal,
+            };
+            if self.clock.now() + READ_TURN_INTERVAL >= deadline {
+                return Err(refusal);
+            }
+            tokio::time::sleep(READ_TURN_INTERVAL.as_duration()).await;
+        }
+    }
+
+    /// Answers with `body`, if there is room for it until it is written.
+    fn hold_page(
+        &self,
+        id: &str,
+        workspace: &str,
+        body: Bytes,
+        answer: fn(Bytes) -> Answer,
+    ) -> PageAnswer {
+        let reserved = self.memory.reserve(MemoryRequest {
+            bytes: body.len(),
+            kind: HeldKind::Page,
+            workspace,
+        });
+        match reserved {
+            Ok(hold) => PageAnswer {
+                answer: answer(body),
+                _hold: Some(hold),
+            },
+            Err(refusal) => self.refuse_page(id, refusal),
+        }
+    }
+
     /// Reads the results from position `from` on, and the batch's number of items;
     /// `None` when the batch does not exist.
     async fn read_results(
@@ -282,19 +353,19 @@
 
     /// Answers with the request body of one item.
     /// Its memory counts for `workspace`; empty for a caller without one.
-    pub(super) async fn item_body(&self, id: &str, workspace: &str, item: &str) -> Answer {
-        let _room = match self.reserve_page(workspace) {
-            Ok(room) => room,
+    pub(super) async fn item_body(&self, id: &str, workspace: &str, item: &str) -> PageAnswer {
+        let _turn = match self.take_turn(workspace, self.clock.now()).await {
+            Ok(turn) => turn,
             Err(refusal) => return self.refuse_page(id, refusal),
         };
         let head = match self.read_head(id).await {
             Ok(Some(head)) => head,
-            Ok(None) => return unknown_batch(id),
-            Err(error) => return store_failed(id, &error),
+            Ok(None) => return unknown_batch(id).into(),
+            Err(error) => return store_failed(id, &error).into(),
         };
         let Some(index) = head.index_of(item) else {
             tracing::info!(batch = id, item, "item not found");
-            return reply::status(StatusCode::NOT_FOUND, "no such item");
+            return reply::status(StatusCode::NOT_FOUND, "no such item").into();
         };
         let key = Key::new(
             BODIES,
@@ -303,16 +374,16 @@
         );
         let row = match self.with_retries(|| self.store.row(&key)).await {
             Ok(row) => row,
-            Err(error) => return store_failed(id, &error),
+            Err(error) => return store_failed(id, &error).into(),
         };
         let value = row.and_then(|row| row.value);
         let items: Option<Vec<Item>> = value.and_then(|value| decode("items", &value));
         let found = items.and_then(|items| items.into_iter().find(|found| found.id == item));
         match found {
-            Some(item) => reply::bytes(item.body),
+            Some(item) => self.hold_page(id, workspace, item.body, reply::bytes),
             None => {
                 tracing::error!(batch = id, item, "item is missing from its chunk");
-                reply::refusal(RETRY_AFTER_STORE_FAILED, "the item can't be read")
+                reply::refusal(RETRY_AFTER_STORE_FAILED, "the item can't be read").into()
             }
         }
     }
@@ -397,9 +468,9 @@
     }
 
     /// The response to a trainer whose page doesn't fit.
-    fn refuse_page(&self, id: &str, refusal: MemoryRefusal) -> Answer {
+    fn refuse_page(&self, id: &str, refusal: MemoryRefusal) -> PageAnswer {
         let wait = self.memory.refuse(id, HeldKind::Page, refusal);
-        reply::refusal(wait, "no memory for the page")
+        reply::refusal(wait, "no memory for the page").into()
     }
 
     fn cached_heads(&self) -> std::sync::MutexGuard<'_, HashMap<String, Arc<Head>>> {
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -2,7 +2,7 @@
 
 use super::{
     access::{self, AccessControl, Admitted, BatchScope},
-    batches::{Batches, Submitter, store_failed},
+    batches::{Batches, PageAnswer, Submitter, store_failed},
     body,
     buffered,
     pressure::Pressure,
@@ -92,13 +92,15 @@
             Err(error) => return store_failed(id, &error),
         };
         let workspace = workspace.unwrap_or_default();
-        let answer = match call {
+        let page = match call {
             BatchCall::End => return self.batches.end(&name).await,
             BatchCall::ItemBody { item } => self.batches.item_body(&name, workspace, &item).await,
             BatchCall::Results { from, wait } => {
                 self.batches.results(&name, workspace, from, wait).await
             }
         };
+        // The answer holds its memory from here on, in place of the page.
+        let PageAnswer { answer, _hold } = page;
         self.hold_answer(answer, head, HeldKind::Page, workspace)
     }
 
@@ -176,13 +178,27 @@
             workspace,
         };
         match call.route.kind {
-            RouteKind::Stream { .. } => streams::answer(&self.dispatcher, call).await,
+            RouteKind::Stream { .. } => self.answer_stream(head, call).await,
             RouteKind::Batch | RouteKind::Safe | RouteKind::Unsafe => {
                 buffered::answer(&self.dispatcher, &call, arrived).await
             }
         }
     }
 
+    /// Answers a call whose response is streamed, if there is memory for its buffers.
+    async fn answer_stream(&self, head: &Parts, call: Call) -> Answer {
+        let workspace = call.workspace.as_ref();
+        let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
+        let memory = &self.pressure.memory;
+        match memory.reserve_stream(&reader(head, HeldKind::Answer, workspace)) {
+            Ok(hold) => hold.keep(streams::answer(&self.dispatcher, call).await),
+            Err(refusal) => {
+                let wait = memory.refuse(&call.id, HeldKind::Answer, refusal);
+                reply::refusal(wait, "no memory for the answer")
+            }
+        }
+    }
+
     /// Reads the body of an admitted request until its deadline, or answers the caller.
     async fn read_body(
         &self,
@@ -220,15 +236,20 @@
 
     /// Counts an answer toward the memory budget until its caller has read it.
     fn hold_answer(&self, answer: Answer, head: &Parts, kind: HeldKind, workspace: &str) -> Answer {
-        let reader = Reader {
-            connection: head.extensions.get::<Arc<Connection>>().cloned(),
-            kind,
-            workspace: workspace.to_owned(),
-        };
+        let reader = reader(head, kind, workspace);
         self.pressure.memory.hold_answer(answer, reader)
     }
 }
 
+/// The caller of `head`, which reads an answer of this kind.
+fn reader(head: &Parts, kind: HeldKind, workspace: &str) -> Reader {
+    Reader {
+        connection: head.extensions.get::<Arc<Connection>>().cloned(),
+        kind,
+        workspace: workspace.to_owned(),
+    }
+}
+
 /// Whether the request submits a batch.
 fn is_submission(route: &Route, head: &Parts) -> bool {
     route.kind == RouteKind::Batch && head.method == hyper::Method::POST
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -100,6 +100,7 @@
             &common.data_centre,
             usage.clone(),
             LoadControl {
+                answers: pressure.memory.answers(),
                 conditions: conditions.clone(),
                 features,
             },
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client with a keep-alive pool per peer, and tracking of unreachable peers.
 
+mod answer_budget;
 mod body_budget;
 mod call_error;
 mod connection;
@@ -11,6 +12,7 @@
 mod stream_body;
 
 pub use self::{
+    answer_budget::AnswerBudget,
     call_error::CallError,
     matching::{Matching, Mismatch},
     peer::{Exchange, FullResponse, Peer, StreamingResponse},
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -3,6 +3,7 @@
 use super::{
     CallError,
     StreamBody,
+    answer_budget::{AnswerBudget, AnswerHold},
     body_budget::{BodyHold, MAX_HELD_BYTES},
     call_error::{BrokenSnafu, ConnectSnafu, ForeignSnafu, TimeoutSnafu, TooLargeSnafu, is_reset},
     connection::{Connection, IdleState, SendFailure},
@@ -59,6 +60,8 @@
 #[derive(Clone)]
 pub struct Peer {
     address: SocketAddr,
+    /// The memory for its answers; `None` for a peer whose answers are not kept for callers.
+    answers: Option<Arc<AnswerBudget>>,
     matching: Matching,
     pool: Arc<Pool>,
 }
@@ -85,6 +88,13 @@
 /// The largest response body that is read into memory: several times a page of the store.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// How long the rest of an answer of unknown length may wait for room.
+const GROWTH_TIMEOUT: Millis = Millis(1_000);
+
+/// The receive buffer of a connection whose answers are kept for callers, in bytes. What a
+/// caller does not read stays at the server.
+const RECEIVE_BUFFER: usize = 32 * 1024;
+
 /// How long a request waits for idle connections to be ready, all of them together. A connection
 /// is not ready while the peer, which has answered already, still reads the request before.
 const READY_TIMEOUT: Millis = Millis(20);
@@ -145,11 +155,20 @@
     ) -> Self {
         Self {
             address,
+            answers: None,
             matching,
             pool: Pool::open(address, clock, role),
         }
     }
 
+    /// The same peer, whose answers are kept for callers in the memory of `answers`.
+    pub fn for_callers(self, answers: Arc<AnswerBudget>) -> Self {
+        Self {
+            answers: Some(answers),
+            ..self
+        }
+    }
+
     /// Drops the idle connections, which may be dead after the peer was unreachable.
     pub fn forget_connections(&self) {
         self.pool.clear();
@@ -323,6 +342,9 @@
         let address = self.address;
         let mut body = BytesMut::new();
         let mut hold = BodyHold::open(self.pool.role());
+        let mut place = AnswerHold::default();
+        let announced = response.body.announced().min(MAX_RESPONSE_BYTES);
+        self.take_place(&mut place, announced).await;
         while let Some(part) = response.body.next(timeout).await? {
             let limit = MAX_RESPONSE_BYTES;
             (body.len() + part.len() <= limit)
@@ -332,16 +354,30 @@
             hold.add(part.len())
                 .then_some(())
                 .context(TooLargeSnafu { address, limit })?;
+            let growing = self.take_place(&mut place, body.len() + part.len());
+            // Answers of unknown length that have a part of their places could wait for each
+            // other.
+            tokio::time::timeout(GROWTH_TIMEOUT.as_duration(), growing)
+                .await
+                .ok()
+                .context(TooLargeSnafu { address, limit })?;
             body.extend_from_slice(&part);
         }
         hold.complete();
         Ok(FullResponse {
-            body: body.freeze(),
+            body: place.attach(body.freeze()),
             headers: response.headers,
             status: response.status,
         })
     }
 
+    /// Waits until there is room for `bytes` of an answer.
+    async fn take_place(&self, place: &mut AnswerHold, bytes: usize) {
+        if let Some(answers) = &self.answers {
+            answers.grow(place, bytes).await;
+        }
+    }
+
     /// Sends `request` over an idle connection, or over a new one if there is none; waits for
     /// one while the limit is reached. An idle connection that turns out to be closed before
     /// any byte of the request was written is skipped.
@@ -541,6 +577,9 @@
                 failed(&error, refused)
             })?;
         configure_socket(&stream).map_err(|error| failed(&error, false))?;
+        if self.answers.is_some() {
+            let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER);
+        }
 
         let (connection, driver) = Connection::open(stream)
             .await
--- a/src/net/stream_body.rs
+++ b/src/net/stream_body.rs
@@ -9,7 +9,10 @@
 use crate::base::Millis;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{
+    Body,
+    Incoming, //
+};
 use snafu::ResultExt;
 use std::{
     net::SocketAddr,
@@ -65,6 +68,11 @@
         }
     }
 
+    /// The length that the head announces; 0 if it announces none.
+    pub(super) fn announced(&self) -> usize {
+        self.body.size_hint().exact().unwrap_or(0) as usize
+    }
+
     /// Reads and discards the rest of the body, so that its connection can be used again. A
     /// body that takes longer than `timeout`, or has more than 64 KB, costs
     /// its connection.
--- a/src/policy/memory_budget.rs
+++ b/src/policy/memory_budget.rs
@@ -191,6 +191,18 @@
 /// head in its read buffer, and unread bytes in the kernel's.
 const CONNECTION_BYTES: usize = 48 * 1024;
 
+/// The share of the memory limit that servers' answers may take, as a divisor, and the most that
+/// they may take, in bytes.
+const ANSWERS_SHARE: usize = 5;
+const MAX_ANSWERS: usize = 24 * 1024 * 1024;
+
+/// What one read of a page takes at most, in bytes: the store's answer, its rows and the page.
+const READ_BYTES: usize = 2 * 1024 * 1024;
+
+/// The share of the memory limit that such reads may take, as a divisor, and their least number.
+const READS_SHARE: usize = 6;
+const LEAST_READS: usize = 2;
+
 /// The share of the memory limit that callers' connections may take, as a divisor.
 const CONNECTIONS_SHARE: usize = 5;
 
@@ -206,6 +218,18 @@
     (rest / 4 * 3).max(LEAST_CONNECTIONS)
 }
 
+/// The bytes that servers' answers may take until callers have read them, in a process with this
+/// memory limit, in bytes.
+pub fn answers_size(limit: usize) -> usize {
+    (limit / ANSWERS_SHARE).min(MAX_ANSWERS)
+}
+
+/// How many pages may be read from the store at a time, in a process with this memory limit, in
+/// bytes.
+pub fn max_reads(limit: usize) -> usize {
+    (limit / READS_SHARE / READ_BYTES).max(LEAST_READS)
+}
+
 /// The number of callers' connections that fit into a process with this memory limit, in bytes.
 pub fn connections_in_memory(limit: usize) -> usize {
     (limit / CONNECTIONS_SHARE / CONNECTION_BYTES).max(LEAST_CONNECTIONS)
@@ -341,6 +365,13 @@
         }
     }
 
+    /// Records that the client of a hold has nothing to move.
+    pub fn record_pause(&mut self, id: HoldId, now: Millis) {
+        if let Some(hold) = self.holds.get_mut(&id) {
+            hold.progress.at = now;
+        }
+    }
+
     /// The holds to be cut now. While memory is short, the largest ones whose clients moved
     /// nothing for [`STALL_TIME`] are cut, and no more of them than needed: bodies that stopped
     /// arriving, and answers that are not read if most of the memory holds answers.
@@ -353,11 +384,32 @@
             .shortage
             .filter(|(at, _)| now.since(*at) < SHORTAGE_TIME);
         let wanted = shortage.map_or(0, |(_, bytes)| bytes);
-        let mut excess = (self.held - leaving + wanted).saturating_sub(self.room(usize::MAX));
+        let excess = (self.held - leaving + wanted).saturating_sub(self.room(usize::MAX));
+        self.cut_stalled(excess, now, |hold| hold.waits_for_client(mostly_answers))
+    }
+
+    /// The largest answers whose readers moved nothing for [`STALL_TIME`], of `wanted` bytes
+    /// together: other answers wait for their room.
+    pub fn cut_readers(&mut self, wanted: usize, now: Millis) -> Vec<SlowHold> {
+        let cut = self.holds.values().filter(|hold| hold.cut);
+        let leaving: usize = cut.map(|hold| hold.bytes).sum();
+        self.cut_stalled(wanted.saturating_sub(leaving), now, |hold| {
+            hold.kind == HeldKind::Answer
+        })
+    }
+
+    /// Cuts the largest of the `chosen` holds whose clients moved nothing for [`STALL_TIME`], of
+    /// `excess` bytes together.
+    fn cut_stalled(
+        &mut self,
+        mut excess: usize,
+        now: Millis,
+        chosen: impl Fn(&Hold) -> bool,
+    ) -> Vec<SlowHold> {
         let mut stalled: Vec<_> = self
             .holds
             .iter_mut()
-            .filter(|(_, hold)| hold.waits_for_client(mostly_answers) && !hold.cut)
+            .filter(|(_, hold)| chosen(hold) && !hold.cut)
             .filter(|(_, hold)| now.since(hold.progress.at) >= STALL_TIME)
             .collect();
         stalled.sort_by_key(|(_, hold)| (std::cmp::Reverse(hold.bytes), hold.progress.at));
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -9,9 +9,9 @@
     base::Clock,
     calls::{Dispatcher, LoadControl},
     duty::{self, AdminRoute, DutyError, HttpLimits, HttpServer, ProgramHandle, serve_admin},
-    net::{Matching, Peer},
+    net::{AnswerBudget, Matching, Peer},
     platform::{ATTEMPT_ID, Store},
-    policy::quarantine::CrashPolicy,
+    policy::{memory_budget::answers_size, quarantine::CrashPolicy},
     relay::{Identity, Relay},
     settings::RunnerSettings,
     view::{
@@ -71,6 +71,7 @@
         let features = common.features;
         let conditions = Conditions::open(features, store.clone(), &common.instance, clock);
         let load = LoadControl {
+            answers: AnswerBudget::open(answers_size(common.limits.memory())),
             conditions: conditions.clone(),
             features,
         };
--- a/standins/src/site/plain.rs
+++ b/standins/src/site/plain.rs
@@ -121,6 +121,8 @@
     /// The id of the current incarnation.
     incarnation: Mutex<String>,
     load: Mutex<Load>,
+    /// What calls are answered with; `None` for their own body.
+    reply: Mutex<Option<Bytes>>,
     /// Larger bodies are answered with 413.
     max_body: AtomicUsize,
     /// Notified when a slot becomes free.
@@ -146,6 +148,7 @@
             failing: AtomicU32::new(0),
             incarnation: Mutex::new(id.to_owned()),
             load: Mutex::default(),
+            reply: Mutex::default(),
             max_body: AtomicUsize::new(usize::MAX),
             slot_freed: Notify::new(),
             open_requests: AtomicU32::new(0),
@@ -219,6 +222,11 @@
         *lock(&self.inner.service_time) = service_time;
     }
 
+    /// Answers all calls with `bytes` bytes, or with their own body.
+    pub fn set_reply(&self, bytes: Option<usize>) {
+        *lock(&self.inner.reply) = bytes.map(|bytes| vec![b'r'; bytes].into());
+    }
+
     /// Runs requests with bodies of more than `bytes`, and answers them with 413.
     pub fn refuse_larger(&self, bytes: usize) {
         self.inner.max_body.store(bytes, Ordering::Relaxed);
@@ -398,10 +406,11 @@
             PlainFault::TimesOut => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::OK,
         };
+        let reply = lock(&self.reply).clone().unwrap_or_else(|| body.clone());
         let too_large = body.len() > self.max_body.load(Ordering::Relaxed);
         let mut answer = match too_large {
             true => text(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", "too large"),
-            false => text(status, "text/plain", body),
+            false => text(status, "text/plain", reply),
         };
         let headers = answer.headers_mut();
         if fault == PlainFault::Foreign {
--- a/standins/tests/clients/bodies.rs
+++ b/standins/tests/clients/bodies.rs
@@ -12,6 +12,8 @@
 /// A crowd of equal clients.
 struct Test {
     count: usize,
+    /// The size of the backend server's answers; `None` for the request's own body.
+    reply: Option<usize>,
     request: Request,
     /// How long the backend server takes for a call, in ms.
     service_ms: u64,
@@ -21,11 +23,13 @@
     async fn run(self) {
         let mut stage = Stage::open(SMALL).await;
         stage.plain.set_service_time(Millis(self.service_ms));
+        stage.plain.set_reply(self.reply);
         let crowd = Crowd::open(stage.callers, self.count, |number| {
             self.request.bytes(&format!("crowd-{number}"))
         })
         .await;
         stage.plain.set_service_time(Millis(5));
+        stage.plain.set_reply(None);
         stage.wait_answered("ordinary").await;
         assert_eq!(crowd.len(), self.count);
         stage.check();
@@ -67,6 +71,7 @@
 async fn announced_bodies_that_stop() {
     let test = Test {
         count: 14,
+        reply: None,
         request: short("/safe/x", 8 * MB),
         service_ms: 5,
     };
@@ -78,6 +83,7 @@
 async fn announced_bodies_of_streams_that_stop() {
     let test = Test {
         count: 14,
+        reply: None,
         request: short("/flow/x", 8 * MB),
         service_ms: 5,
     };
@@ -89,6 +95,7 @@
 async fn announced_batches_that_stop() {
     let test = Test {
         count: 14,
+        reply: None,
         request: short("/roll/x", 8 * MB),
         service_ms: 5,
     };
@@ -100,6 +107,7 @@
 async fn chunked_bodies_that_stop() {
     let test = Test {
         count: 20,
+        reply: None,
         request: chunked("/safe/x", 6 * MB, 64 * 1024),
         service_ms: 5,
     };
@@ -111,6 +119,7 @@
 async fn bodies_in_small_chunks_that_stop() {
     let test = Test {
         count: 20,
+        reply: None,
         request: chunked("/safe/x", 6 * MB, 512),
         service_ms: 5,
     };
@@ -122,6 +131,7 @@
 async fn small_bodies_that_stop() {
     let test = Test {
         count: 3_000,
+        reply: None,
         request: short("/safe/x", 14 * 1024),
         service_ms: 5,
     };
@@ -133,6 +143,7 @@
 async fn bodies_of_calls_that_wait() {
     let test = Test {
         count: 40,
+        reply: None,
         request: whole("/safe/x", 3 * MB),
         service_ms: 15_000,
     };
@@ -144,6 +155,7 @@
 async fn answers_that_nobody_reads() {
     let test = Test {
         count: 40,
+        reply: None,
         request: whole("/safe/x", 3 * MB),
         service_ms: 5,
     };
@@ -155,12 +167,37 @@
 async fn streams_that_nobody_reads() {
     let test = Test {
         count: 40,
+        reply: None,
         request: whole("/flow/x", 3 * MB),
         service_ms: 5,
     };
     test.run().await;
 }
 
+/// Small requests get large answers that nobody reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answers_that_nobody_reads() {
+    let test = Test {
+        count: 200,
+        reply: Some(3 * MB),
+        request: whole("/safe/x", 10),
+        service_ms: 5,
+    };
+    test.run().await;
+}
+
+/// Small requests get large streamed answers that nobody reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_streams_that_nobody_reads() {
+    let test = Test {
+        count: 200,
+        reply: Some(3 * MB),
+        request: whole("/flow/x", 10),
+        service_ms: 5,
+    };
+    test.run().await;
+}
+
 /// A limit that holds off a crowd must not refuse one request of the largest legal size.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_largest_bodies_are_served_in_calm() {
