Decode and store the items of a batch one chunk at a time

Batches of legal size with very many tiny items filled a gateway: the text, the parsed items with their maps and strings, the decoded items, their rows and the rows encoded for the store were there at once, and the heads of 256 batches were cached whatever their size. Such a batch was also written chunk by chunk before the store's rows of 64 KB turned out too small for its head.

The items of a submission are now decoded one at a time from its text: once to check them and to build the head, and once more, a chunk at a time, for each transaction. A head or an item that can't fit into a row of the store is refused at once with 413, as no repetition helps. Cached heads take at most a thirty-second of the memory limit.

The tests of rows and submissions build them through the new functions; what they check is unchanged.

--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -2,7 +2,8 @@
 
 use super::{
     Item,
-    Submission, //
+    Submission,
+    encode, //
 };
 use crate::base::Millis;
 use serde::{
@@ -91,43 +92,27 @@
 /// the encoding of a chunk adds a little.
 const MAX_CHUNK_BYTES: usize = 40 * 1024;
 
-impl Head {
-    /// Builds the head of `submission`, and splits its items into chunks in their order.
-    pub fn of(submission: &Submission, accepted: Millis) -> (Self, Vec<Vec<Item>>) {
-        let mut chunks: Vec<Vec<Item>> = Vec::new();
-        let mut remaining_bytes = 0;
-        let mut items = Vec::new();
-        for item in &submission.items {
-            let size = estimated_size(item);
-            if size > remaining_bytes || chunks.is_empty() {
-                chunks.push(Vec::new());
-                remaining_bytes = MAX_CHUNK_BYTES;
-            }
-            remaining_bytes = remaining_bytes.saturating_sub(size);
-            items.push(ItemRef {
-                chunk: (chunks.len() - 1) as u16,
-                expected: item.expected,
-                id: item.id.clone(),
-            });
-            if let Some(chunk) = chunks.last_mut() {
-                chunk.push(item.clone());
-            }
-        }
+/// The largest value of a row of the store, in bytes.
+const MAX_ROW_BYTES: usize = 64 * 1024;
 
-        let head = Self {
-            accepted,
-            bundles: bundles_of(&submission.items),
-            host: submission.host.clone(),
-            items,
-            least_version: submission.least_version,
-            model: submission.model.clone(),
-            needed: submission.needed,
-            path: submission.path.clone(),
-            priority: submission.priority,
-            step: submission.step,
-            workspace: submission.workspace.clone(),
-        };
-        (head, chunks)
+/// The largest item, in bytes: its row has a little more.
+const MAX_ITEM_BYTES: usize = MAX_ROW_BYTES - 1024;
+
+/// The least bytes of an [`ItemRef`] beside its id, and of its place in a bundle.
+const LEAST_REF_BYTES: usize = 4;
+
+/// What an allocation takes beside its content, in bytes.
+const ALLOCATION: usize = 16;
+
+impl Head {
+    /// The memory that it takes, in bytes.
+    pub fn memory(&self) -> usize {
+        let items = self.items.iter();
+        let items = items.map(|item| size_of::<ItemRef>() + ALLOCATION + item.id.len());
+        let bundles = self.bundles.iter();
+        let bundles =
+            bundles.map(|bundle| size_of::<Bundle>() + ALLOCATION + 2 * bundle.items.len());
+        size_of::<Self>() + items.sum::<usize>() + bundles.sum::<usize>()
     }
 
     /// The bundles' indices in the order in which the bundles should start: those with
@@ -169,10 +154,9 @@
 /// prompt once more costs little: 5 ms for 1,000 tokens.
 const MAX_BUNDLE_ITEMS: usize = 4;
 
-/// Splits each group into bundles of about equal size; groups are in the order of their
-/// first items.
-fn bundles_of(items: &[Item]) -> Vec<Bundle> {
-    let groups = groups_of(items).into_iter().enumerate();
+/// Splits each group into bundles of about equal size.
+fn bundles_of(groups: Vec<Vec<u16>>) -> Vec<Bundle> {
+    let groups = groups.into_iter().enumerate();
     let bundles = groups.flat_map(|(number, group)| {
         let count = group.len().div_ceil(MAX_BUNDLE_ITEMS).max(1);
         let size = group.len().div_ceil(count).max(1);
@@ -185,18 +169,86 @@
     bundles.collect()
 }
 
-/// The item indices of each group; groups are in the order of their first items.
-fn groups_of(items: &[Item]) -> Vec<Vec<u16>> {
-    let mut groups: Vec<Vec<u16>> = Vec::new();
-    let mut positions: HashMap<&str, usize> = HashMap::new();
-    for (index, item) in items.iter().enumerate() {
-        let position = *positions.entry(&item.group).or_insert_with(|| {
+/// Builds a head from its items, in their order.
+pub struct HeadBuilder {
+    /// The least bytes of the items' encoding so far.
+    encoded: usize,
+    /// The item indices of each group; groups are in the order of their first items.
+    groups: Vec<Vec<u16>>,
+    head: Head,
+    /// The position of each group, by its name.
+    positions: HashMap<String, usize>,
+    /// The bytes that are left in the last chunk.
+    remaining: usize,
+}
+
+impl HeadBuilder {
+    /// The head of `submission`, whose items are still to be added, accepted at `accepted`.
+    pub fn new(submission: &Submission, accepted: Millis) -> Self {
+        let head = Head {
+            accepted,
+            bundles: Vec::new(),
+            host: submission.host.clone(),
+            items: Vec::new(),
+            least_version: submission.least_version,
+            model: submission.model.clone(),
+            needed: submission.needed,
+            path: submission.path.clone(),
+            priority: submission.priority,
+            step: submission.step,
+            workspace: submission.workspace.clone(),
+        };
+        Self {
+            encoded: 0,
+            groups: Vec::new(),
+            head,
+            positions: HashMap::new(),
+            remaining: 0,
+        }
+    }
+
+    /// Whether `item` fits into a row of the store.
+    pub fn fits_row(&self, item: &Item) -> bool {
+        estimated_size(item) <= MAX_ITEM_BYTES
+    }
+
+    /// Adds an item. Returns false if the head is too large for a row of the store with it.
+    pub fn push(&mut self, item: &Item) -> bool {
+        let size = estimated_size(item);
+        let chunk = match self.head.items.last() {
+            Some(last) if size <= self.remaining => last.chunk,
+            last => {
+                self.remaining = MAX_CHUNK_BYTES;
+                last.map_or(0, |last| last.chunk + 1)
+            }
+        };
+        self.remaining = self.remaining.saturating_sub(size);
+        let index = self.head.items.len() as u16;
+        let groups = &mut self.groups;
+        let position = self.positions.get(&item.group).copied();
+        let position = position.unwrap_or_else(|| {
             groups.push(Vec::new());
+            self.positions.insert(item.group.clone(), groups.len() - 1);
             groups.len() - 1
         });
-        groups[position].push(index as u16);
+        groups[position].push(index);
+        self.head.items.push(ItemRef {
+            chunk,
+            expected: item.expected,
+            id: item.id.clone(),
+        });
+        self.encoded += item.id.len() + LEAST_REF_BYTES;
+        self.encoded <= MAX_ROW_BYTES
+    }
+
+    /// The head; `None` if it is too large for a row of the store.
+    pub fn finish(self) -> Option<Head> {
+        let head = Head {
+            bundles: bundles_of(self.groups),
+            ..self.head
+        };
+        (encode(&head).len() <= MAX_ROW_BYTES).then_some(head)
     }
-    groups
 }
 
 /// An estimate of an item's encoded size.
--- a/src/batch/item.rs
+++ b/src/batch/item.rs
@@ -34,14 +34,13 @@
     pub scorer: Option<Scorer>,
 }
 
-/// A batch as submitted by a trainer.
+/// A batch as submitted by a trainer, without its items.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Submission {
     /// The host that the submission was addressed to.
     pub host: String,
     /// The name under which the batch is stored; see [`super::stored_name`].
     pub id: String,
-    pub items: Vec<Item>,
     /// The oldest weight version that may generate the items' tokens.
     pub least_version: u64,
     pub model: String,
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -19,7 +19,7 @@
 
 pub use self::{
     claim::{Claim, Heartbeat},
-    head::{Bundle, Head, ItemRef},
+    head::{Bundle, Head, HeadBuilder, ItemRef},
     item::{Item, Scorer, Submission},
     layout::{
         BODIES,
@@ -37,7 +37,7 @@
     page::{Page, read_page},
     partial::Partial,
     sample::{Sample, SampleState},
-    writes::{AcceptTransactions, accept_transactions, append_transaction, chunk_key}, //
+    writes::{BatchWrites, append_transaction, chunk_key}, //
 };
 
 /// Encodes a value for the store.
--- a/src/batch/writes.rs
+++ b/src/batch/writes.rs
@@ -7,27 +7,34 @@
     Log,
     RESULTS,
     Sample,
-    Submission,
     WORK,
     WorkKey,
     batch_part,
     encode, //
 };
-use crate::{
-    base::Millis,
-    store::{Key, Transaction}, //
+use crate::store::{
+    Key,
+    Transaction, //
 };
 use bytes::Bytes;
 
-/// The transactions that store a new batch, in the order in which they must be done.
+/// The transactions that store a new batch, in the order in which they must be done. Each is
+/// built when it is needed.
 ///
 /// Only the last one, which contains the head, makes the batch exist. Chunks that don't
 /// fit into it are written before. Every attempt writes the same chunks, so a repeated
 /// submission, or two at the same time, changes nothing.
-#[derive(Debug)]
-pub struct AcceptTransactions {
-    pub chunks: Vec<Transaction>,
-    pub head: Transaction,
+pub struct BatchWrites<F> {
+    head: Head,
+    /// Decodes the item at an index.
+    item: F,
+    /// The index of the first item that is in no row yet.
+    next: usize,
+    part: String,
+    /// The rows of the next transaction.
+    rows: Vec<(Key, Bytes)>,
+    /// The head was written.
+    written: bool,
 }
 
 /// The maximum size of a transaction's values: the store accepts requests of 1 MB, and
@@ -45,45 +52,64 @@
     format!("{chunk:05}")
 }
 
-/// The transactions that store `submission`, accepted at `now` by the store's clock.
-pub fn accept_transactions(submission: &Submission, now: Millis) -> AcceptTransactions {
-    let part = batch_part(&submission.id);
-    let (head, item_chunks) = Head::of(submission, now);
-    let mut rows: Vec<(Key, Bytes)> = item_chunks
-        .iter()
-        .enumerate()
-        .map(|(index, chunk)| chunk_row(&part, index as u16, chunk))
-        .collect();
-
-    // The last transaction takes the remaining chunks that fit beside the head.
-    let mut chunks = Vec::new();
-    while !fits(&rows) {
-        let mut transaction = Transaction::default();
-        let mut bytes = 0;
-        while let Some((_, value)) = rows.first() {
-            bytes += value.len();
-            let full =
-                bytes > MAX_TRANSACTION_BYTES || transaction.set.len() == MAX_TRANSACTION_ROWS;
-            if full && !transaction.set.is_empty() {
-                break;
-            }
-            transaction.set.push(rows.remove(0));
+impl<E, F: Fn(usize) -> Result<Item, E>> BatchWrites<F> {
+    /// The transactions that store the batch `id` with this head, whose items `item` decodes.
+    pub fn new(id: &str, head: Head, item: F) -> Self {
+        Self {
+            head,
+            item,
+            next: 0,
+            part: batch_part(id),
+            rows: Vec::new(),
+            written: false,
         }
-        chunks.push(transaction);
     }
 
-    let head_key = Key::new(WORK, &part, WorkKey::Head.to_string());
-    let log_key = Key::new(WORK, &part, WorkKey::Log.to_string());
-    let mut set = rows;
-    set.push((head_key.clone(), encode(&head)));
-    set.push((log_key, encode(&Log::default())));
-    AcceptTransactions {
-        chunks,
-        head: Transaction {
+    /// The next transaction, and whether it is the last one; `None` after the last one.
+    ///
+    /// # Errors
+    ///
+    /// The error of `item`.
+    pub fn next(&mut self) -> Result<Option<(Transaction, bool)>, E> {
+        if self.written {
+            return Ok(None);
+        }
+        while self.next < self.head.items.len() {
+            let row = self.chunk_row()?;
+            if !fits(&self.rows, &row.1) {
+                let set = std::mem::replace(&mut self.rows, vec![row]);
+                let transaction = Transaction {
+                    set,
+                    ..Transaction::default()
+                };
+                return Ok(Some((transaction, false)));
+            }
+            self.rows.push(row);
+        }
+        self.written = true;
+        let key = |key: WorkKey| Key::new(WORK, &self.part, key.to_string());
+        let head_key = key(WorkKey::Head);
+        let mut set = std::mem::take(&mut self.rows);
+        set.push((head_key.clone(), encode(&self.head)));
+        set.push((key(WorkKey::Log), encode(&Log::default())));
+        let transaction = Transaction {
             expect: vec![(head_key, 0)],
             remove: Vec::new(),
             set,
-        },
+        };
+        Ok(Some((transaction, true)))
+    }
+
+    /// The row of the next chunk of items.
+    fn chunk_row(&mut self) -> Result<(Key, Bytes), E> {
+        let places = &self.head.items;
+        let chunk = places[self.next].chunk;
+        let end = places[self.next..].partition_point(|place| place.chunk == chunk);
+        let items = (self.next..self.next + end).map(&self.item);
+        let items = items.collect::<Result<Vec<Item>, E>>()?;
+        self.next += end;
+        let key = Key::new(BODIES, &self.part, chunk_key(chunk));
+        Ok((key, encode(&items)))
     }
 }
 
@@ -115,13 +141,10 @@
     (next, transaction)
 }
 
-fn chunk_row(part: &str, index: u16, items: &[Item]) -> (Key, Bytes) {
-    (Key::new(BODIES, part, chunk_key(index)), encode(&items))
-}
-
-fn fits(rows: &[(Key, Bytes)]) -> bool {
+/// Whether a further row with this value fits into a transaction of `rows`.
+fn fits(rows: &[(Key, Bytes)], value: &Bytes) -> bool {
     let bytes: usize = rows.iter().map(|(_, value)| value.len()).sum();
-    rows.len() <= MAX_TRANSACTION_ROWS && bytes <= MAX_TRANSACTION_BYTES
+    rows.len() < MAX_TRANSACTION_ROWS && bytes + value.len() <= MAX_TRANSACTION_BYTES
 }
 
 /// The rows of a result, with keys `POSITION/PIECE`. The first byte of each value is
--- a/src/duty/memory.rs
+++ b/src/duty/memory.rs
@@ -50,7 +50,7 @@
 pub struct Memory {
     answers: Arc<AnswerBudget>,
     clock: Clock,
-    max_reads: usize,
+    limit: usize,
     state: Mutex<State>,
 }
 
@@ -109,7 +109,7 @@
         Arc::new(Self {
             answers: AnswerBudget::open(answers_size(limit)),
             clock,
-            max_reads: max_reads(limit),
+            limit,
             state: Mutex::new(State {
                 budget: MemoryBudget::new(budget_size(limit)),
                 clients: HashMap::new(),
@@ -124,7 +124,12 @@
 
     /// How many pages may be read from the store at a time.
     pub fn max_reads(&self) -> usize {
-        self.max_reads
+        max_reads(self.limit)
+    }
+
+    /// The memory limit of the process, in bytes.
+    pub fn limit(&self) -> usize {
+        self.limit
     }
 
     /// The bytes held.
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -5,14 +5,13 @@
     base::{Clock, Millis},
     batch::{
         BODIES,
+        BatchWrites,
         Head,
         Item,
         Log,
         RESULTS,
-        Submission,
         WORK,
         WorkKey,
-        accept_transactions,
         batch_part,
         chunk_key,
         decode,
@@ -21,7 +20,7 @@
         stored_name, //
     },
     duty::{Answer, Hold, Memory},
-    platform::{MAX_READ_ROWS, Store, read_submission, write_page},
+    platform::{MAX_READ_ROWS, Store, SubmissionError, read_submission, write_page},
     policy::memory_budget::{HeldKind, MemoryRefusal, MemoryRequest, RefusalReason},
     store::{Key, StoreError, Transaction, TransactionOutcome},
     view::Site, //
@@ -41,7 +40,7 @@
 pub(super) struct Batches {
     clock: Clock,
     /// Cached heads of batches, by stored name. A head never changes.
-    cached_heads: Mutex<HashMap<String, Arc<Head>>>,
+    cached_heads: Mutex<CachedHeads>,
     /// The budget for pages that are read.
     memory: Arc<Memory>,
     /// The turns of those that read pages and items from the store.
@@ -54,6 +53,9 @@
 /// first is evicted. The head of 100 items takes about 4 KB.
 const MAX_CACHED_HEADS: usize = 256;
 
+/// The share of the memory limit that cached heads may take, as a divisor.
+const HEADS_SHARE: usize = 32;
+
 /// How often the store is polled for results that a trainer waits for. A trainer that
 /// runs two steps at a time has less than half a second to spare on each. One call
 /// costs the store 4 ms, and the store serves 2,000 calls a second.
@@ -103,6 +105,44 @@
     pub(super) workspace: Option<&'a str>,
 }
 
+/// Heads of batches, by stored name.
+struct CachedHeads {
+    /// The memory that the heads take, in bytes, and the most that they may take.
+    bytes: (usize, usize),
+    heads: HashMap<String, Arc<Head>>,
+}
+
+impl CachedHeads {
+    fn new(most: usize) -> Self {
+        Self {
+            bytes: (0, most),
+            heads: HashMap::new(),
+        }
+    }
+
+    fn get(&self, id: &str) -> Option<&Arc<Head>> {
+        self.heads.get(id)
+    }
+
+    /// Adds a head, in place of those that were accepted first.
+    fn insert(&mut self, id: &str, head: &Arc<Head>) {
+        let size = head.memory();
+        if size > self.bytes.1 || self.heads.contains_key(id) {
+            return;
+        }
+        self.bytes.0 += size;
+        self.heads.insert(id.to_owned(), head.clone());
+        while self.bytes.0 > self.bytes.1 || self.heads.len() > MAX_CACHED_HEADS {
+            let oldest = self.heads.iter().min_by_key(|(_, head)| head.accepted);
+            let Some(oldest) = oldest.map(|(id, _)| id.clone()) else {
+                return;
+            };
+            let removed = self.heads.remove(&oldest);
+            self.bytes.0 -= removed.map_or(0, |head| head.memory());
+        }
+    }
+}
+
 /// A page or an item, and the memory that it takes until it is written.
 pub(super) struct PageAnswer {
     pub(super) answer: Answer,
@@ -123,7 +163,7 @@
     pub(super) fn new(site: &Arc<Site>, store: &Store, memory: Arc<Memory>) -> Self {
         Self {
             clock: site.clock,
-            cached_heads: Mutex::new(HashMap::new()),
+            cached_heads: Mutex::new(CachedHeads::new(memory.limit() / HEADS_SHARE)),
             reads: Semaphore::new(memory.max_reads()),
             memory,
             site: site.clone(),
@@ -160,21 +200,21 @@
         let Some(id) = &stored_name(submitter.workspace, id) else {
             return reply::status(StatusCode::BAD_REQUEST, "not an id of a batch");
         };
-        let submission = match read_submission(id, submitter.host, submitter.path, &body) {
-            Ok(submission) => Submission {
-                priority: submitter.priority,
-                workspace: submitter.workspace.map(str::to_owned),
-                ..submission
-            },
-            Err(error) => {
-                tracing::warn!(batch = id, %error, "batch refused: invalid submission");
-                return reply::status(StatusCode::BAD_REQUEST, &error.to_string());
-            }
+        let accepted = self.store.now();
+        let read = read_submission(id, submitter.host, submitter.path, &body);
+        let read = read.and_then(|mut text| {
+            text.about.priority = submitter.priority;
+            text.about.workspace = submitter.workspace.map(str::to_owned);
+            let head = text.head(accepted)?;
+            Ok((text, head))
+        });
+        let (text, head) = match read {
+            Ok(read) => read,
+            Err(error) => return refuse_submission(id, &error),
         };
-        let (step, model) = (submission.step, submission.model.clone());
-        let items = submission.items.len();
-        let writes = accept_transactions(&submission, self.store.now());
-        drop(submission);
+        let (step, model) = (text.about.step, text.about.model.clone());
+        let items = text.len();
+        let mut writes = BatchWrites::new(id, head, |index| text.item(index));
         // The store's timeout is shorter only during an outage.
         let limit = match self.store_timeout() < STORE_TIMEOUT {
             true => SUBMIT_TIMEOUT_IN_OUTAGE,
@@ -185,9 +225,15 @@
         // Chunks alone are never run: whether they were written doesn't matter until the
         // head makes the batch exist.
         let mut in_doubt = false;
-        for chunk in &writes.chunks {
+        let head = loop {
+            let transaction = match writes.next() {
+                Ok(Some((head, true))) => break head,
+                Ok(Some((chunks, false))) => chunks,
+                Ok(None) => return reply::refusal(RETRY_AFTER_STORE_FAILED, "no items"),
+                Err(error) => return refuse_submission(id, &error),
+            };
             if let Err(error) = self
-                .write_with_retries(chunk, deadline, &mut in_doubt)
+                .write_with_retries(&transaction, deadline, &mut in_doubt)
                 .await
             {
                 tracing::warn!(batch = id, %error, "batch refused: its items were not stored");
@@ -196,10 +242,10 @@
                     "the store did not take the batch",
                 );
             }
-        }
+        };
         let mut in_doubt = false;
         match self
-            .write_with_retries(&writes.head, deadline, &mut in_doubt)
+            .write_with_retries(&head, deadline, &mut in_doubt)
             .await
         {
             Ok(TransactionOutcome::Done { revision }) => {
@@ -447,14 +493,7 @@
             let message = format!("the head of batch `{id}` is damaged");
             return Err(StoreError::InvalidMessage { message });
         };
-        let mut heads = self.cached_heads();
-        if heads.len() >= MAX_CACHED_HEADS
-            && let Some(oldest) = heads.iter().min_by_key(|(_, head)| head.accepted)
-        {
-            let oldest = oldest.0.clone();
-            heads.remove(&oldest);
-        }
-        heads.insert(id.to_owned(), head.clone());
+        self.cached_heads().insert(id, &head);
         Ok(Some(head))
     }
 
@@ -473,7 +512,7 @@
         reply::refusal(wait, "no memory for the page").into()
     }
 
-    fn cached_heads(&self) -> std::sync::MutexGuard<'_, HashMap<String, Arc<Head>>> {
+    fn cached_heads(&self) -> std::sync::MutexGuard<'_, CachedHeads> {
         self.cached_heads
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -513,6 +552,18 @@
     }
 }
 
+/// The response to the submission of a batch that can't be accepted.
+fn refuse_submission(id: &str, error: &SubmissionError) -> Answer {
+    tracing::warn!(batch = id, %error, "batch refused: invalid submission");
+    let status = match error.is_too_large() {
+        true => StatusCode::PAYLOAD_TOO_LARGE,
+        false => StatusCode::BAD_REQUEST,
+    };
+    metrics::counter!("redwing_batches_refused_total", "status" => status.as_u16().to_string())
+        .increment(1);
+    reply::status(status, &error.to_string())
+}
+
 /// The response to a call about batch `id` that failed because of the store.
 pub(super) fn store_failed(id: &str, error: &StoreError) -> Answer {
     tracing::warn!(batch = id, %error, "request refused: the call to the store failed");
--- a/src/platform/batch_calls.rs
+++ b/src/platform/batch_calls.rs
@@ -1,12 +1,17 @@
 //! Decodes the batches that trainers submit, and encodes the pages of results that they
 //! read.
 
-use crate::batch::{
-    Item,
-    Page,
-    SampleState,
-    Scorer,
-    Submission, //
+use crate::{
+    base::Millis,
+    batch::{
+        Head,
+        HeadBuilder,
+        Item,
+        Page,
+        SampleState,
+        Scorer,
+        Submission, //
+    },
 };
 use base64::{
     Engine,
@@ -15,9 +20,13 @@
 use bytes::Bytes;
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    de::{Error, SeqAccess, Visitor}, //
 };
+use serde_json::value::RawValue;
 use snafu::{
+    OptionExt,
     ResultExt,
     Snafu,
     ensure, //
@@ -37,18 +46,30 @@
     },
     #[snafu(display("the batch has no items, or more than {most}"))]
     Count { most: usize },
+    #[snafu(display("item `{item}` is larger than the store's rows"))]
+    LargeItem { item: String },
+    #[snafu(display("the batch has more items than fit into a row of the store"))]
+    LargeHead,
     #[snafu(display("item `{item}` stands in the batch twice"))]
     Repeated { item: String },
     #[snafu(display("the batch is not understood: {source}"))]
     Syntax { source: serde_json::Error },
 }
 
+impl SubmissionError {
+    /// Whether the batch could be accepted if it were smaller.
+    pub fn is_too_large(&self) -> bool {
+        matches!(self, Self::LargeHead | Self::LargeItem { .. })
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct WireBatch {
+struct WireBatch<'a> {
     #[serde(default)]
     group_target: u64,
-    items: Vec<WireItem>,
+    #[serde(borrow, deserialize_with = "item_texts")]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     min_version: u64,
     #[serde(default)]
@@ -86,32 +107,35 @@
 /// The maximum number of items in a batch: indices of items have 16 bits.
 const MAX_ITEMS: usize = u16::MAX as usize;
 
-/// Decodes a batch with the stored name `id` that was sent to `host` and `path`. Its
-/// priority and workspace are left for the caller to set.
+/// The longest text of an item, in bytes: more doesn't fit into a row of the store, and headers
+/// take many times the bytes of their text in memory.
+const MAX_ITEM_TEXT: usize = 128 * 1024;
+
+/// A submitted batch, whose items are decoded one at a time.
+pub struct SubmissionText<'a> {
+    /// The batch without its items.
+    pub about: Submission,
+    items: Vec<&'a RawValue>,
+}
+
+/// Decodes a batch with the stored name `id` that was sent to `host` and `path`, except for its
+/// items. Its priority and workspace are left for the caller to set.
 ///
 /// # Errors
 ///
 /// [`SubmissionError`] when the body is invalid.
-pub fn read_submission(
+pub fn read_submission<'a>(
     id: &str,
     host: &str,
     path: &str,
-    body: &[u8],
-) -> Result<Submission, SubmissionError> {
-    let wire: WireBatch = serde_json::from_slice(body).context(SyntaxSnafu)?;
+    body: &'a [u8],
+) -> Result<SubmissionText<'a>, SubmissionError> {
+    let wire: WireBatch<'a> = serde_json::from_slice(body).context(SyntaxSnafu)?;
     let most = MAX_ITEMS;
     ensure!((1..=most).contains(&wire.items.len()), CountSnafu { most });
-    let items: Result<Vec<Item>, SubmissionError> = wire.items.into_iter().map(item).collect();
-    let items = items?;
-    let mut seen = HashSet::new();
-    for item in &items {
-        let item = &item.id;
-        ensure!(seen.insert(item), RepeatedSnafu { item });
-    }
-    Ok(Submission {
+    let about = Submission {
         host: host.to_owned(),
         id: id.to_owned(),
-        items,
         least_version: wire.min_version,
         model: wire.model,
         // No batch has more groups than fit into 16 bits: a larger target means all of them.
@@ -120,9 +144,78 @@
         priority: None,
         step: wire.step,
         workspace: None,
+    };
+    Ok(SubmissionText {
+        about,
+        items: wire.items,
     })
 }
 
+impl SubmissionText<'_> {
+    /// The number of items.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Decodes the item at this position.
+    ///
+    /// # Errors
+    ///
+    /// [`SubmissionError`] when it is invalid or too large.
+    pub fn item(&self, position: usize) -> Result<Item, SubmissionError> {
+        let text = self.items[position].get();
+        let name = || format!("at position {position}");
+        ensure!(text.len() <= MAX_ITEM_TEXT, LargeItemSnafu { item: name() });
+        item(serde_json::from_str(text).context(SyntaxSnafu)?)
+    }
+
+    /// Builds the head of the batch, accepted at `accepted` by the store's clock, from all
+    /// items.
+    ///
+    /// # Errors
+    ///
+    /// [`SubmissionError`] when an item is invalid, or the batch doesn't fit the store.
+    pub fn head(&self, accepted: Millis) -> Result<Head, SubmissionError> {
+        let mut head = HeadBuilder::new(&self.about, accepted);
+        let mut seen = HashSet::new();
+        for position in 0..self.len() {
+            let item = self.item(position)?;
+            ensure!(head.fits_row(&item), LargeItemSnafu { item: item.id });
+            ensure!(head.push(&item), LargeHeadSnafu);
+            let repeated = seen.contains(&item.id);
+            ensure!(!repeated, RepeatedSnafu { item: item.id });
+            seen.insert(item.id);
+        }
+        head.finish().context(LargeHeadSnafu)
+    }
+}
+
+/// Reads the texts of at most [`MAX_ITEMS`] items, and one more.
+fn item_texts<'de, D: Deserializer<'de>>(decoder: D) -> Result<Vec<&'de RawValue>, D::Error> {
+    struct Texts;
+
+    impl<'de> Visitor<'de> for Texts {
+        type Value = Vec<&'de RawValue>;
+
+        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.write_str("a list of items")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<Self::Value, A::Error> {
+            let mut texts = Vec::new();
+            while let Some(text) = items.next_element()? {
+                if texts.len() > MAX_ITEMS {
+                    return Err(A::Error::custom(format!("more than {MAX_ITEMS} items")));
+                }
+                texts.push(text);
+            }
+            Ok(texts)
+        }
+    }
+
+    decoder.deserialize_seq(Texts)
+}
+
 fn item(wire: WireItem) -> Result<Item, SubmissionError> {
     let item = &wire.id;
     let hint = wire
--- a/standins/tests/clients/pages.rs
+++ b/standins/tests/clients/pages.rs
@@ -10,13 +10,14 @@
     base::Millis,
     batch::{
         BODIES,
+        BatchWrites,
+        HeadBuilder,
         Item,
         Log,
         Sample,
         SampleState,
         Submission,
         WORK,
-        accept_transactions,
         append_transaction, //
     },
     store::Transaction, //
@@ -39,7 +40,6 @@
     let submission = Submission {
         host: "site.example".to_owned(),
         id: id.to_owned(),
-        items: (0..ITEMS).map(item).collect(),
         least_version: 1,
         model: "m0".to_owned(),
         needed: 0,
@@ -48,9 +48,14 @@
         step: 0,
         workspace: None,
     };
-    let accepted = accept_transactions(&submission, Millis(1));
-    for chunk in &accepted.chunks {
-        write(store, chunk);
+    let items: Vec<Item> = (0..ITEMS).map(item).collect();
+    let mut head = HeadBuilder::new(&submission, Millis(1));
+    assert!(items.iter().all(|item| head.push(item)));
+    let head = head.finish().expect("a head that fits");
+    let item = |index: usize| Ok::<Item, ()>(items[index].clone());
+    let mut writes = BatchWrites::new(id, head, item);
+    while let Ok(Some((transaction, _))) = writes.next() {
+        write(store, &transaction);
     }
     let sample = |item: &Item| Sample {
         id: item.id.clone(),
@@ -59,10 +64,9 @@
         text: "t".repeat(30 * 1024),
         versions: vec![1],
     };
-    let samples = submission.items.iter().map(sample).enumerate();
+    let samples = items.iter().map(sample).enumerate();
     let samples: Vec<(u16, Sample)> = samples.map(|(n, sample)| (n as u16, sample)).collect();
     let (_, listed) = append_transaction(id, &Log::default(), 0, &samples);
-    write(store, &accepted.head);
     write(store, &listed);
     assert!(store.rows_in_table(BODIES, &format!("batch-{id}")) > 0);
     assert!(store.rows_in_table(WORK, &format!("batch-{id}")) > 0);
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -6,14 +6,15 @@
 use redwingpond::{
     base::Millis,
     batch::{
+        BatchWrites,
         Head,
+        HeadBuilder,
         Item,
         Log,
         Sample,
         SampleState,
         Submission,
         WorkKey,
-        accept_transactions,
         append_transaction,
         batch_part,
         decode,
@@ -39,12 +40,11 @@
     }
 }
 
-/// A submission of `items`, otherwise with default values.
-fn submission(items: Vec<Item>) -> Submission {
+/// A submission with default values.
+fn submission() -> Submission {
     Submission {
         host: "h".to_owned(),
         id: "b".to_owned(),
-        items,
         least_version: 1,
         model: "m".to_owned(),
         needed: 0,
@@ -55,6 +55,13 @@
     }
 }
 
+/// The head of a submission of `items`.
+fn head_of(submission: &Submission, items: &[Item]) -> Head {
+    let mut head = HeadBuilder::new(submission, Millis(5));
+    assert!(items.iter().all(|item| head.push(item)));
+    head.finish().expect("a head that fits")
+}
+
 /// A batch of any size is written in transactions within the store's limits, the head
 /// last. Each item is in the chunk that the head names.
 #[test]
@@ -80,9 +87,12 @@
         },
     ] {
         let items: Vec<Item> = (0..test.items).map(|n| item(n, "g", test.size)).collect();
-        let writes = accept_transactions(&submission(items), Millis(5));
+        let head = head_of(&submission(), &items);
+        let item = |index: usize| Ok::<Item, ()>(items[index].clone());
+        let mut writes = BatchWrites::new("b", head, item);
         let mut rows = BTreeMap::new();
-        for transaction in writes.chunks.iter().chain([&writes.head]) {
+        let mut last = None;
+        while let Some((transaction, is_last)) = writes.next().unwrap() {
             let bytes: usize = transaction.set.iter().map(|(_, value)| value.len()).sum();
             assert!(transaction.set.len() <= 100, "{}", transaction.set.len());
             assert!(bytes < 740 * 1024, "{bytes}");
@@ -90,9 +100,12 @@
                 assert!(value.len() <= 48 * 1024, "{}", value.len());
                 rows.insert(key.key.clone(), value.clone());
             }
+            assert!(last.is_none(), "a transaction after the head");
+            last = is_last.then_some(transaction);
         }
-        assert_eq!(writes.head.expect.len(), 1);
-        assert_eq!(writes.head.expect[0].1, 0);
+        let last = last.expect("a transaction with the head");
+        assert_eq!(last.expect.len(), 1);
+        assert_eq!(last.expect[0].1, 0);
 
         let head: Head = decode("head", &rows["head"]).unwrap();
         assert_eq!(head.items.len(), test.items);
@@ -113,7 +126,7 @@
         item(1, "c", 0),
         item(8, "a", 0),
     ];
-    let (head, _) = Head::of(&submission(items), Millis(0));
+    let head = head_of(&submission(), &items);
     assert_eq!(bundles(&head), [vec![0, 3], vec![1], vec![2]]);
     assert_eq!(head.bundle_order(), [1, 0, 2]);
 }
@@ -141,9 +154,9 @@
         let items = vec![item(1, "c", 0), item(2, "a", 0), item(3, "b", 0)];
         let submission = Submission {
             needed: test.needed,
-            ..submission(items)
+            ..submission()
         };
-        let (head, _) = Head::of(&submission, Millis(0));
+        let head = head_of(&submission, &items);
         let bundles = head.bundles.iter();
         let surplus: Vec<bool> = bundles.map(|bundle| head.is_surplus(bundle)).collect();
         assert_eq!(surplus, test.surplus, "{}", test.needed);
@@ -163,7 +176,8 @@
 fn large_groups_are_split_into_bundles() {
     let group = |number: usize| format!("g{}", number / 16);
     let items = (0..256).map(|number| item(number, &group(number), 0));
-    let (head, _) = Head::of(&submission(items.collect()), Millis(0));
+    let items: Vec<Item> = items.collect();
+    let head = head_of(&submission(), &items);
     let bundles = bundles(&head);
     assert!(bundles.iter().all(|bundle| bundle.len() == 4));
     let mut all: Vec<u16> = bundles.concat();
@@ -171,8 +185,8 @@
     assert_eq!(all, (0..256).collect::<Vec<u16>>());
 
     // Five items make two bundles of nearly equal size.
-    let items = (0..5).map(|number| item(number, "g", 0)).collect();
-    let (head, _) = Head::of(&submission(items), Millis(0));
+    let items: Vec<Item> = (0..5).map(|number| item(number, "g", 0)).collect();
+    let head = head_of(&submission(), &items);
     let sizes: Vec<usize> = head
         .bundles
         .iter()
--- a/tests/integration/platform_wire.rs
+++ b/tests/integration/platform_wire.rs
@@ -188,11 +188,12 @@
     let headers = r#"{"X-Tenant":"other","x-api-key":"secret","X-Model":"m"}"#;
     let item = format!(r#"{{"items":[{{"id":"a","path":"/c/1","headers":{headers}}}]}}"#);
     let batch = read_submission("b", "h", "/c/b", item.as_bytes()).unwrap();
+    let item = batch.item(0).unwrap();
     for workspace in [None, Some("foam")] {
         let request = EngineRequest {
             after: None,
             host: "h",
-            item: &batch.items[0],
+            item: &item,
             timeout: Millis(5),
             priority: Some(40),
             server: "s",
@@ -296,7 +297,8 @@
         assert!(error.contains(test.message), "{error}");
     }
     assert!(read_server("s", b"{}").is_err());
-    let error = read_submission("b", "h", "/c/b", br#"{"items":[]}"#).unwrap_err();
+    let error = read_submission("b", "h", "/c/b", br#"{"items":[]}"#);
+    let error = error.err().unwrap();
     assert!(error.to_string().contains("no items"), "{error}");
 }
 
