Postpone batches that a runner has no memory for

Batches that were accepted filled each runner that followed them, machines that their client never talks to: every runner read the items of all bundles that its place could give it, kept each chunk until the batch was over, and kept the heads of ended batches until their retention was over.

A runner now opens batches while they take at most a quarter of its memory limit, counted with all claims that they can get; the others wait in the order of their acceptance and are read from the store when it is their turn. Items take an eighth before no more are read ahead and those that nothing waits for are dropped. A batch that is over keeps only what its removal needs. What was accepted is kept: the test postponed_batches_are_delivered has more batches than the runners bear, ends half of them and reads the rest whole.

--- a/src/batch/head.rs
+++ b/src/batch/head.rs
@@ -3,7 +3,8 @@
 use super::{
     Item,
     Submission,
-    encode, //
+    encode,
+    item::ALLOCATION, //
 };
 use crate::base::Millis;
 use serde::{
@@ -101,10 +102,25 @@
 /// The least bytes of an [`ItemRef`] beside its id, and of its place in a bundle.
 const LEAST_REF_BYTES: usize = 4;
 
-/// What an allocation takes beside its content, in bytes.
-const ALLOCATION: usize = 16;
-
 impl Head {
+    /// The head without its items and bundles.
+    #[must_use]
+    pub fn without_items(&self) -> Self {
+        Self {
+            accepted: self.accepted,
+            bundles: Vec::new(),
+            host: self.host.clone(),
+            items: Vec::new(),
+            least_version: self.least_version,
+            model: self.model.clone(),
+            needed: self.needed,
+            path: self.path.clone(),
+            priority: self.priority,
+            step: self.step,
+            workspace: self.workspace.clone(),
+        }
+    }
+
     /// The memory that it takes, in bytes.
     pub fn memory(&self) -> usize {
         let items = self.items.iter();
--- a/src/batch/item.rs
+++ b/src/batch/item.rs
@@ -34,6 +34,24 @@
     pub scorer: Option<Scorer>,
 }
 
+/// What an allocation takes beside its content, in bytes.
+pub(super) const ALLOCATION: usize = 16;
+
+impl Item {
+    /// The memory that it takes, in bytes.
+    pub fn memory(&self) -> usize {
+        let text = |text: &str| text.len() + ALLOCATION;
+        let headers = self.headers.iter();
+        let headers =
+            headers.map(|(name, value)| size_of::<(String, String)>() + text(name) + text(value));
+        let scorer = self.scorer.as_ref().map_or(0, |scorer| {
+            text(&scorer.host) + text(&scorer.id) + text(&scorer.path) + scorer.body.len()
+        });
+        let texts = text(&self.group) + text(&self.id) + text(&self.path);
+        size_of::<Self>() + texts + headers.sum::<usize>() + scorer + self.body.len()
+    }
+}
+
 /// A batch as submitted by a trainer, without its items.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Submission {
--- a/src/runner/changes.rs
+++ b/src/runner/changes.rs
@@ -27,6 +27,7 @@
                 };
                 match WorkKey::parse(&key) {
                     Some(WorkKey::Head) => {
+                        self.postponed.remove(id);
                         if let Some(mut batch) = self.batches.remove(id) {
                             batch.stop();
                             batch.stopped.iter().for_each(RunHandle::cut);
@@ -61,10 +62,22 @@
         let Some(id) = part.strip_prefix("batch-") else {
             return;
         };
+        if self.postponed.ignores(id) {
+            if WorkKey::parse(key) == Some(WorkKey::Log)
+                && let Some(log) = decode("log", value)
+            {
+                self.end_postponed(id, log, revision, now);
+            }
+            return;
+        }
         let known = self.batches.get_mut(id);
         match (WorkKey::parse(key), known) {
             (Some(WorkKey::Head), None) => {
                 if let Some(head) = decode::<Head>(key, value) {
+                    if self.lacks_room(OpenBatch::memory_of(&head)) {
+                        self.postpone(id, &head);
+                        return;
+                    }
                     let same = |batch: &OpenBatch| batch.head.model == head.model;
                     let mut open = self.batches.values().filter(|batch| !batch.is_over());
                     if open.any(same) {
--- a/src/runner/event.rs
+++ b/src/runner/event.rs
@@ -9,7 +9,7 @@
     batch::{Claim, Item, Log, Partial},
     platform::{EngineReport, OrderAnswer},
     relay::FollowEvent,
-    store::{StoreError, TransactionOutcome}, //
+    store::{Row, StoreError, TransactionOutcome}, //
 };
 use std::collections::HashMap;
 
@@ -54,6 +54,11 @@
         chunk: u16,
         items: Result<Vec<Item>, StoreError>,
     },
+    /// The read of all rows of a postponed batch has ended.
+    BatchRead {
+        batch: String,
+        rows: Result<Vec<Row>, StoreError>,
+    },
     /// The run of an item has ended.
     ItemEnded {
         batch: String,
--- a/src/runner/items.rs
+++ b/src/runner/items.rs
@@ -3,7 +3,7 @@
 use super::{
     claims::STORE_RETRY_DELAY,
     event::{BundleId, Event},
-    open_batch::{BundleState, OpenBatch},
+    open_batch::{BundleState, Chunk, OpenBatch},
     progress::Progress,
     run_handle::RunHandle,
     run_item::{self, Task},
@@ -26,6 +26,10 @@
 /// after it.
 const MAX_RUN_TIME: Millis = Millis(30_000);
 
+/// The share of the memory limit that items may take before those that nothing waits for are
+/// dropped, as a divisor.
+const ITEMS_SHARE: usize = 8;
+
 impl WorkLoop {
     /// Reads the items of the bundles that are assigned to this runner by its place, so
     /// that it can run them even while the store is unreachable.
@@ -43,10 +47,18 @@
             .filter(|bundle| place.owns(batch.order_of(*bundle)))
             .collect();
         for bundle in mine {
+            if self.item_memory() >= self.memory / ITEMS_SHARE {
+                return;
+            }
             self.fetch(id, bundle);
         }
     }
 
+    /// The memory that the items of all batches take, in bytes.
+    fn item_memory(&self) -> usize {
+        self.batches.values().map(OpenBatch::chunk_memory).sum()
+    }
+
     /// Reads the partial texts of a bundle that a runner had claimed before.
     pub(super) fn resume(&mut self, id: &str, bundle: u16) {
         let Some(batch) = self.batches.get_mut(id) else {
@@ -135,7 +147,7 @@
         batch.fetching_chunks.retain(|number| *number != chunk);
         match items {
             Ok(items) => {
-                batch.chunks.insert(chunk, Arc::new(items));
+                batch.chunks.insert(chunk, Chunk::new(items));
             }
             Err(error) => {
                 tracing::info!(batch = id, chunk, %error, "items not read");
@@ -144,6 +156,9 @@
             }
         }
         self.start_ready(id);
+        if self.item_memory() > self.memory / ITEMS_SHARE {
+            self.batches.values_mut().for_each(OpenBatch::drop_chunks);
+        }
     }
 
     /// Starts the runs of a bundle if all its items are in memory; otherwise reads the
@@ -162,7 +177,7 @@
             .map(|index| {
                 let place = &batch.head.items[usize::from(*index)];
                 let chunk = batch.chunks.get(&place.chunk)?;
-                let item = chunk.iter().find(|item| item.id == place.id)?;
+                let item = chunk.items.iter().find(|item| item.id == place.id)?;
                 Some((*index, item.clone()))
             })
             .collect();
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -21,6 +21,7 @@
 mod offers;
 mod open_batch;
 mod orders;
+mod postponed;
 mod progress;
 mod results;
 mod run_handle;
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -39,6 +39,31 @@
     Running,
 }
 
+/// Items that were read together.
+pub(super) struct Chunk {
+    pub(super) items: Arc<Vec<Item>>,
+    /// The memory that they take, in bytes.
+    memory: usize,
+}
+
+impl Chunk {
+    pub(super) fn new(items: Vec<Item>) -> Self {
+        Self {
+            memory: items.iter().map(Item::memory).sum(),
+            items: Arc::new(items),
+        }
+    }
+}
+
+/// What the claims of a bundle and its place in the start order take at most, in bytes.
+const BUNDLE_MEMORY: usize = 256;
+
+/// What a batch takes beside its head, its bundles and its chunks, in bytes.
+const BATCH_MEMORY: usize = 2 * 1024;
+
+/// What a chunk takes about while it is being read, in bytes.
+const READ_MEMORY: usize = 128 * 1024;
+
 /// A batch that is in the store.
 pub(super) struct OpenBatch {
     /// Whether an append of results is in flight.
@@ -48,7 +73,7 @@
     /// What the batch adds to its model's demand.
     pub(super) demand: BatchDemand,
     /// The items that were read, by chunk number.
-    pub(super) chunks: HashMap<u16, Arc<Vec<Item>>>,
+    pub(super) chunks: HashMap<u16, Chunk>,
     /// The newest known claim on each bundle, by bundle index.
     pub(super) claims: BTreeMap<u16, HeldClaim>,
     /// The chunks that are being read.
@@ -113,6 +138,34 @@
         }
     }
 
+    /// The memory that the batch takes at most without its items, in bytes.
+    pub(super) fn memory(&self) -> usize {
+        Self::memory_of(&self.head)
+    }
+
+    /// The memory that a batch with this head takes at most without its items, in bytes.
+    pub(super) fn memory_of(head: &Head) -> usize {
+        head.memory() + head.bundles.len() * BUNDLE_MEMORY + BATCH_MEMORY
+    }
+
+    /// The memory that the batch's items take, also those that are being read, in bytes.
+    pub(super) fn chunk_memory(&self) -> usize {
+        let chunks = self.chunks.values().map(|chunk| chunk.memory);
+        chunks.sum::<usize>() + self.fetching_chunks.len() * READ_MEMORY
+    }
+
+    /// Drops the items that no bundle of this runner waits for.
+    pub(super) fn drop_chunks(&mut self) {
+        let starting = self
+            .own_bundles
+            .iter()
+            .filter(|(_, state)| !matches!(state, BundleState::Running));
+        let items = starting.flat_map(|(bundle, _)| self.waiting(*bundle));
+        let chunks = items.map(|index| self.head.items[usize::from(index)].chunk);
+        let needed: BTreeSet<u16> = chunks.collect();
+        self.chunks.retain(|chunk, _| needed.contains(chunk));
+    }
+
     /// Whether no more results are needed.
     pub(super) fn is_over(&self) -> bool {
         self.log.ended || self.log.listed().len() >= self.head.items.len()
@@ -218,7 +271,7 @@
         }
     }
 
-    /// Stops all work on the batch and discards its results and items.
+    /// Stops all work on the batch and discards all but what its removal needs.
     pub(super) fn stop(&mut self) {
         let runs = self.running.drain().collect();
         self.stop_runs(runs);
@@ -226,6 +279,10 @@
         self.results.clear();
         self.chunks.clear();
         self.partials.clear();
+        self.claims.clear();
+        self.progress.clear();
+        self.start_order = Vec::new();
+        self.head = Arc::new(self.head.without_items());
     }
 
     /// Stops these runs: cuts those that are never drained, and keeps the others in `stopped`
@@ -242,6 +299,9 @@
     /// Applies a newer claim. A bundle that another runner has taken over still runs
     /// here: the first complete result wins.
     pub(super) fn set_claim(&mut self, bundle: u16, claim: Claim, revision: u64, now: Millis) {
+        if self.is_over() {
+            return;
+        }
         let newer = self
             .claims
             .get(&bundle)
--- a/src/runner/results.rs
+++ b/src/runner/results.rs
@@ -90,7 +90,8 @@
                 let (count, total) = (listed.len(), batch.head.items.len());
                 let ids = new
                     .iter()
-                    .map(|index| batch.head.items[usize::from(*index)].id.as_str());
+                    .filter_map(|index| batch.head.items.get(usize::from(*index)))
+                    .map(|item| item.id.as_str());
                 let items = ids.collect::<Vec<&str>>().join(" ");
                 tracing::info!(batch = id, items, count, total, revision, "results listed");
                 batch.set_log(log, revision);
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -106,6 +106,7 @@
             engine_address: settings.engine,
             features: common.features,
             instance: common.instance,
+            memory: common.limits.memory(),
             relay: relay.clone(),
             retention: common.retention,
             incarnation,
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -6,6 +6,7 @@
     heartbeat::{HeartbeatState, first_heartbeat},
     heartbeats::Heartbeats,
     open_batch::OpenBatch,
+    postponed::Postponed,
     run_handle::RunHandle,
     run_item::Engine, //
 };
@@ -67,12 +68,16 @@
     pub(super) ordered_model: Option<String>,
     /// The last order, while the reports may not show its effect yet.
     pub(super) pending_order: Option<super::orders::PendingOrder>,
+    /// The memory limit of this process, in bytes.
+    pub(super) memory: usize,
     /// Rows of batches whose head was not seen yet, by batch id.
     pub(super) orphans: BTreeMap<String, Vec<Row>>,
     /// Models whose trainers were seen to keep two steps in progress.
     pub(super) overlapping: HashSet<String>,
     /// The engine's pace, in ms per event; 0 before enough is known.
     pub(super) pace: f64,
+    /// Batches that wait until there is memory for them.
+    pub(super) postponed: Postponed,
     /// The engine's last report.
     pub(super) report: Option<ReceivedReport>,
     /// How long a finished batch must stay readable.
@@ -105,6 +110,8 @@
     pub(super) engine_address: SocketAddr,
     pub(super) features: LoadFeatures,
     pub(super) instance: String,
+    /// The memory limit of this process, in bytes.
+    pub(super) memory: usize,
     pub(super) relay: Arc<Relay>,
     pub(super) retention: Millis,
     pub(super) incarnation: watch::Sender<Option<ServerIncarnation>>,
@@ -159,9 +166,11 @@
             last_incarnation: None,
             ordered_model: None,
             pending_order: None,
+            memory: setup.memory,
             orphans: BTreeMap::new(),
             overlapping: HashSet::new(),
             pace: 0.0,
+            postponed: Postponed::default(),
             report: None,
             retention: setup.retention,
             incarnation: setup.incarnation,
@@ -219,6 +228,7 @@
                 chunk,
                 items,
             } => self.on_items_read(&batch, chunk, items),
+            Event::BatchRead { batch, rows } => self.on_batch_read(&batch, rows),
             Event::HandoverEnded(end) => self.on_handover_ended(end),
             Event::ItemEnded { batch, index, end } => self.on_item_ended(&batch, index, end),
             Event::OrderAnswered {
@@ -256,6 +266,7 @@
         self.update_engine(now);
         let usual = self.update_pace(now);
         self.plan_handover(now);
+        self.open_postponed(now);
         self.append_results();
         let standing = self.standing(now);
         self.update_home(&standing, now);
--- a/standins/tests/integration/memory.rs
+++ b/standins/tests/integration/memory.rs
@@ -375,3 +375,41 @@
     assert!(status == 503 && wait.is_some(), "{status} {wait:?}");
     assert_eq!(post_small(&site, 0).await, 200);
 }
+
+/// Trainers submit more than the runners have memory for. What was accepted must be delivered
+/// whole all the same, and an ended batch must not keep the others waiting.
+#[tokio::test(flavor = "multi_thread")]
+async fn postponed_batches_are_delivered() {
+    let options = SiteOptions {
+        engines: 2,
+        gateways: 1,
+        limits: InstanceLimits {
+            descriptors: None,
+            memory: Some(4 * 1024 * 1024),
+        },
+        ..SiteOptions::default()
+    };
+    let site = TestSite::open(options).await.unwrap();
+    read_metrics(&site).await;
+    let batches: Vec<Batch> = (0..20)
+        .map(|number| Batch {
+            scored: false,
+            ..Batch::new(&format!("many{number:02}"), 200, 1, 1)
+        })
+        .collect();
+    for batch in &batches {
+        assert_eq!(site.submit(0, batch).await, Some(202), "{}", batch.id);
+    }
+    let metrics = read_metrics(&site).await;
+    assert!(metrics.contains("redwing_batches_postponed_total"));
+    for ended in &batches[..10] {
+        assert_eq!(site.end_batch(0, ended).await, Some(200), "{}", ended.id);
+    }
+    for batch in &batches[10..] {
+        let results = site.read_results(batch, 200, Millis(60_000)).await;
+        assert_eq!(results.len(), 200, "{}", batch.id);
+        for result in results {
+            assert_eq!(result.text, batch.expected_text(&result.id), "{}", batch.id);
+        }
+    }
+}
