Count the bodies that an entry reads

Callers' and trainers' bodies are read by the same reader as a gateway's, at three times their size, as they are parsed and may be forwarded; an entry's settings may have limits, 512 MB and 8,200 descriptors if they don't. Refused requests get 429 with a retry time and did not run. Its callers' connections are limited as a gateway's. Bodies that are streamed to a service have their window as before.

--- a/src/duty/connection.rs
+++ b/src/duty/connection.rs
@@ -113,7 +113,7 @@
     }
 
     /// Asks for a larger receive window, as a large body is being read.
-    pub(super) fn widen(&self) {
+    pub fn widen(&self) {
         self.widens.store(true, Ordering::Relaxed);
     }
 
--- a/src/entry/app_api.rs
+++ b/src/entry/app_api.rs
@@ -8,13 +8,13 @@
     command::{Command, MAX_QUEUED_REPLIES, NewCall, Reply},
     directory::Directory,
     reply_body::Replies,
-    request_body::{read_body, stream_body}, //
+    request_body::{BODY_TIMEOUT, Bodies, stream_body}, //
     request_ids::RequestIds,
 };
 use crate::{
     agent::run_call::REQUEST_ID,
     base::{Cause, Clock, Failure, Millis, RequestId, WeightVersion},
-    duty::{Answer, problem, text},
+    duty::{Answer, Connection, problem, text},
     policy::key_claims::PendingClaim,
     settings::BackendKind,
     wire::{CallHead, STREAM_WINDOW, Work}, //
@@ -37,6 +37,7 @@
 /// The channels and state needed to answer application calls; cheap to clone.
 #[derive(Clone)]
 pub(super) struct AppApi {
+    pub(super) bodies: Bodies,
     /// Requests to the duty that claims request keys.
     pub(super) claims: mpsc::Sender<ClaimRequest>,
     pub(super) clock: Clock,
@@ -104,7 +105,11 @@
             let detail = "an engine pool answers POST at /v1/completions and /v1/chat/completions";
             Failure::not_run(Cause::NotFound, detail)
         })?;
-        let body = read_body(request.into_body(), MAX_CHAT_BODY).await?;
+        let name = id.to_string();
+        let read = self
+            .bodies
+            .read(request, &name, MAX_CHAT_BODY, BODY_TIMEOUT);
+        let body = read.await?;
         let call = ChatCall::parse(endpoint, &body)?;
         let work = Work::Generate(call.generation.clone());
         let claim_path = self.claim_key(id, &target, &options).await?;
@@ -127,18 +132,27 @@
         options: Options,
         rest: String,
     ) -> Result<Answer, Failure> {
-        let (parts, body) = request.into_parts();
-        let expected = body.size_hint().upper();
+        let expected = request.body().size_hint().upper();
         let is_buffered = expected.is_some_and(|size| size <= MAX_BUFFERED_BODY as u64);
+        let (method, headers) = (request.method().clone(), request.headers().clone());
         let (buffered, streamed) = match is_buffered {
-            true => (read_body(body, MAX_BUFFERED_BODY).await?, None),
-            false => (Bytes::new(), Some(body)),
+            true => {
+                let (name, limit) = (id.to_string(), MAX_BUFFERED_BODY);
+                let read = self.bodies.read(request, &name, limit, BODY_TIMEOUT);
+                (read.await?, None)
+            }
+            false => {
+                if let Some(connection) = request.extensions().get::<Arc<Connection>>() {
+                    connection.widen();
+                }
+                (Bytes::new(), Some(request.into_body()))
+            }
         };
         let claim_path = self.claim_key(id, &target, &options).await?;
         let work = Work::Call(CallHead {
             body: buffered,
-            headers: forwarded_headers(&parts.headers),
-            method: parts.method.to_string(),
+            headers: forwarded_headers(&headers),
+            method: method.to_string(),
             path: rest,
             whole: is_buffered,
         });
--- a/src/entry/entry_handle.rs
+++ b/src/entry/entry_handle.rs
@@ -10,6 +10,7 @@
     front,
     learner,
     peer_server::{self, PeerApi},
+    request_body::Bodies,
     request_ids::RequestIds,
     rollout::{self, RolloutInputs},
     traffic,
@@ -18,8 +19,11 @@
 };
 use crate::{
     base::{Clock, Incarnation},
-    duty::{self, DutyError, HttpLimits, HttpServer, ProgramHandle},
-    policy::lease::Claimant,
+    duty::{self, DutyError, HttpLimits, HttpServer, Memory, ProgramHandle, SMALL_BUFFER},
+    policy::{
+        lease::Claimant,
+        memory_budget::{connections_in_memory, max_connections},
+    },
     settings::EntrySettings,
     wire::{Hello, Role}, //
 };
@@ -52,7 +56,8 @@
         let common = &settings.common;
         let mut handle = ProgramHandle::open(common.drain.timeout)?;
         let admin = HttpServer::bind(common.admin, HttpLimits::admin("admin"))?;
-        let callers = HttpServer::bind(settings.callers, HttpLimits::default())?;
+        let memory = Memory::open(settings.limits.memory(), Clock::open());
+        let callers = bind_callers(&settings)?.count_requests(memory.clone());
         let (links, link_listener) = duty::bind_listener(common.links)?;
         let addresses = (admin.address, callers.address);
         let clock = Clock::open();
@@ -75,6 +80,7 @@
         let (view_tx, view) = watch::channel(Arc::new(View::default()));
         let (claim_tx, claims) = mpsc::channel(claimer::MAX_QUEUED_CLAIMS);
         let app = AppApi {
+            bodies: Bodies { memory },
             claims: claim_tx,
             clock,
             delivered: delivered_tx,
@@ -151,3 +157,15 @@
         })
     }
 }
+
+/// Binds the listener for callers and trainers.
+fn bind_callers(settings: &EntrySettings) -> Result<HttpServer, DutyError> {
+    let descriptors = max_connections(settings.limits.descriptors());
+    let limits = HttpLimits {
+        listener: "callers",
+        max_connections: descriptors.min(connections_in_memory(settings.limits.memory())),
+        receive_buffer: Some(SMALL_BUFFER),
+        ..HttpLimits::default()
+    };
+    HttpServer::bind(settings.callers, limits)
+}
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -3,16 +3,13 @@
 use super::{
     app_api::AppApi,
     command::Command,
+    request_body::Bodies,
     trainer_api::{self, TrainerApi}, //
 };
 use crate::{
     base::{Cause, Failure, Millis, RequestId},
     duty::{Answer, Context, HttpServer, problem, text}, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::{
     Request,
     body::Incoming, //
@@ -38,6 +35,7 @@
     delivered: mpsc::Receiver<RequestId>,
 ) {
     tokio::spawn(report_deliveries(delivered, app.traffic.clone()));
+    tokio::spawn(app.bodies.memory.clone().run());
     server
         .serve(&context, close_delay, move |request| {
             let (app, trainers) = (app.clone(), trainers.clone());
@@ -55,28 +53,21 @@
         return app.handle(request).await;
     }
     if path.starts_with("/v1/teams/") {
-        return answer_trainer(trainers, request).await;
+        return answer_trainer(&app.bodies, trainers, request).await;
     }
     let detail = format!("no such resource: `{path}`");
     problem(&Failure::not_run(Cause::NotFound, detail), None)
 }
 
 /// Answers a request from a trainer.
-async fn answer_trainer(api: TrainerApi, request: Request<Incoming>) -> Answer {
-    let (parts, body) = request.into_parts();
-    let gathered = Limited::new(body, MAX_TRAINER_BODY).collect();
-    let body = match tokio::time::timeout(TRAINER_BODY_TIMEOUT.as_duration(), gathered).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            let failure = Failure::not_run(Cause::TooLarge, error.to_string());
-            return problem(&failure, None);
-        }
-        Err(_) => {
-            let detail = "the body did not arrive in time";
-            return problem(&Failure::not_run(Cause::BadRequest, detail), None);
-        }
+async fn answer_trainer(bodies: &Bodies, api: TrainerApi, request: Request<Incoming>) -> Answer {
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
+    let (limit, wait) = (MAX_TRAINER_BODY, TRAINER_BODY_TIMEOUT);
+    let body = match bodies.read(request, &path, limit, wait).await {
+        Ok(body) => body,
+        Err(failure) => return problem(&failure, None),
     };
-    let (method, path) = (parts.method.as_str(), parts.uri.path());
+    let (method, path) = (method.as_str(), path.as_str());
     let (status, body) = trainer_api::handle(&api, method, path, body, false).await;
     let kind = match status.is_success() {
         true => "application/json",
--- a/src/entry/request_body.rs
+++ b/src/entry/request_body.rs
@@ -3,14 +3,16 @@
 use super::command::Command;
 use crate::{
     base::{Cause, Failure, Millis, RequestId},
+    duty::{BodyError, BodyReader, Connection, Memory},
+    policy::memory_budget::HeldKind,
     wire::{MAX_CHUNK, MESSAGE_COST}, //
 };
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Limited, //
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    body::Incoming, //
 };
-use hyper::body::Incoming;
 use std::sync::Arc;
 use tokio::{
     sync::{Semaphore, mpsc},
@@ -18,7 +20,7 @@
 };
 
 /// How long a whole body, or the next part of a streamed one, may take to arrive.
-const BODY_TIMEOUT: Millis = Millis(10_000);
+pub(super) const BODY_TIMEOUT: Millis = Millis(10_000);
 
 /// Sends a body to the agent in parts, as fast as the service consumes them.
 pub(super) async fn stream_body(
@@ -64,23 +66,51 @@
     let _ = traffic.send(last).await;
 }
 
-/// Reads a whole body of at most `limit` bytes.
-pub(super) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    let gathered = Limited::new(body, limit).collect();
-    match timeout(BODY_TIMEOUT.as_duration(), gathered).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => {
-            let too_large = error.is::<http_body_util::LengthLimitError>();
-            let cause = if too_large {
-                Cause::TooLarge
-            } else {
-                Cause::BadRequest
-            };
-            Err(Failure::not_run(cause, error.to_string()))
-        }
-        Err(_) => Err(Failure::not_run(
-            Cause::BadRequest,
-            "the body did not arrive in time",
-        )),
+/// The memory in which bodies are read, and how.
+#[derive(Clone)]
+pub(super) struct Bodies {
+    pub(super) memory: Arc<Memory>,
+}
+
+/// The bytes of memory that a request takes for a body of `bytes`: as it came, parsed, and
+/// encoded for another process.
+fn price(bytes: usize) -> usize {
+    3 * bytes
+}
+
+impl Bodies {
+    /// Reads the whole body of the request `id`, of at most `limit` bytes, within `wait`.
+    pub(super) async fn read(
+        &self,
+        request: Request<Incoming>,
+        id: &str,
+        limit: usize,
+        wait: Millis,
+    ) -> Result<Bytes, Failure> {
+        let (head, body) = request.into_parts();
+        let reader = BodyReader {
+            connection: head.extensions.get::<Arc<Connection>>(),
+            id,
+            limit,
+            memory: &self.memory,
+            price,
+            workspace: "",
+        };
+        let error = match timeout(wait.as_duration(), reader.read(body)).await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(error)) => error,
+            Err(_) => BodyError::Cut,
+        };
+        Err(match &error {
+            BodyError::Broken { source } => Failure::not_run(Cause::BadRequest, source.to_string()),
+            BodyError::Cut => {
+                Failure::not_run(Cause::BadRequest, "the body did not arrive in time")
+            }
+            BodyError::Refused { refusal } => {
+                let wait = self.memory.refuse(id, HeldKind::Body, *refusal);
+                Failure::not_run(Cause::Overloaded, error.to_string()).retry_after(wait)
+            }
+            BodyError::TooLarge { .. } => Failure::not_run(Cause::TooLarge, error.to_string()),
+        })
     }
 }
--- a/src/settings/entry_settings.rs
+++ b/src/settings/entry_settings.rs
@@ -2,6 +2,7 @@
 
 use super::{
     CommonSettings,
+    InstanceLimits,
     Reader,
     SettingsError,
     common::{address, any_port, policy},
@@ -25,6 +26,7 @@
     pub common: CommonSettings,
     /// The one-way delay to each other data centre, by its name.
     pub distances: BTreeMap<String, Millis>,
+    pub limits: InstanceLimits,
     /// The link ports of other entries, used if this one starts while the platform is down.
     pub peers: Vec<SocketAddr>,
     pub policy: Policy,
@@ -66,6 +68,7 @@
             callers,
             common,
             distances,
+            limits: InstanceLimits::read(reader),
             peers: parsed,
             policy: policy(reader),
         }
--- a/standins/src/fleet/settings.rs
+++ b/standins/src/fleet/settings.rs
@@ -11,6 +11,7 @@
         CommonSettings,
         DrainSettings,
         EntrySettings,
+        InstanceLimits,
         LogFormat, //
     },
 };
@@ -80,6 +81,7 @@
     EntrySettings {
         callers: loopback(),
         common,
+        limits: InstanceLimits::default(),
         distances: BTreeMap::new(),
         peers,
         policy,
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -14,7 +14,7 @@
     base::{Incarnation, Millis},
     entry::Entry,
     policy::{router::Policy, subset::SUBSET_SIZE},
-    settings::{CommonSettings, DrainSettings, EntrySettings, LogFormat},
+    settings::{CommonSettings, DrainSettings, EntrySettings, InstanceLimits, LogFormat},
     table::{Instance, InstanceState},
     wire::{
         FromAgent,
@@ -155,6 +155,7 @@
     let entry = Entry::open(EntrySettings {
         callers: loopback,
         common,
+        limits: InstanceLimits::default(),
         distances: BTreeMap::new(),
         peers: Vec::new(),
         policy: Policy::Current,
