--- a/src/batch/writes.rs
+++ b/src/batch/writes.rs
@@ -70,7 +70,7 @@
     /// # Errors
     ///
     /// The error of `item`.
-    pub fn next(&mut self) -> Result<Option<(Transaction, bool)>, E> {
+    pub fn next_transaction(&mut self) -> Result<Option<(Transaction, bool)>, E> {
         if self.written {
             return Ok(None);
         }
--- a/src/duty/body.rs
+++ b/src/duty/body.rs
@@ -70,7 +70,7 @@
             .memory
             .reserve_upload((self.price)(first), self.id, self.workspace);
         let (mut hold, upload) = reserved.map_err(refused)?;
-        let _arriving = self.connection.map(|connection| connection.expect_body());
+        let _arriving = self.connection.map(Connection::expect_body);
         let mut content = BytesMut::with_capacity(first);
         let mut room = first;
         loop {
--- a/src/duty/http_server.rs
+++ b/src/duty/http_server.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     base::{Clock, Failure, Millis, RequestId},
-    policy::memory_budget::{HeldKind, MemoryRequest}, //
+    policy::memory_budget::{HeldKind, MemoryRefusal, MemoryRequest}, //
 };
 use bytes::Bytes;
 use futures_util::future::Either;
@@ -263,7 +263,7 @@
             .transpose();
         let answer = match counted {
             Ok(hold) => Either::Left((handler(request), hold)),
-            Err(refused) => Either::Right(refused),
+            Err(refusal) => Either::Right(refuse_head(memory.as_ref(), refusal)),
         };
         let crowd = crowd.clone();
         async move {
@@ -301,23 +301,27 @@
     }
 }
 
-/// Counts a request of a multiplexed connection, or refuses it.
-fn hold_head(memory: &Arc<Memory>, request: &Request<Incoming>) -> Result<Hold, Answer> {
+/// Holds the memory of a request on a multiplexed connection, if it fits.
+fn hold_head(memory: &Arc<Memory>, request: &Request<Incoming>) -> Result<Hold, MemoryRefusal> {
     let headers = request.headers().iter();
     let size: usize = headers
         .map(|(name, value)| name.as_str().len() + value.len())
         .sum();
-    let reserved = memory.reserve(MemoryRequest {
+    memory.reserve(MemoryRequest {
         bytes: HEAD_COPIES * size + STREAM_WINDOW as usize,
         kind: HeldKind::Head,
         workspace: "",
-    });
-    reserved.map_err(|refusal| {
-        let wait = memory.refuse("", HeldKind::Head, refusal);
-        unavailable(wait, "no memory for the request")
     })
 }
 
+/// The response to a request whose head does not fit.
+fn refuse_head(memory: Option<&Arc<Memory>>, refusal: MemoryRefusal) -> Answer {
+    let wait = memory.map_or(refusal.wait, |memory| {
+        memory.refuse("", HeldKind::Head, refusal)
+    });
+    unavailable(wait, "no memory for the request")
+}
+
 /// The response to a request that has not run and never will: status 503, with `wait` as its
 /// `Retry-After` in fractional seconds, and one line of plain text.
 pub fn unavailable(wait: Millis, reason: &str) -> Answer {
--- a/src/entry/entry_handle.rs
+++ b/src/entry/entry_handle.rs
@@ -56,11 +56,10 @@
         let common = &settings.common;
         let mut handle = ProgramHandle::open(common.drain.timeout)?;
         let admin = HttpServer::bind(common.admin, HttpLimits::admin("admin"))?;
-        let memory = Memory::open(settings.limits.memory(), Clock::open());
-        let callers = bind_callers(&settings)?.count_requests(memory.clone());
+        let clock = Clock::open();
+        let (callers, bodies) = bind_callers(&settings, clock)?;
         let (links, link_listener) = duty::bind_listener(common.links)?;
         let addresses = (admin.address, callers.address);
-        let clock = Clock::open();
         let incarnation = Incarnation::started_at(clock.now());
         let hello = Hello {
             incarnation,
@@ -80,7 +79,7 @@
         let (view_tx, view) = watch::channel(Arc::new(View::default()));
         let (claim_tx, claims) = mpsc::channel(claimer::MAX_QUEUED_CLAIMS);
         let app = AppApi {
-            bodies: Bodies { memory },
+            bodies,
             claims: claim_tx,
             clock,
             delivered: delivered_tx,
@@ -158,8 +157,8 @@
     }
 }
 
-/// Binds the listener for callers and trainers.
-fn bind_callers(settings: &EntrySettings) -> Result<HttpServer, DutyError> {
+/// Binds the listener for callers and trainers, and opens the memory for their bodies.
+fn bind_callers(settings: &EntrySettings, clock: Clock) -> Result<(HttpServer, Bodies), DutyError> {
     let descriptors = max_connections(settings.limits.descriptors());
     let limits = HttpLimits {
         listener: "callers",
@@ -167,5 +166,7 @@
         receive_buffer: Some(SMALL_BUFFER),
         ..HttpLimits::default()
     };
-    HttpServer::bind(settings.callers, limits)
+    let memory = Memory::open(settings.limits.memory(), clock);
+    let callers = HttpServer::bind(settings.callers, limits)?;
+    Ok((callers.count_requests(memory.clone()), Bodies { memory }))
 }
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -226,7 +226,7 @@
         // head makes the batch exist.
         let mut in_doubt = false;
         let head = loop {
-            let transaction = match writes.next() {
+            let transaction = match writes.next_transaction() {
                 Ok(Some((head, true))) => break head,
                 Ok(Some((chunks, false))) => chunks,
                 Ok(None) => return reply::refusal(RETRY_AFTER_STORE_FAILED, "no items"),
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -64,7 +64,10 @@
     pub fn open(settings: GatewaySettings) -> Result<Self, DutyError> {
         let common = &settings.common;
         let mut handle = ProgramHandle::open(common.stop_timeout())?;
-        let callers = bind_callers(&settings)?;
+        let clock = Clock::open();
+        let store = Store::open(common.store, clock);
+        let pressure = Pressure::open(common, &store, clock);
+        let callers = bind_callers(&settings, &pressure)?;
         let ready = HttpServer::bind(settings.ready, HttpLimits::admin("ready"))?;
         let metrics = HttpServer::bind(common.metrics, HttpLimits::admin("metrics"))?;
         let peers = HttpServer::bind(common.peers, HttpLimits::default())?;
@@ -77,10 +80,7 @@
             "gateway started"
         );
 
-        let clock = Clock::open();
         let site = Arc::new(Site::new(clock, settings.revocation));
-        let store = Store::open(common.store, clock);
-        let pressure = Pressure::open(common, &store, clock);
         let identity = Identity {
             address: peers.address,
             group: relay_group("gateways", &common.data_centre, common.features),
@@ -116,7 +116,7 @@
 
         let supervisor = handle.supervisor().clone();
         let health = handle.health();
-        let (shared_pressure, counted) = (pressure.clone(), pressure.memory.clone());
+        let shared_pressure = pressure.clone();
         let shared_site = site.clone();
         let shared_crashes = crashes.clone();
         let serve = move |context: duty::Context| async move {
@@ -141,7 +141,6 @@
                 let context = request_context.clone();
                 async move { frontend.answer(&context, request).await }
             };
-            let callers = callers.count_requests(counted);
             callers.serve(&context, DRAIN_ACCEPT_TIME, handler).await;
             tracing::info!("callers' requests drained");
             context.mark_drained();
@@ -175,7 +174,7 @@
 }
 
 /// Binds the listener for callers and trainers.
-fn bind_callers(settings: &GatewaySettings) -> Result<HttpServer, DutyError> {
+fn bind_callers(settings: &GatewaySettings, pressure: &Pressure) -> Result<HttpServer, DutyError> {
     let limits = HttpLimits {
         listener: "callers",
         max_head: MAX_HEAD_BYTES,
@@ -183,5 +182,6 @@
         ..HttpLimits::default()
     };
     let limits = Pressure::http_limits(&settings.common, limits);
-    HttpServer::bind(settings.callers, limits)
+    let callers = HttpServer::bind(settings.callers, limits)?;
+    Ok(callers.count_requests(pressure.memory.clone()))
 }
--- a/standins/tests/clients/pages.rs
+++ b/standins/tests/clients/pages.rs
@@ -54,7 +54,7 @@
     let head = head.finish().expect("a head that fits");
     let item = |index: usize| Ok::<Item, ()>(items[index].clone());
     let mut writes = BatchWrites::new(id, head, item);
-    while let Ok(Some((transaction, _))) = writes.next() {
+    while let Ok(Some((transaction, _))) = writes.next_transaction() {
         write(store, &transaction);
     }
     let sample = |item: &Item| Sample {
--- a/tests/integration/kept_rows.rs
+++ b/tests/integration/kept_rows.rs
@@ -92,7 +92,7 @@
         let mut writes = BatchWrites::new("b", head, item);
         let mut rows = BTreeMap::new();
         let mut last = None;
-        while let Some((transaction, is_last)) = writes.next().unwrap() {
+        while let Some((transaction, is_last)) = writes.next_transaction().unwrap() {
             let bytes: usize = transaction.set.iter().map(|(_, value)| value.len()).sum();
             assert!(transaction.set.len() <= 100, "{}", transaction.set.len());
             assert!(bytes < 740 * 1024, "{bytes}");
