Refuse batches beyond what the runners bear

A client that submits batches without end filled every follower of the work table: each batch, also an ended one, takes rows there for one and a half times its retention, and an instance that serves others keeps the rows' values, up to 64 KB of head each.

A gateway refuses a batch with 503 and Retry-After before it writes anything while the store has 1,000 of them; ten trainers with a step every 4 s have 450. Gateways that accepted fewer than 16 in the last three minutes don't count, so that a calm deployment pays nothing.

batches_beyond_the_most_are_refused fails before: the batch is accepted. How much memory followers take near the most was not measured.

--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -16,6 +16,7 @@
         chunk_key,
         decode,
         encode,
+        is_heartbeat_part,
         read_page,
         stored_name, //
     },
@@ -28,8 +29,8 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex, PoisonError}, //
+    collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard, PoisonError}, //
 };
 use tokio::sync::{
     Semaphore,
@@ -38,6 +39,8 @@
 
 /// Answers calls about batches by reading and writing the store.
 pub(super) struct Batches {
+    /// When this gateway accepted its latest batches.
+    accepted: Mutex<VecDeque<Millis>>,
     clock: Clock,
     /// Cached heads of batches, by stored name. A head never changes.
     cached_heads: Mutex<CachedHeads>,
@@ -53,6 +56,21 @@
 /// first is evicted. The head of 100 items takes about 4 KB.
 const MAX_CACHED_HEADS: usize = 256;
 
+/// The most batches in the store: each takes memory at every runner until it is removed. Ten
+/// trainers that submit a step every 4 s have 450 of them.
+const MAX_BATCHES: usize = 1_000;
+
+/// A gateway that accepted fewer batches than this within [`COUNT_TIME`] doesn't count those in
+/// the store.
+const UNCOUNTED_BATCHES: usize = 16;
+
+/// The time in which a gateway counts the batches that it accepted: they stay in the store for
+/// about that long.
+const COUNT_TIME: Millis = Millis(180_000);
+
+/// The `Retry-After` of a refusal because too many batches are in the store.
+const RETRY_AFTER_MANY_BATCHES: Millis = Millis(1_000);
+
 /// The share of the memory limit that cached heads may take, as a divisor.
 const HEADS_SHARE: usize = 32;
 
@@ -162,6 +180,7 @@
     /// Answers calls from `store`; pages count toward the budget of `memory`.
     pub(super) fn new(site: &Arc<Site>, store: &Store, memory: Arc<Memory>) -> Self {
         Self {
+            accepted: Mutex::default(),
             clock: site.clock,
             cached_heads: Mutex::new(CachedHeads::new(memory.limit() / HEADS_SHARE)),
             reads: Semaphore::new(memory.max_reads()),
@@ -212,6 +231,11 @@
             Ok(read) => read,
             Err(error) => return refuse_submission(id, &error),
         };
+        if self.has_many_batches().await {
+            tracing::warn!(batch = id, "batch refused: too many are in the store");
+            metrics::counter!("redwing_batches_refused_total", "status" => "503").increment(1);
+            return reply::refusal(RETRY_AFTER_MANY_BATCHES, "too many batches are kept");
+        }
         let (step, model) = (text.about.step, text.about.model.clone());
         let items = text.len();
         let mut writes = BatchWrites::new(id, head, |index| text.item(index));
@@ -250,6 +274,7 @@
         {
             Ok(TransactionOutcome::Done { revision }) => {
                 tracing::info!(batch = id, step, model, items, revision, "batch accepted");
+                self.accepted().push_back(self.clock.now());
                 reply::status(StatusCode::ACCEPTED, "accepted")
             }
             // An earlier submission stored the head, or an earlier attempt of this one whose
@@ -270,6 +295,31 @@
         }
     }
 
+    /// Whether more batches are in the store than the runners bear. Only a gateway that accepts
+    /// many counts them; if it can't, the submission goes on, and its writes decide.
+    async fn has_many_batches(&self) -> bool {
+        let since = self.clock.now() - COUNT_TIME;
+        let recent = {
+            let mut accepted = self.accepted();
+            while accepted.front().is_some_and(|at| *at < since) {
+                accepted.pop_front();
+            }
+            accepted.len()
+        };
+        if recent < UNCOUNTED_BATCHES {
+            return false;
+        }
+        let Ok((parts, _)) = self.store.parts(WORK).await else {
+            return false;
+        };
+        let batches = parts.iter().filter(|part| !is_heartbeat_part(part));
+        batches.count() >= MAX_BATCHES
+    }
+
+    fn accepted(&self) -> MutexGuard<'_, VecDeque<Millis>> {
+        self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Repeats a write until the store answers with its outcome. Gives up when `deadline`
     /// is near, or after [`MAX_SUBMIT_ATTEMPTS`] attempts if none can have taken effect.
     /// Sets `in_doubt` when a failed attempt may have taken effect, or may still do so.
@@ -512,7 +562,7 @@
         reply::refusal(wait, "no memory for the page").into()
     }
 
-    fn cached_heads(&self) -> std::sync::MutexGuard<'_, CachedHeads> {
+    fn cached_heads(&self) -> MutexGuard<'_, CachedHeads> {
         self.cached_heads
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -161,6 +161,11 @@
         self.write(table, part, key, Some(BASE64_STANDARD.encode(value)));
     }
 
+    /// Removes a row of a part as another runner would.
+    pub fn remove_row(&self, table: &str, part: &str, key: &str) {
+        self.write(table, part, key, None);
+    }
+
     fn write(&self, table: &str, part: &str, key: &str, value: Option<String>) {
         let row_key = (table.to_owned(), part.to_owned(), key.to_owned());
         // A transaction without expected revisions can't fail.
--- a/standins/tests/integration/memory.rs
+++ b/standins/tests/integration/memory.rs
@@ -9,6 +9,7 @@
 };
 use redwingpond::{
     base::Millis,
+    batch::WORK,
     policy::load_features::LoadFeatures,
     settings::InstanceLimits, //
 };
@@ -413,3 +414,32 @@
         }
     }
 }
+
+/// The store keeps as many batches as the runners bear. A further one must be refused so that it
+/// doesn't exist, and accepted once there are fewer.
+#[tokio::test(flavor = "multi_thread")]
+async fn batches_beyond_the_most_are_refused() {
+    let site = open(false, InstanceLimits::default()).await;
+    for number in 0..16 {
+        let batch = Batch::new(&format!("first{number}"), 1, 1, 1);
+        assert_eq!(site.submit(0, &batch).await, Some(202), "{}", batch.id);
+    }
+    let parts: Vec<String> = (0..1_000).map(|n| format!("batch-other{n}")).collect();
+    for part in &parts {
+        site.store.put_row(WORK, part, "log", &[]);
+    }
+    let batch = Batch::new("refused", 1, 1, 1);
+    let path = format!("/roll/{}", batch.id);
+    let headers = [("x-attempt-id", batch.id.as_str())];
+    let answer = site.send(0, Method::POST, &path, &headers, batch.body());
+    let answer = answer.await.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(site.store.rows_in_part("batch-refused"), 0);
+    for part in &parts {
+        site.store.remove_row(WORK, part, "log");
+    }
+    assert_eq!(site.submit(0, &batch).await, Some(202));
+    let results = site.read_results(&batch, 1, Millis(20_000)).await;
+    assert_eq!(results.len(), 1);
+}
