Name the metrics of refused clients apart, and test which bodies are given up

redwing_connections_refused_total is the name of connections that servers refuse; those that a listener refuses or cuts are redwing_clients_refused_total and redwing_clients_cut_total. The table of budgets has the new limits, and a table says which bodies are given up in a shortage.

--- a/src/duty/connection.rs
+++ b/src/duty/connection.rs
@@ -274,8 +274,8 @@
             let Some((id, is_idle)) = replaced(&open, now) else {
                 let until = now + CROWDED_TIME;
                 self.crowded_until.store(until.0, Ordering::Relaxed);
-                tracing::warn!(listener, max, "connection refused: all places are in use");
-                metrics::counter!("redwing_connections_refused_total", "listener" => listener)
+                tracing::warn!(listener, max, "client refused: all connections are in use");
+                metrics::counter!("redwing_clients_refused_total", "listener" => listener)
                     .increment(1);
                 return None;
             };
@@ -283,8 +283,8 @@
             match is_idle {
                 true => old.closing.notify_one(),
                 false => {
-                    tracing::warn!(listener, max, "stalled connection cut for a new one");
-                    metrics::counter!("redwing_connections_cut_total", "listener" => listener)
+                    tracing::warn!(listener, max, "stalled client cut for a new one");
+                    metrics::counter!("redwing_clients_cut_total", "listener" => listener)
                         .increment(1);
                     old.cut();
                 }
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -164,15 +164,12 @@
 /// A page or an item, and the memory that it takes until it is written.
 pub(super) struct PageAnswer {
     pub(super) answer: Answer,
-    pub(super) _hold: Option<Hold>,
+    pub(super) hold: Option<Hold>,
 }
 
 impl From<Answer> for PageAnswer {
     fn from(answer: Answer) -> Self {
-        Self {
-            answer,
-            _hold: None,
-        }
+        Self { answer, hold: None }
     }
 }
 
@@ -424,7 +421,7 @@
         match reserved {
             Ok(hold) => PageAnswer {
                 answer: answer(body),
-                _hold: Some(hold),
+                hold: Some(hold),
             },
             Err(refusal) => self.refuse_page(id, refusal),
         }
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -99,9 +99,11 @@
                 self.batches.results(&name, workspace, from, wait).await
             }
         };
-        // The answer holds its memory from here on, in place of the page.
-        let PageAnswer { answer, _hold } = page;
-        self.hold_answer(answer, head, HeldKind::Page, workspace)
+        let PageAnswer { answer, hold } = page;
+        let answer = self.hold_answer(answer, head, HeldKind::Page, workspace);
+        // The answer has memory of its own from here on.
+        drop(hold);
+        answer
     }
 
     /// Answers a request by its route: stores a batch, or calls a backend server.
--- a/tests/integration/memory_budget.rs
+++ b/tests/integration/memory_budget.rs
@@ -11,8 +11,11 @@
             MemoryRequest,
             RefusalReason,
             SMALL_BODY,
+            answers_size,
             budget_size,
+            connections_in_memory,
             max_connections,
+            max_reads,
             spread_wait, //
         },
     },
@@ -329,6 +332,97 @@
     }
 }
 
+/// Bodies stop arriving while others are refused. The largest must be given up, no more than
+/// needed; one that still arrives must not, nor one that waits for a server, nor any at no
+/// shortage.
+#[test]
+fn bodies_that_stop_are_given_up_first() {
+    struct Test {
+        /// Megabytes of each body, the bytes that arrived after a second, and whether it has
+        /// arrived whole.
+        bodies: &'static [(usize, u64, bool)],
+        /// When bodies are given up, in ms after they began.
+        at: u64,
+        /// Megabytes that a caller asks for just before; 0 for nobody.
+        asked: usize,
+        /// Megabytes of the bodies that are given up.
+        cut: &'static [usize],
+    }
+
+    for test in [
+        Test {
+            bodies: &[(10, 0, false), (30, 0, false), (12, 0, false)],
+            at: 2_000,
+            asked: 8,
+            cut: &[30],
+        },
+        Test {
+            bodies: &[(10, 0, false), (30, 0, false), (12, 0, false)],
+            at: 1_999,
+            asked: 8,
+            cut: &[],
+        },
+        // At no shortage a body may take its time.
+        Test {
+            bodies: &[(10, 0, false), (30, 0, false), (12, 0, false)],
+            at: 9_000,
+            asked: 0,
+            cut: &[],
+        },
+        // The largest still arrives.
+        Test {
+            bodies: &[(10, 0, false), (30, 100_000, false), (12, 0, false)],
+            at: 2_500,
+            asked: 8,
+            cut: &[12],
+        },
+        // Single bytes are no progress.
+        Test {
+            bodies: &[(10, 0, false), (30, 100, false), (12, 0, false)],
+            at: 2_500,
+            asked: 8,
+            cut: &[30],
+        },
+        // The largest waits for a server.
+        Test {
+            bodies: &[(10, 0, false), (30, 0, true), (12, 0, false)],
+            at: 2_500,
+            asked: 20,
+            cut: &[12, 10],
+        },
+    ] {
+        let mut budget = MemoryBudget::new(64 * MB);
+        let mut uploads = Vec::new();
+        for (size, arrived, whole) in test.bodies {
+            let request = MemoryRequest {
+                bytes: size * MB,
+                kind: HeldKind::Upload,
+                workspace: "",
+            };
+            let id = budget.reserve(request, Millis(0)).unwrap();
+            uploads.push((id, *arrived));
+            if *whole {
+                budget.set_arrived(id);
+            }
+        }
+        for (id, arrived) in uploads {
+            budget.record_taken(id, arrived, Millis(1_000));
+        }
+        let now = Millis(test.at);
+        if test.asked > 0 {
+            let request = MemoryRequest {
+                bytes: test.asked * MB,
+                kind: HeldKind::Upload,
+                workspace: "",
+            };
+            assert!(budget.reserve(request, now).is_err(), "{:?}", test.bodies);
+        }
+        let cut = budget.cut_slow(now);
+        let cut: Vec<usize> = cut.iter().map(|cut| cut.bytes / MB).collect();
+        assert_eq!(cut, test.cut, "{:?} at {}", test.bodies, test.at);
+    }
+}
+
 /// Limits of instances, down to the smallest that settings accept. A budget or a number of
 /// connections of zero would refuse every caller.
 #[test]
@@ -338,32 +432,57 @@
         memory: (usize, usize),
         /// Descriptors, and callers' connections.
         descriptors: (usize, usize),
+        /// Callers' connections that fit into the memory.
+        connections: usize,
+        /// Megabytes for answers.
+        answers: usize,
+        /// Reads of pages at a time.
+        reads: usize,
     }
 
     for test in [
         Test {
             memory: (512, 256),
             descriptors: (8_200, 6_000),
+            connections: 2_184,
+            answers: 24,
+            reads: 42,
         },
         Test {
             memory: (160, 80),
             descriptors: (4_100, 2_925),
+            connections: 682,
+            answers: 24,
+            reads: 13,
         },
         Test {
             memory: (120, 60),
             descriptors: (3_075, 2_154),
+            connections: 512,
+            answers: 24,
+            reads: 10,
         },
         Test {
             memory: (64, 16),
             descriptors: (256, 42),
+            connections: 273,
+            answers: 12,
+            reads: 5,
         },
         Test {
             memory: (32, 4),
             descriptors: (0, 16),
+            connections: 136,
+            answers: 6,
+            reads: 2,
         },
     ] {
         assert_eq!(budget_size(test.memory.0 * MB), test.memory.1 * MB);
         assert_eq!(max_connections(test.descriptors.0), test.descriptors.1);
+        let limit = test.memory.0 * MB;
+        assert_eq!(connections_in_memory(limit), test.connections);
+        assert_eq!(answers_size(limit) / MB, test.answers);
+        assert_eq!(max_reads(limit), test.reads);
     }
 }
 
