--- a/standins/tests/clients/bodies.rs
+++ b/standins/tests/clients/bodies.rs
@@ -198,6 +198,31 @@
     test.run().await;
 }
 
+/// Crowds of several kinds stand at once: each limit holds, and their sum must fit as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn crowds_of_several_kinds() {
+    let mut stage = Stage::open(SMALL).await;
+    stage.plain.set_reply(Some(3 * MB));
+    let mut crowds = Vec::new();
+    for (count, request) in [
+        (8, short("/safe/x", 8 * MB)),
+        (8, chunked("/roll/x", 6 * MB, 4_096)),
+        (600, short("/flow/x", 14 * 1024)),
+        (150, whole("/safe/x", 10)),
+        (150, whole("/flow/x", 10)),
+        (8, short("/roll/x", 8 * MB)),
+    ] {
+        let crowd = Crowd::open(stage.callers, count, |number| {
+            request.bytes(&format!("crowd-{count}-{number}"))
+        });
+        crowds.push(crowd.await);
+    }
+    stage.plain.set_reply(None);
+    stage.wait_answered("ordinary").await;
+    assert_eq!(crowds.len(), 6);
+    stage.check();
+}
+
 /// A limit that holds off a crowd must not refuse one request of the largest legal size.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_largest_bodies_are_served_in_calm() {
