Log the addresses of clients that are refused or cut

The lines said what was refused and why, and for bodies the request's id, but not whose connection it was: an operator could not find the client that fills a process. Clients that are refused or cut at the maximum of connections, bodies that are given up and readers that are cut now have the client's address.

--- a/src/duty/body.rs
+++ b/src/duty/body.rs
@@ -66,9 +66,11 @@
             return TooLargeSnafu { limit }.fail();
         }
         let first = announced.unwrap_or(FIRST_BYTES.min(limit));
+        let client = self.connection.and_then(|connection| connection.client());
+        let price = (self.price)(first);
         let reserved = self
             .memory
-            .reserve_upload((self.price)(first), self.id, self.workspace);
+            .reserve_upload(price, self.id, client, self.workspace);
         let (mut hold, upload) = reserved.map_err(refused)?;
         let _arriving = self.connection.map(Connection::expect_body);
         let mut content = BytesMut::with_capacity(first);
--- a/src/duty/connection.rs
+++ b/src/duty/connection.rs
@@ -20,6 +20,7 @@
     collections::HashMap,
     io,
     io::IoSlice,
+    net::SocketAddr,
     pin::Pin,
     sync::{
         Arc,
@@ -42,6 +43,8 @@
 pub struct Connection {
     /// The last write found the client's window full.
     blocked: AtomicBool,
+    /// The client's address.
+    client: Option<SocketAddr>,
     pub(super) closing: Notify,
     pub(super) cutting: Notify,
     /// When the last request ended, in ms.
@@ -92,6 +95,11 @@
 const WIDE_BUFFER: usize = 64 * 1024;
 
 impl Connection {
+    /// The client's address.
+    pub(super) fn client(&self) -> Option<SocketAddr> {
+        self.client
+    }
+
     /// Closes the connection without finishing its responses.
     pub fn cut(&self) {
         self.cutting.notify_one();
@@ -266,6 +274,7 @@
     pub(super) fn open(
         self: &Arc<Self>,
         listener: &'static str,
+        client: SocketAddr,
         max: usize,
         now: Millis,
     ) -> Option<OpenConnection> {
@@ -274,7 +283,7 @@
             let Some((id, is_idle)) = replaced(&open, now) else {
                 let until = now + CROWDED_TIME;
                 self.crowded_until.store(until.0, Ordering::Relaxed);
-                tracing::warn!(listener, max, "client refused: all connections are in use");
+                tracing::warn!(listener, %client, max, "client refused: all connections are in use");
                 metrics::counter!("redwing_clients_refused_total", "listener" => listener)
                     .increment(1);
                 return None;
@@ -283,7 +292,8 @@
             match is_idle {
                 true => old.closing.notify_one(),
                 false => {
-                    tracing::warn!(listener, max, "stalled client cut for a new one");
+                    let client = old.client.map(tracing::field::display);
+                    tracing::warn!(listener, client, max, "stalled client cut for a new one");
                     metrics::counter!("redwing_clients_cut_total", "listener" => listener)
                         .increment(1);
                     old.cut();
@@ -291,6 +301,7 @@
             }
         }
         let state = Arc::new(Connection {
+            client: Some(client),
             idle_since: AtomicU64::new(now.0),
             progress: (AtomicU64::new(0), AtomicU64::new(now.0)),
             ..Connection::default()
--- a/src/duty/http_server.rs
+++ b/src/duty/http_server.rs
@@ -171,9 +171,9 @@
         tokio::pin!(stop_accepting);
 
         loop {
-            let stream = tokio::select! {
+            let (stream, client) = tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
+                    Ok(accepted) => accepted,
                     Err(_) => {
                         // Most likely the process is out of file descriptors. Without the
                         // wait this loop would spin until one is free.
@@ -185,7 +185,7 @@
             };
             let limits = self.limits;
             let (max, now) = (limits.max_connections, context.clock.now());
-            let Some(open) = connections.open(limits.listener, max, now) else {
+            let Some(open) = connections.open(limits.listener, client, max, now) else {
                 continue;
             };
             let (clock, stop) = (context.clock, stop.clone());
--- a/src/duty/memory.rs
+++ b/src/duty/memory.rs
@@ -34,6 +34,7 @@
 use std::{
     collections::HashMap,
     io,
+    net::SocketAddr,
     pin::Pin,
     sync::{
         Arc,
@@ -45,6 +46,7 @@
     task::{Poll, ready}, //
 };
 use tokio::sync::Notify;
+use tracing::field::display;
 
 /// The memory that a process holds for its clients, and its limit.
 pub struct Memory {
@@ -74,6 +76,7 @@
 /// The progress of a body that is arriving.
 pub(super) struct Upload {
     arrived: AtomicU64,
+    client: Option<SocketAddr>,
     cut: Notify,
     /// The request's id.
     id: String,
@@ -148,6 +151,7 @@
         self: &Arc<Self>,
         bytes: usize,
         id: &str,
+        client: Option<SocketAddr>,
         workspace: &str,
     ) -> Result<(Hold, Arc<Upload>), MemoryRefusal> {
         let hold = self.reserve(MemoryRequest {
@@ -157,6 +161,7 @@
         })?;
         let upload = Arc::new(Upload {
             arrived: AtomicU64::new(0),
+            client,
             cut: Notify::new(),
             id: id.to_owned(),
         });
@@ -312,13 +317,20 @@
         let SlowHold { bytes, taken, .. } = slow;
         match self {
             Self::Reader(connection) | Self::Stream(connection) => {
-                tracing::warn!(held = bytes, taken, "slow reader cut");
+                let client = connection.client().map(display);
+                tracing::warn!(client, held = bytes, taken, "slow reader cut");
                 metrics::counter!("redwing_readers_cut_total").increment(1);
                 connection.cut();
             }
             Self::Sender(upload) => {
-                let id = &upload.id;
-                tracing::warn!(id, held = bytes, arrived = taken, "stalled body cut");
+                let (id, client) = (&upload.id, upload.client.map(display));
+                tracing::warn!(
+                    id,
+                    client,
+                    held = bytes,
+                    arrived = taken,
+                    "stalled body cut"
+                );
                 metrics::counter!("redwing_bodies_cut_total").increment(1);
                 upload.cut.notify_one();
             }
