Answer the repetition of an accepted batch 202 also at the most batches

A batch whose 202 was lost is submitted again, at any gateway. While the store has the most batches, the repetition was refused with 503, which says that nothing of it runs, though it does. A gateway now refuses only if the store says that there is no such batch; batches_beyond_the_most_are_refused repeats one, and failed before by reading the code, not by a run: the change came with the check.

--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -228,7 +228,8 @@
             Ok(read) => read,
             Err(error) => return refuse_submission(id, &error),
         };
-        if self.has_many_batches().await {
+        // A batch that was accepted before is not refused, as it runs.
+        if self.has_many_batches().await && matches!(self.read_head(id).await, Ok(None)) {
             tracing::warn!(batch = id, "batch refused: too many are in the store");
             metrics::counter!("redwing_batches_refused_total", "status" => "503").increment(1);
             return reply::refusal(RETRY_AFTER_MANY_BATCHES, "too many batches are kept");
--- a/standins/tests/integration/memory.rs
+++ b/standins/tests/integration/memory.rs
@@ -416,7 +416,8 @@
 }
 
 /// The store keeps as many batches as the runners bear. A further one must be refused so that it
-/// doesn't exist, and accepted once there are fewer.
+/// doesn't exist, and accepted once there are fewer. One that was accepted before runs: a refusal
+/// of its repetition would not be true.
 #[tokio::test(flavor = "multi_thread")]
 async fn batches_beyond_the_most_are_refused() {
     let site = open(false, InstanceLimits::default()).await;
@@ -436,6 +437,8 @@
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
     assert_eq!(site.store.rows_in_part("batch-refused"), 0);
+    let repeated = Batch::new("first0", 1, 1, 1);
+    assert_eq!(site.submit(0, &repeated).await, Some(202), "a repetition");
     for part in &parts {
         site.store.remove_row(WORK, part, "log");
     }
