Give the planned stop of a process one owner

Cause: no path to a server asked how much of the stop was left. Connections without a request, and those with half a head, weren't told of the stop at all; bodies that ended late, long streams, waiting reads of results and second attempts of early requests were taken as at any time.

Change: duty::Shutdown knows when the stop began and when it is forced. Unused connections are closed with the idle ones.

Why it works: what is begun either has its deadline before the last answers, or came while the balancer still sends; both end with a whole answer, but for streams of the second kind, which the rule excuses.

--- a/src/calls/call_run.rs
+++ b/src/calls/call_run.rs
@@ -7,7 +7,8 @@
     attempt::{AttemptOutcome, FULL_REASON, classify},
     crash_check::{QUARANTINE_REASON, RETRY_AFTER_QUARANTINE},
     dispatcher::{
-        MAX_ATTEMPTS_NOT_RUN, RETRY_AFTER_FULL, RETRY_AFTER_NO_SERVER, STALE_REASON, SentAttempt,
+        MAX_ATTEMPTS_NOT_RUN, RETRY_AFTER_FULL, RETRY_AFTER_NO_SERVER, RETRY_AFTER_STOPPING,
+        STALE_REASON, STOPPING_REASON, SentAttempt,
     },
     gate::Refusal,
     permit::Permit, //
@@ -197,6 +198,10 @@
             self.last_reason = STALE_REASON;
             return false;
         }
+        if !self.dispatcher.shutdown.admits(self.call.deadline) {
+            self.last_reason = STOPPING_REASON;
+            return false;
+        }
         let repeatable = self.is_idempotent() || self.possible_runs == 0;
         // With a queue, the call returns to its place after each attempt that did not run.
         let returns = u32::from(self.dispatcher.load.features.queue);
@@ -323,6 +328,10 @@
                 reason,
                 wait: RETRY_AFTER_STALE_CONFIG,
             },
+            (0, _) if self.last_reason == STOPPING_REASON => CallOutcome::NotRun {
+                reason,
+                wait: RETRY_AFTER_STOPPING,
+            },
             (0, _) if self.refusal.is_some() => CallOutcome::NotRun {
                 reason,
                 wait: self
--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     base::{Clock, Millis, stable_hash},
+    duty::Shutdown,
     net::{AnswerBudget, CallError, Exchange, FullResponse, Matching, Peer},
     platform,
     policy::{
@@ -49,6 +50,7 @@
     pub(super) data_centre: String,
     pub(crate) crashes: Arc<Crashes>,
     pub(super) load: LoadControl,
+    pub(super) shutdown: Arc<Shutdown>,
     /// This dispatcher itself, for crash checks that outlive their call.
     pub(super) weak_self: Weak<Self>,
     pub(super) site: Arc<Site>,
@@ -125,6 +127,12 @@
 /// The reason for refusing a call whose key may have been revoked.
 pub(super) const STALE_REASON: &str = "configuration-not-confirmed";
 
+/// The reason for refusing a call that may not end before the process does.
+pub(super) const STOPPING_REASON: &str = "stopping";
+
+/// The retry delay for such a call: the caller's next attempt goes to another instance.
+pub(super) const RETRY_AFTER_STOPPING: Millis = Millis(20);
+
 /// The retry delay for a call that all servers refused: about the duration of one call,
 /// after which a slot is likely to be free.
 pub(super) const RETRY_AFTER_FULL: Millis = Millis(60);
@@ -141,10 +149,12 @@
         data_centre: &str,
         usage: Option<Arc<Counter>>,
         load: LoadControl,
+        shutdown: Arc<Shutdown>,
     ) -> Arc<Self> {
         Arc::new_cyclic(|weak_self| Self {
             crashes,
             load,
+            shutdown,
             data_centre: data_centre.to_owned(),
             weak_self: weak_self.clone(),
             site,
@@ -198,6 +208,12 @@
                     wait: RETRY_AFTER_STALE_CONFIG,
                 };
             }
+            if !self.shutdown.admits(call.deadline) {
+                return StreamOutcome::NotRun {
+                    reason: STOPPING_REASON.to_owned(),
+                    wait: RETRY_AFTER_STOPPING,
+                };
+            }
             let Some(server) = self.choose_server(call, &tried) else {
                 break;
             };
@@ -250,6 +266,11 @@
         call.workspace.is_some() && !self.site.is_config_fresh()
     }
 
+    /// The earlier of `deadline` and the end of the work of a stopping process.
+    pub fn limit(&self, deadline: Millis) -> Millis {
+        self.shutdown.limit(deadline)
+    }
+
     /// The clock of call deadlines.
     pub fn clock(&self) -> Clock {
         self.site.clock
--- a/src/calls/gate.rs
+++ b/src/calls/gate.rs
@@ -3,7 +3,7 @@
 use super::{
     Call,
     Dispatcher,
-    dispatcher::State,
+    dispatcher::{RETRY_AFTER_STOPPING, STOPPING_REASON, State},
     permit::Permit,
     server_view::{View, choose_view, supply}, //
 };
@@ -212,27 +212,36 @@
             service,
         };
         let left = (call.deadline - REFUSAL_MARGIN).since(self.site.now());
-        let turn = tokio::time::timeout(left.as_duration(), receiver).await;
+        let refused = |reason, wait, waited| Refusal {
+            ahead: 0,
+            expected: Millis(0),
+            reason,
+            servers: place.servers,
+            wait,
+            waited,
+        };
+        let turn = tokio::select! {
+            biased;
+            turn = tokio::time::timeout(left.as_duration(), receiver) => Some(turn),
+            () = self.shutdown.refuses(call.deadline) => None,
+        };
         drop(guard);
         let waited = self.site.now().since(begun);
         metrics::histogram!("redwing_queue_seconds", "service" => service.to_owned())
             .record(waited.0 as f64 / 1e3);
         match turn {
-            Ok(Ok(Turn::Granted(permit))) => {
+            Some(Ok(Ok(Turn::Granted(permit)))) => {
                 let (id, waited) = (&call.id, waited.0);
                 let server = &permit.server.incarnation.id;
                 tracing::info!(call = id, service, server, waited, "call dequeued");
                 Ok(permit)
             }
-            Ok(Ok(Turn::Refused(refusal))) => Err(Refusal { waited, ..refusal }),
-            Ok(Err(_)) | Err(_) => Err(Refusal {
-                ahead: 0,
-                expected: Millis(0),
-                reason: REASON_EXPIRED,
-                servers: place.servers,
-                wait: self.retry_after(service, place),
-                waited,
-            }),
+            Some(Ok(Ok(Turn::Refused(refusal)))) => Err(Refusal { waited, ..refusal }),
+            Some(Ok(Err(_)) | Err(_)) => {
+                let wait = self.retry_after(service, place);
+                Err(refused(REASON_EXPIRED, wait, waited))
+            }
+            None => Err(refused(STOPPING_REASON, RETRY_AFTER_STOPPING, waited)),
         }
     }
 
--- a/src/duty/handle.rs
+++ b/src/duty/handle.rs
@@ -5,14 +5,19 @@
     DutyError,
     Health,
     Phase,
+    Shutdown,
     Supervisor,
     SupervisorMessage, //
 };
-use crate::base::Millis;
+use crate::base::{
+    Clock,
+    Millis, //
+};
 use ractor::{
     Actor,
     ActorRef, //
 };
+use std::sync::Arc;
 use tokio::{
     runtime::Builder,
     sync::watch, //
@@ -22,6 +27,7 @@
 pub struct ProgramHandle {
     duties: Vec<Duty>,
     health: watch::Receiver<Health>,
+    shutdown: Arc<Shutdown>,
     supervisor: ActorRef<SupervisorMessage>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -29,11 +35,15 @@
 impl ProgramHandle {
     /// Starts a supervisor that forces a graceful stop after `drain_timeout`.
     pub fn open(drain_timeout: Millis) -> Result<Self, DutyError> {
+        let shutdown = Shutdown::open(drain_timeout, Clock::open());
         let (health, watch) = watch::channel(Health::default());
         let (sender, receiver) = std::sync::mpsc::sync_channel(1);
         let thread = std::thread::Builder::new()
             .name("supervisor".to_owned())
-            .spawn(move || supervise(drain_timeout, health, &sender))
+            .spawn({
+                let shutdown = shutdown.clone();
+                move || supervise(shutdown, health, &sender)
+            })
             .map_err(|source| DutyError::Thread {
                 name: "supervisor",
                 source,
@@ -45,6 +55,7 @@
         Ok(Self {
             duties: Vec::new(),
             health: watch,
+            shutdown,
             supervisor,
             thread: Some(thread),
         })
@@ -79,6 +90,11 @@
         self.health.clone()
     }
 
+    /// What the program does during a graceful stop.
+    pub fn shutdown(&self) -> Arc<Shutdown> {
+        self.shutdown.clone()
+    }
+
     /// Stops the program at once.
     pub fn stop(&self) {
         let _ = self.supervisor.cast(SupervisorMessage::Stop);
@@ -119,7 +135,7 @@
 
 /// Runs the supervisor on the current thread; sends its address to `sender` once it is up.
 fn supervise(
-    drain_timeout: Millis,
+    shutdown: Arc<Shutdown>,
     health: watch::Sender<Health>,
     sender: &std::sync::mpsc::SyncSender<ActorRef<SupervisorMessage>>,
 ) {
@@ -127,8 +143,7 @@
         return;
     };
     runtime.block_on(async {
-        let Ok((supervisor, ended)) =
-            Actor::spawn(None, Supervisor { drain_timeout }, health).await
+        let Ok((supervisor, ended)) = Actor::spawn(None, Supervisor { shutdown }, health).await
         else {
             return;
         };
--- a/src/duty/http_server.rs
+++ b/src/duty/http_server.rs
@@ -235,6 +235,8 @@
             }
         }
         () = state.closing.notified() => return,
+        // Nothing has been sent on it, so that its client loses nothing.
+        _ = stop.wait_for(|stop| *stop) => return,
     }
 
     let mut builder = Builder::new(TokioExecutor::new());
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -13,6 +13,7 @@
 mod http_server;
 mod log;
 mod memory;
+mod shutdown;
 mod signals;
 mod supervisor;
 mod telemetry;
@@ -30,6 +31,7 @@
     },
     log::{LogGuard, open_log, open_stdout_log},
     memory::{Hold, Memory, Reader},
+    shutdown::{ACCEPT_TIME, Shutdown},
     signals::wait_for_stop,
     supervisor::{Health, Supervisor, SupervisorMessage},
     telemetry::render_metrics,
--- a/src/duty/supervisor.rs
+++ b/src/duty/supervisor.rs
@@ -2,14 +2,15 @@
 
 use super::{
     ControlMessage,
-    Phase, //
+    Phase,
+    Shutdown, //
 };
-use crate::base::Millis;
 use ractor::{
     Actor,
     ActorProcessingErr,
     ActorRef, //
 };
+use std::sync::Arc;
 use tokio::sync::watch;
 
 /// The phase of a program and whether any of its duties failed.
@@ -45,8 +46,8 @@
 
 /// Begins graceful stops, waits for every duty to drain, and forces the stop after a timeout.
 pub struct Supervisor {
-    /// The time after which a graceful stop is forced.
-    pub drain_timeout: Millis,
+    /// What the program does during a graceful stop, and when that is forced.
+    pub shutdown: Arc<Shutdown>,
 }
 
 /// The state of the supervisor: the duties and what they have reported.
@@ -94,8 +95,10 @@
             }
             SupervisorMessage::Drain => {
                 if state.health.borrow().phase == Phase::Running {
+                    self.shutdown.begin();
                     state.enter(Phase::Draining);
-                    myself.send_after(self.drain_timeout.as_duration(), || SupervisorMessage::Stop);
+                    let timeout = self.shutdown.timeout().as_duration();
+                    myself.send_after(timeout, || SupervisorMessage::Stop);
                     state.stop_if_drained();
                 }
             }
@@ -118,7 +121,7 @@
             SupervisorMessage::Entered(name, phase) => state.duty_entered(name, phase),
             SupervisorMessage::Stop => {
                 if state.health.borrow().phase == Phase::Draining {
-                    tracing::error!(bound = self.drain_timeout.0, "graceful stop forced");
+                    tracing::error!(bound = self.shutdown.timeout().0, "graceful stop forced");
                 }
                 state.enter(Phase::Stopped);
             }
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -20,7 +20,7 @@
         read_page,
         stored_name, //
     },
-    duty::{Answer, Hold, Memory},
+    duty::{Answer, Hold, Memory, Shutdown},
     platform::{MAX_READ_ROWS, Store, SubmissionError, read_submission, write_page},
     policy::memory_budget::{HeldKind, MemoryRefusal, MemoryRequest, RefusalReason},
     store::{Key, StoreError, Transaction, TransactionOutcome},
@@ -48,6 +48,7 @@
     memory: Arc<Memory>,
     /// The turns of those that read pages and items from the store.
     reads: Semaphore,
+    shutdown: Arc<Shutdown>,
     site: Arc<Site>,
     store: Store,
 }
@@ -175,13 +176,19 @@
 
 impl Batches {
     /// Answers calls from `store`; pages count toward the budget of `memory`.
-    pub(super) fn new(site: &Arc<Site>, store: &Store, memory: Arc<Memory>) -> Self {
+    pub(super) fn new(
+        site: &Arc<Site>,
+        store: &Store,
+        memory: Arc<Memory>,
+        shutdown: Arc<Shutdown>,
+    ) -> Self {
         Self {
             accepted: Mutex::default(),
             clock: site.clock,
             cached_heads: Mutex::new(CachedHeads::new(memory.limit() / HEADS_SHARE)),
             reads: Semaphore::new(memory.max_reads()),
             memory,
+            shutdown,
             site: site.clone(),
             store: store.clone(),
         }
@@ -345,7 +352,8 @@
         }
     }
 
-    /// Answers with the results from position `from` on; waits up to `wait` for the first.
+    /// Answers with the results from position `from` on; waits up to `wait` for the first, or until
+    /// the process has begun to close.
     /// The page's memory counts for `workspace`; empty for a caller without one.
     pub(super) async fn results(
         &self,
@@ -365,10 +373,11 @@
                 Ok(None) => return unknown_batch(id).into(),
                 // A waiting trainer gets the results as soon as the store recovers; one
                 // that is refused asks again only half a second later.
-                Err(_) if self.clock.now() < deadline => continue,
+                Err(_) if self.clock.now() < deadline && !self.shutdown.is_closing() => continue,
                 Err(error) => return store_failed(id, &error).into(),
             };
-            let out_of_time = self.clock.now() + RESULTS_POLL_INTERVAL > deadline;
+            let out_of_time =
+                self.clock.now() + RESULTS_POLL_INTERVAL > deadline || self.shutdown.is_closing();
             if !page.samples.is_empty() || from >= total || out_of_time {
                 let (count, first) = (page.samples.len(), from);
                 tracing::debug!(batch = id, first, count, total, "results read");
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -12,13 +12,14 @@
 use crate::{
     base::{Clock, Fingerprint, FingerprintInput, Millis},
     calls::{Call, Dispatcher},
-    duty::{Answer, BodyReader, Connection, Context, Phase, Reader},
+    duty::{Answer, BodyReader, Connection, Reader, Shutdown},
     platform::{self, BatchCall, Ingress},
     policy::{call_queue::Urgency, memory_budget::HeldKind},
     routing::{Route, RouteKind, Workspace}, //
 };
 use bytes::Bytes;
 use hyper::{
+    HeaderMap,
     Request,
     StatusCode,
     body::Incoming,
@@ -34,16 +35,23 @@
     pub(super) clock: Clock,
     pub(super) access: AccessControl,
     pub(super) pressure: Pressure,
+    pub(super) shutdown: Arc<Shutdown>,
 }
 
 impl Frontend {
-    /// Answers one request. While the program drains or its event loop lags, the response
+    /// Answers one request. While the program stops or its event loop lags, the response
     /// asks the caller to close the connection.
-    pub(super) async fn answer(&self, context: &Context, request: Request<Incoming>) -> Answer {
+    pub(super) async fn answer(&self, request: Request<Incoming>) -> Answer {
         let started = self.clock.micros();
-        let mut answer = self.dispatch(request).await;
+        let id = attempt_id(request.headers()).map(str::to_owned);
+        // Polled first, as it has the truer answer where both are due.
+        let mut answer = tokio::select! {
+            biased;
+            answer = self.dispatch(request) => answer,
+            () = self.shutdown.answers_due() => reply::stopped(id.as_deref()),
+        };
         let lag = self.pressure.lag.as_ref();
-        if context.phase() >= Phase::Draining || lag.is_some_and(|lag| lag.is_overloaded()) {
+        if self.shutdown.has_begun() || lag.is_some_and(|lag| lag.is_overloaded()) {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
@@ -57,6 +65,11 @@
     async fn dispatch(&self, request: Request<Incoming>) -> Answer {
         let arrived = self.clock.now();
         let (head, body) = request.into_parts();
+        if !self.shutdown.admits(arrived) {
+            let mut answer = reply::stopping(attempt_id(&head.headers));
+            body::close_unread(&head, &mut answer);
+            return answer;
+        }
         match platform::classify(&head.method, &head.uri, &head.headers) {
             Ingress::Batch { batch, call } => self.answer_batch_call(&head, &batch, call).await,
             Ingress::Routed => self.answer_routed(arrived, head, body).await,
@@ -141,6 +154,10 @@
         let host = access::host(head);
         let path = head.uri.path();
         let deadline = deadline_of(arrived, &route, head);
+        // The body may have arrived long after the head.
+        if !self.shutdown.admits(deadline) {
+            return reply::stopping(attempt_id(&head.headers));
+        }
         let Some(id) = head.headers.get(platform::ATTEMPT_ID) else {
             return reply::status(StatusCode::BAD_REQUEST, "the request has no id");
         };
@@ -213,8 +230,7 @@
         let deadline = deadline_of(arrived, &admitted.route, head);
         let time_left = deadline.since(self.clock.now()).as_duration();
         let memory = &self.pressure.memory;
-        let id = head.headers.get(platform::ATTEMPT_ID);
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = attempt_id(&head.headers).unwrap_or_default();
         let workspace = admitted.workspace.as_ref();
         let reader = BodyReader {
             connection: head.extensions.get::<Arc<Connection>>(),
@@ -227,10 +243,17 @@
             },
             workspace: workspace.map_or("", |workspace| workspace.name.as_str()),
         };
-        let mut answer = match tokio::time::timeout(time_left, reader.read(body)).await {
-            Ok(Ok(body)) => return Ok(body),
-            Ok(Err(error)) => body::refuse(&error, id, memory),
-            Err(_) => body::too_late(),
+        let read = tokio::select! {
+            biased;
+            read = tokio::time::timeout(time_left, reader.read(body)) => Some(read),
+            () = self.shutdown.refuses(deadline) => None,
+            () = self.shutdown.answers_due() => None,
+        };
+        let mut answer = match read {
+            Some(Ok(Ok(body))) => return Ok(body),
+            Some(Ok(Err(error))) => body::refuse(&error, id, memory),
+            Some(Err(_)) => body::too_late(),
+            None => reply::stopping(Some(id)),
         };
         body::close_unread(head, &mut answer);
         Err(answer)
@@ -252,6 +275,11 @@
     }
 }
 
+/// The id of a request; `None` without one that is text.
+fn attempt_id(headers: &HeaderMap) -> Option<&str> {
+    headers.get(platform::ATTEMPT_ID)?.to_str().ok()
+}
+
 /// Whether the request submits a batch.
 fn is_submission(route: &Route, head: &Parts) -> bool {
     route.kind == RouteKind::Batch && head.method == hyper::Method::POST
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -8,10 +8,11 @@
     readiness::is_ready, //
 };
 use crate::{
-    base::{Clock, Millis},
+    base::Millis,
     calls::{Dispatcher, LoadControl},
     duty::{
-        self, AdminRoute, DutyError, HttpLimits, HttpServer, Memory, ProgramHandle, serve_admin,
+        self, ACCEPT_TIME, AdminRoute, DutyError, HttpLimits, HttpServer, Memory, ProgramHandle,
+        serve_admin,
     },
     platform::Store,
     policy::quarantine::CrashPolicy,
@@ -47,10 +48,6 @@
     pub ready: SocketAddr,
 }
 
-/// How long a draining gateway still accepts connections: the balancer checks every
-/// second and removes a gateway after two failed checks.
-const DRAIN_ACCEPT_TIME: Millis = Millis(3_000);
-
 /// How long a caller's connection may stay idle, or a request's head take to arrive.
 /// Callers reuse a connection for up to four fifths of the configured idle time, which
 /// is 15 s at most according to the users' documentation.
@@ -64,7 +61,7 @@
     pub fn open(settings: GatewaySettings) -> Result<Self, DutyError> {
         let common = &settings.common;
         let mut handle = ProgramHandle::open(common.stop_timeout())?;
-        let clock = Clock::open();
+        let clock = handle.shutdown().clock();
         let store = Store::open(common.store, clock);
         let pressure = Pressure::open(common, &store, clock);
         let callers = bind_callers(&settings, &pressure)?;
@@ -104,14 +101,16 @@
                 conditions: conditions.clone(),
                 features,
             },
+            handle.shutdown(),
         );
         let usage_reporting = usage.zip(settings.usage);
         let frontend = Arc::new(Frontend {
-            batches: Batches::new(&site, &store, pressure.memory.clone()),
+            batches: Batches::new(&site, &store, pressure.memory.clone(), handle.shutdown()),
             dispatcher,
             clock,
             access: AccessControl { site: site.clone() },
             pressure: pressure.clone(),
+            shutdown: handle.shutdown(),
         });
 
         let supervisor = handle.supervisor().clone();
@@ -135,13 +134,11 @@
             tokio::spawn(watch_store(shared_site, relay.clone()));
             tokio::spawn(relay.clone().serve(context.clone(), peers));
             tokio::spawn(relay.maintain_role(context.clone()));
-            let request_context = context.clone();
             let handler = move |request| {
                 let frontend = frontend.clone();
-                let context = request_context.clone();
-                async move { frontend.answer(&context, request).await }
+                async move { frontend.answer(request).await }
             };
-            callers.serve(&context, DRAIN_ACCEPT_TIME, handler).await;
+            callers.serve(&context, ACCEPT_TIME, handler).await;
             tracing::info!("callers' requests drained");
             context.mark_drained();
         };
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -3,6 +3,7 @@
 pub(super) use crate::duty::unavailable as refusal;
 
 use crate::{
+    base::Millis,
     duty::Answer,
     net,
     platform, //
@@ -22,6 +23,29 @@
     crate::duty::text(status, "text/plain", format!("{text}\n"))
 }
 
+/// The `Retry-After` of a request that a stopping gateway refuses: the next attempt goes to
+/// another gateway.
+const RETRY_AFTER_STOPPING: Millis = Millis(20);
+
+/// The response to the request `id`, which has not run and might not end before the gateway does.
+pub(super) fn stopping(id: Option<&str>) -> Answer {
+    tracing::info!(id, "request refused: the gateway is stopping");
+    metrics::counter!("redwing_stop_refusals_total").increment(1);
+    refusal(RETRY_AFTER_STOPPING, "the gateway is stopping")
+}
+
+/// The response to the request `id`, which has not ended by the end of the gateway's work.
+pub(super) fn stopped(id: Option<&str>) -> Answer {
+    tracing::warn!(
+        id,
+        "request not answered before the gateway's end: it may have run"
+    );
+    status(
+        StatusCode::GATEWAY_TIMEOUT,
+        "the gateway stops before the answer",
+    )
+}
+
 /// A successful response with a JSON body.
 pub(super) fn json(body: Bytes) -> Answer {
     crate::duty::text(StatusCode::OK, "application/json", body)
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -10,6 +10,7 @@
 use crate::{
     base::{Clock, Fingerprint, FingerprintInput, Millis},
     batch::{Item, Partial, Sample, SampleState},
+    duty::Shutdown,
     net::{CallError, Peer, StreamingResponse},
     platform::{
         EngineRequest, EventReader, Store, answering_server, initial_weight_version, not_executed,
@@ -64,6 +65,7 @@
     /// The engine's current incarnation; `None` while it accepts no work.
     pub(super) incarnation: watch::Receiver<Option<ServerIncarnation>>,
     pub(super) scorer_client: Arc<ScorerClient>,
+    pub(super) shutdown: Arc<Shutdown>,
     pub(super) store: Store,
 }
 
@@ -228,7 +230,8 @@
         engine.pause(&task).await;
         let now = engine.clock.now();
         let incarnation = engine.incarnation.borrow().clone();
-        let Some(incarnation) = incarnation.filter(|_| now < task.deadline) else {
+        let in_time = now < task.deadline && engine.shutdown.admits(task.deadline);
+        let Some(incarnation) = incarnation.filter(|_| in_time) else {
             return ItemEnd::Dropped;
         };
         // A run started now would meet an engine that is closing down, and the crash would
--- a/src/runner/runner_handle.rs
+++ b/src/runner/runner_handle.rs
@@ -6,7 +6,6 @@
     work::{Setup, WorkLoop}, //
 };
 use crate::{
-    base::Clock,
     calls::{Dispatcher, LoadControl},
     duty::{self, AdminRoute, DutyError, HttpLimits, HttpServer, ProgramHandle, serve_admin},
     net::{AnswerBudget, Matching, Peer},
@@ -57,7 +56,8 @@
             "runner started"
         );
 
-        let clock = Clock::open();
+        let shutdown = handle.shutdown();
+        let clock = shutdown.clock();
         let site = Arc::new(Site::new(clock, None));
         let store = Store::open(common.store, clock);
         let identity = Identity {
@@ -82,6 +82,7 @@
                 &common.data_centre,
                 None,
                 load,
+                shutdown.clone(),
             ),
             site: site.clone(),
         };
@@ -100,6 +101,7 @@
                 peer: Peer::open_as("engine", matching, settings.engine, clock),
                 rate: Arc::default(),
                 scorer_client: Arc::new(scorer_client),
+                shutdown,
                 incarnation: current,
                 store: store.clone(),
             },
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -46,6 +46,8 @@
         let mut failures = 0;
         loop {
             let now = self.site.now();
+            // A score may be asked for again elsewhere, so what is left of a stop is used.
+            let deadline = self.dispatcher.limit(deadline);
             if now >= deadline {
                 return ScoreEnd::TimedOut;
             }
--- a/standins/src/site/faulty_relay.rs
+++ b/standins/src/site/faulty_relay.rs
@@ -64,8 +64,8 @@
 }
 
 struct Inner {
-    /// The requests that were answered with other bytes.
-    answered: AtomicUsize,
+    /// The ids of the requests that were answered with other bytes.
+    answered: Mutex<Vec<String>>,
     /// The most bytes that one connection took of the answers planned last.
     most_sent: AtomicUsize,
     /// The connections on which such an answer is being sent.
@@ -78,7 +78,7 @@
     /// Starts a relay to the server at `target`.
     pub async fn open(target: SocketAddr) -> io::Result<Self> {
         let inner = Arc::new(Inner {
-            answered: AtomicUsize::new(0),
+            answered: Mutex::default(),
             most_sent: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
             plan: Mutex::default(),
@@ -116,7 +116,13 @@
 
     /// The number of requests that were answered with other bytes.
     pub fn answered(&self) -> usize {
-        self.inner.answered.load(Ordering::Relaxed)
+        self.inner.answered().len()
+    }
+
+    /// How many times the request with this id was answered with other bytes.
+    pub fn answers_to(&self, id: &str) -> usize {
+        let answered = self.inner.answered();
+        answered.iter().filter(|answered| *answered == id).count()
     }
 
     /// The most bytes that one connection took of the answers planned last.
@@ -141,15 +147,20 @@
         self.plan.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the planned answer to a request for `path`.
-    fn take_answer(&self, path: &str) -> Option<RawAnswer> {
+    fn answered(&self) -> MutexGuard<'_, Vec<String>> {
+        self.answered.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the planned answer to `request`.
+    fn take_answer(&self, request: &RawRequest) -> Option<RawAnswer> {
         let mut plan = self.plan();
         let plan = plan.as_mut()?;
-        if !path.starts_with(&plan.path) {
+        if !request.path().starts_with(&plan.path) {
             return None;
         }
         let answer = plan.answers.pop_front()?;
-        self.answered.fetch_add(1, Ordering::Relaxed);
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        self.answered().push(id.to_owned());
         Some(answer)
     }
 
@@ -159,7 +170,7 @@
         let Some(request) = RawRequest::read(&mut client).await? else {
             return Ok(());
         };
-        let Some(answer) = self.take_answer(request.path()) else {
+        let Some(answer) = self.take_answer(&request) else {
             return self.relay(client, request).await;
         };
         self.open.fetch_add(1, Ordering::Relaxed);
--- a/standins/tests/integration.rs
+++ b/standins/tests/integration.rs
@@ -13,6 +13,7 @@
     mod late_answers;
     mod memory;
     mod odd_entries;
+    mod planned_stop;
     mod raw_answers;
     mod relay;
     mod scenarios;
