Let clients name no reserved paths in their batches

Items and requests for scores whose path has a blank ran as POST /.

Cause: the paths of items and scorers were taken as they were; only those of calls were compared with the reserved prefix, byte by byte.

Change: platform::is_client_path decides for calls, items and scorers.

--- a/src/platform/batch_calls.rs
+++ b/src/platform/batch_calls.rs
@@ -1,6 +1,7 @@
 //! Decodes the batches that trainers submit, and encodes the pages of results that they
 //! read.
 
+use super::ingress::is_client_path;
 use crate::{
     base::Millis,
     batch::{
@@ -50,6 +51,8 @@
     LargeItem { item: String },
     #[snafu(display("the batch has more items than fit into a row of the store"))]
     LargeHead,
+    #[snafu(display("item `{item}`: no request may be sent to the path `{path}`"))]
+    Path { item: String, path: String },
     #[snafu(display("item `{item}` stands in the batch twice"))]
     Repeated { item: String },
     #[snafu(display("the batch is not understood: {source}"))]
@@ -218,6 +221,10 @@
 
 fn item(wire: WireItem) -> Result<Item, SubmissionError> {
     let item = &wire.id;
+    let scorer_path = wire.scorer.iter().map(|scorer| &scorer.path);
+    for path in scorer_path.chain([&wire.path]) {
+        ensure!(is_client_path(path), PathSnafu { item, path });
+    }
     let hint = wire
         .headers
         .iter()
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -1,11 +1,14 @@
-//! Classifies the requests that callers and trainers send to a gateway.
+//! Classifies the requests that callers and trainers send to a gateway, and the paths that they
+//! name.
 
 use crate::base::Millis;
 use hyper::{
     HeaderMap,
     Method,
-    Uri, //
+    Uri,
+    http::uri::PathAndQuery, //
 };
+use percent_encoding::percent_decode_str;
 
 /// The kind of an incoming request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -33,8 +36,9 @@
 const BATCHES_PREFIX: &str = "/redwingpond/lots/";
 /// The path prefix of calls for the body of an item, followed by its batch's id.
 const ITEMS_PREFIX: &str = "/redwingpond/items/";
-/// The path prefix that the platform reserves for this product.
-const PRODUCT_PREFIX: &str = "/redwingpond/";
+/// The first segment of the paths that the platform reserves for this product and for what it
+/// sends to servers.
+const RESERVED_SEGMENT: &str = "redwingpond";
 
 /// Classifies a request by its method, path, query and headers.
 pub fn classify(method: &Method, uri: &Uri, headers: &HeaderMap) -> Ingress {
@@ -54,12 +58,39 @@
             _ => Ingress::Malformed,
         };
     }
-    match path.starts_with(PRODUCT_PREFIX) {
+    match is_reserved(path) {
         true => Ingress::Malformed,
         false => Ingress::Routed,
     }
 }
 
+/// Whether a client may have a request sent to `path`, which may have a query: it can be sent as it
+/// is, and is not reserved.
+pub fn is_client_path(path: &str) -> bool {
+    let target = path.parse::<PathAndQuery>();
+    target.is_ok_and(|target| {
+        path.starts_with('/') && target.as_str() == path && !is_reserved(target.path())
+    })
+}
+
+/// Whether a server may take `path` for a reserved one: escapes and relative segments count as
+/// what they stand for.
+fn is_reserved(path: &str) -> bool {
+    let path = percent_decode_str(path).decode_utf8_lossy();
+    let mut segments = Vec::new();
+    for segment in path.split('/') {
+        match segment {
+            "" | "." => {}
+            ".." => {
+                segments.pop();
+            }
+            segment => segments.push(segment),
+        }
+    }
+    let first = segments.first();
+    first.is_some_and(|first| first.eq_ignore_ascii_case(RESERVED_SEGMENT))
+}
+
 fn batch_call(method: &Method, batch: &str, query: &str, headers: &HeaderMap) -> Ingress {
     let batch = batch.to_owned();
     match *method {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -35,7 +35,7 @@
         report_request, //
     },
     guarantees::load_features,
-    ingress::{BatchCall, Ingress, classify},
+    ingress::{BatchCall, Ingress, classify, is_client_path},
     names::{
         ATTEMPT_ID,
         CONFIG_KEY,
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -13,7 +13,8 @@
     duty::Shutdown,
     net::{CallError, Peer, StreamingResponse},
     platform::{
-        EngineRequest, EventReader, Store, answering_server, initial_weight_version, is_refusal,
+        EngineRequest, EventReader, Store, answering_server, initial_weight_version,
+        is_client_path, is_refusal,
     },
     policy::{
         engine_incarnation::Mismatch, pace::Pace, step_mode::Rate, version_rule::VersionRule,
@@ -217,6 +218,21 @@
 /// Runs the item, with retries, until it has a result or is dropped. Its response is in
 /// `stream` while it is read.
 pub(super) async fn run(engine: Engine, task: Task, stream: &mut RunStream) -> ItemEnd {
+    // Gateways refuse such items, but a batch in the store may be older than they are.
+    if !is_client_path(&task.item.path) {
+        let (item, path) = (&task.item.id, &task.item.path);
+        tracing::warn!(
+            item,
+            path,
+            "item given up: no request may be sent to its path"
+        );
+        return ItemEnd::Done(terminated(item));
+    }
+    run_attempts(engine, task, stream).await
+}
+
+/// Sends the item to the engine until it has a result or is dropped.
+async fn run_attempts(engine: Engine, task: Task, stream: &mut RunStream) -> ItemEnd {
     let now = engine.clock.now();
     let mut text = resume_text(&task, now);
     let mut failures = 0;
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -42,6 +42,15 @@
 impl ScorerClient {
     /// Calls the scorer until it gives a score, has failed too often or time is up.
     pub(super) async fn score(&self, scorer: &Scorer, deadline: Millis) -> ScoreEnd {
+        if !platform::is_client_path(&scorer.path) {
+            let (call, path) = (&scorer.id, &scorer.path);
+            tracing::warn!(
+                call,
+                path,
+                "scorer not called: no request may be sent to its path"
+            );
+            return ScoreEnd::GivenUp;
+        }
         let fingerprint = fingerprint(scorer);
         let mut failures = 0;
         loop {
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -173,6 +173,26 @@
             body: r#"{"items":[{"id":"a","path":"/roll/1"},{"id":"a","path":"/roll/1"}]}"#,
             status: 400,
         },
+        // An order to an engine, whose body the trainer chooses.
+        Test {
+            body: r#"{"items":[{"id":"a","path":"/redwingpond/order"}]}"#,
+            status: 400,
+        },
+        // It ran as a request for `/`.
+        Test {
+            body: r#"{"items":[{"id":"a","path":"/roll/a b"}]}"#,
+            status: 400,
+        },
+        Test {
+            body: r#"{"items":[{"id":"a","path":"/roll/1","scorer":
+                {"id":"s","host":"site.example","path":"/redwingpond/order"}}]}"#,
+            status: 400,
+        },
+        Test {
+            body: r#"{"items":[{"id":"a","path":"/roll/1","scorer":
+                {"id":"s","host":"site.example","path":"/score/a b"}}]}"#,
+            status: 400,
+        },
     ] {
         let headers = [("x-attempt-id", "bad")];
         let answer = site.send(0, Method::POST, "/roll/bad", &headers, test.body);
--- a/tests/integration/platform_wire.rs
+++ b/tests/integration/platform_wire.rs
@@ -18,6 +18,7 @@
         classify,
         credential,
         forwarded_request_headers,
+        is_client_path,
         read_config,
         read_server,
         read_submission,
@@ -120,6 +121,54 @@
     }
 }
 
+/// A client could command servers with a path that the platform reserves, or have a request sent to
+/// another path than it named.
+#[test]
+fn clients_name_no_reserved_paths() {
+    struct Test {
+        allowed: bool,
+        path: &'static str,
+    }
+
+    let test = |path, allowed| Test { allowed, path };
+    for Test { allowed, path } in [
+        test("/", true),
+        test("/roll/run/1", true),
+        test("/roll/run?x=/redwingpond/order", true),
+        test("/roll/redwingpond/order", true),
+        test("/redwingponds/order", true),
+        test("/roll/%C3%A4", true),
+        test("", false),
+        test("roll/1", false),
+        test("*", false),
+        test("http://site.example/roll/1", false),
+        test("/roll/a b", false),
+        test("/roll/a\r\nx: y", false),
+        test("/roll/1#part", false),
+        test("/redwingpond/order", false),
+        test("/redwingpond", false),
+        test("/redwingpond/", false),
+        test("/redwingpond/kv-move?x=1", false),
+        test("/Redwingpond/order", false),
+        test("//redwingpond/order", false),
+        test("/./redwingpond/order", false),
+        test("/roll/../redwingpond/order", false),
+        test("/%72edwingpond/order", false),
+        test("/%2Fredwingpond%2forder", false),
+        test("/roll/%2e%2e/redwingpond/order", false),
+    ] {
+        assert_eq!(is_client_path(path), allowed, "{path:?}");
+        if let Ok(uri) = path.parse()
+            && !allowed
+            && path.starts_with('/')
+            && !path.contains('#')
+        {
+            let ingress = classify(&Method::POST, &uri, &HeaderMap::new());
+            assert_eq!(ingress, Ingress::Malformed, "{path:?}");
+        }
+    }
+}
+
 /// Headers that concern one connection, those that the gateway sets, and those that the
 /// caller lists in `connection` are not forwarded.
 #[test]
