Reset the connection of an abandoned request

Cause: the connection was closed in order, so that the operating system went on sending the request.

Change: a connection whose answer is dropped before its head is closed with a linger time of 0. The operating system then drops what it has not delivered.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -19,7 +19,8 @@
         Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    task::{Context, Poll, ready}, //
+    task::{Context, Poll, ready},
+    time::Duration, //
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -126,7 +127,8 @@
         matches!(ready, Ok(Ok(())))
     }
 
-    /// Sends the request `key`, if it has an id, and waits for the head of the answer.
+    /// Sends the request `key`, if it has an id, and waits for the head of the answer. If this is
+    /// dropped before, the connection is reset.
     pub(super) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -134,7 +136,13 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         self.carried.extend(key);
         self.received.begin();
+        let awaited = AwaitedAnswer {
+            is_complete: false,
+            received: &self.received,
+            stream: &self.stream,
+        };
         let answer = self.requests.try_send_request(request).await;
+        awaited.complete();
         let begun = self.received.end();
         answer.map_err(|mut failed| SendFailure {
             begun,
@@ -144,6 +152,36 @@
     }
 }
 
+/// The wait for the head of an answer. If it is dropped before it is complete, the connection is
+/// reset when it closes: otherwise, the operating system would go on sending the request for as
+/// long as the peer doesn't acknowledge it, and the request could run long after it was abandoned.
+struct AwaitedAnswer<'a> {
+    is_complete: bool,
+    received: &'a Received,
+    stream: &'a Weak<Mutex<TcpStream>>,
+}
+
+impl AwaitedAnswer<'_> {
+    fn complete(mut self) {
+        self.is_complete = true;
+    }
+}
+
+impl Drop for AwaitedAnswer<'_> {
+    fn drop(&mut self) {
+        if self.is_complete {
+            return;
+        }
+        if let Some(stream) = self.stream.upgrade() {
+            let stream = lock(&stream);
+            let reset = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            self.received
+                .abandoned
+                .store(reset.is_ok(), Ordering::Relaxed);
+        }
+    }
+}
+
 /// The most bytes that are buffered of a head or of a body.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -155,6 +193,8 @@
 /// Counts the bytes that arrive while a head is awaited.
 #[derive(Default)]
 struct Received {
+    /// The connection is reset when it closes.
+    abandoned: AtomicBool,
     awaiting: AtomicBool,
     bytes: AtomicUsize,
 }
@@ -220,6 +260,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The end of the stream would be delivered like the bytes before it.
+        if self.received.abandoned.load(Ordering::Relaxed) {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut *lock(&self.stream)).poll_shutdown(cx)
     }
 
--- a/tests/integration/connections.rs
+++ b/tests/integration/connections.rs
@@ -21,7 +21,8 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream}, //
+    net::{TcpListener, TcpStream},
+    time::timeout, //
 };
 
 /// Guards against a server's limit being exceeded by many callers, against a limit of 0, which
@@ -364,7 +365,10 @@
 async fn a_call_that_waits_in_vain_has_not_run() {
     let (server, peer) = Listener::open(100).await;
     peer.set_max_open(Some(1));
-    let held = peer.open_stream(get("/half"), TIMEOUT).await.unwrap();
+    let held = peer
+        .open_stream(get("/half"), TIMEOUT)
+        .await
+        .unwrap();
     let error = peer.call(get("/ok"), Millis(50)).await.unwrap_err();
     assert_eq!(error.verdict(), Verdict::NotRun, "{error}");
     assert!(!error.is_refused());
@@ -375,13 +379,47 @@
     assert_eq!(error.verdict(), Verdict::MayHaveRun, "{error}");
 }
 
+/// A request that was abandoned while its server was cut off reached it seconds later, as the
+/// operating system went on sending it.
+#[tokio::test]
+async fn an_abandoned_request_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = Peer::open(listener.local_addr().unwrap(), Clock::open());
+    for name in ["dropped", "timed out", "stream dropped"] {
+        let wait = Duration::from_millis(50);
+        let call = async {
+            match name {
+                "timed out" => drop(peer.call(get("/x"), Millis(50)).await),
+                "dropped" => drop(timeout(wait, peer.call(get("/x"), TIMEOUT)).await),
+                _ => drop(timeout(wait, peer.open_stream(get("/x"), TIMEOUT)).await),
+            }
+        };
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1_024];
+            loop {
+                match stream.read(&mut request).await {
+                    Ok(0) => return io::ErrorKind::UnexpectedEof,
+                    Ok(_) => {}
+                    Err(error) => return error.kind(),
+                }
+            }
+        };
+        let (end, ()) = tokio::join!(serve, call);
+        assert_eq!(end, io::ErrorKind::ConnectionReset, "{name}");
+    }
+}
+
 /// Guards against reset connections being replaced by further ones at once, and against a
 /// waiting call that nobody wakes when the halving ends.
 #[tokio::test]
 async fn a_reset_connection_halves_the_limit_until_it_is_over() {
     let (server, peer) = Listener::open(1).await;
     peer.set_max_open(Some(2));
-    let held = peer.open_stream(get("/half"), TIMEOUT).await.unwrap();
+    let held = peer
+        .open_stream(get("/half"), TIMEOUT)
+        .await
+        .unwrap();
     assert!(peer.has_capacity());
     let error = peer.call(get("/ok"), TIMEOUT).await.unwrap_err();
     assert!(error.is_over_limit(), "{error}");
