Ask at the moment of sending whether a request may be sent

Cause: the choice of the server and the sending of the request were apart.

Change: Peer asks before it sends, and each 50 ms while a request waits for a connection, whether its server still accepts calls, its key may be relied on, and the process still begins such work. Otherwise the attempt is withdrawn: it has not run, and another server is chosen.

--- a/src/calls/attempt.rs
+++ b/src/calls/attempt.rs
@@ -72,6 +72,10 @@
 /// The reason of an attempt that the server neither answered nor refused in time.
 pub(super) const SILENCE_REASON: &str = "silence";
 
+/// The reason of an attempt that was not sent, as its server accepts no more calls, or the call may
+/// not be sent to any.
+pub(super) const WITHDRAWN_REASON: &str = "withdrawn";
+
 /// The reason of an attempt that got no complete response.
 pub(super) fn failure_reason(error: &CallError) -> &'static str {
     match error {
@@ -81,6 +85,7 @@
         CallError::Invalid { .. } => "invalid-answer",
         CallError::Timeout { .. } => SILENCE_REASON,
         CallError::TooLarge { .. } => "too-large",
+        CallError::Withdrawn { .. } => WITHDRAWN_REASON,
     }
 }
 
@@ -93,8 +98,12 @@
                 load: None,
                 server_status: ServerStatus::from_error(&error),
                 reason: failure_reason(&error),
-                // Another request's answer shows nothing about the server's health.
-                server_fault: !matches!(error, CallError::Foreign { .. }),
+                // Another request's answer, or none at all, shows nothing about the server's
+                // health.
+                server_fault: !matches!(
+                    error,
+                    CallError::Foreign { .. } | CallError::Withdrawn { .. }
+                ),
                 verdict: error.verdict(),
             };
         }
--- a/src/calls/crash_check.rs
+++ b/src/calls/crash_check.rs
@@ -138,7 +138,7 @@
     }
 
     /// Whether this incarnation of `server` is announced and not draining.
-    fn is_in_service(&self, server: &Server) -> bool {
+    pub(super) fn is_in_service(&self, server: &Server) -> bool {
         let directory = self.site.directory();
         let known = directory.get(&server.incarnation.id);
         known.is_some_and(|known| known.incarnation == server.incarnation && !known.draining)
--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -6,7 +6,10 @@
     CallOutcome,
     StreamAttempt,
     StreamOutcome,
-    attempt::{AttemptOutcome, FULL_REASON, NO_CONNECTION_REASON, SILENCE_REASON, failure_reason},
+    attempt::{
+        AttemptOutcome, FULL_REASON, NO_CONNECTION_REASON, SILENCE_REASON, WITHDRAWN_REASON,
+        failure_reason,
+    },
     call_run::CallRun,
     crash_check::{QUARANTINE_REASON, RETRY_AFTER_QUARANTINE},
     gate::{Gate, Unsent},
@@ -225,7 +228,8 @@
                 server: server.clone(),
             };
             let attempt = StreamAttempt::open(self, call.fingerprint, sent);
-            let response = peer.open_stream(request, left).await;
+            let may_send = || self.may_send(call, &server);
+            let response = peer.open_stream(request, left, &may_send).await;
             let error = match response {
                 Ok(response) if is_refusal(response.status, &response.headers) => {
                     attempt.record_reply();
@@ -273,6 +277,13 @@
         self.site.clock
     }
 
+    /// Whether `call` may be sent to `server`, which was chosen for it, at this moment.
+    fn may_send(&self, call: &Call, server: &Server) -> bool {
+        self.is_in_service(server)
+            && !self.is_config_stale(call)
+            && self.shutdown.admits(call.deadline)
+    }
+
     /// The HTTP request for an attempt of `call` at `server`, with `left` until the deadline.
     fn request(call: &Call, server: &Server, left: Millis) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(call.body.clone()));
@@ -426,6 +437,7 @@
         };
         let exchange = Exchange {
             fresh_only: call.route.kind != RouteKind::Safe,
+            may_send: &|| self.may_send(call, &sent.server),
             // A refusal's head says all that is used of it.
             needs_body: |status, headers| !is_refusal(status, headers),
             timeout,
@@ -545,7 +557,7 @@
                 }
             }
             AttemptOutcome::Failed {
-                reason: SILENCE_REASON | NO_CONNECTION_REASON,
+                reason: SILENCE_REASON | NO_CONNECTION_REASON | WITHDRAWN_REASON,
                 ..
             } => limit.record_abandoned(sent.sent_at, typical, now),
             AttemptOutcome::Failed { .. } => limit.record_reply(now),
--- a/src/net/call_error.rs
+++ b/src/net/call_error.rs
@@ -62,6 +62,9 @@
         address: SocketAddr,
         timeout: Millis,
     },
+    /// The request was not sent, as it may not be sent any more.
+    #[snafu(display("{address}: not sent any more"))]
+    Withdrawn { address: SocketAddr },
 }
 
 impl CallError {
@@ -88,7 +91,7 @@
     /// Whether the peer may have run the request.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Connect { .. } => Verdict::NotRun,
+            Self::Connect { .. } | Self::Withdrawn { .. } => Verdict::NotRun,
             Self::Broken { .. }
             | Self::Foreign { .. }
             | Self::Invalid { .. }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,7 @@
     call_error::CallError,
     invalid_answer::{AnswerCheck, InvalidAnswer, check_status},
     matching::{Matching, Mismatch},
-    peer::{Exchange, FullResponse, Peer, StreamingResponse},
+    peer::{Exchange, FullResponse, MaySend, Peer, StreamingResponse},
     reachability::Reachability,
     stream_body::StreamBody, //
 };
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -9,7 +9,7 @@
     body_budget::{BodyHold, MAX_HELD_BYTES},
     call_error::{
         BrokenSnafu, ConnectSnafu, ForeignSnafu, InvalidSnafu, TimeoutSnafu, TooLargeSnafu,
-        is_reset,
+        WithdrawnSnafu, is_reset,
     },
     check_status,
     connection::{Connection, IdleState, SendFailure},
@@ -111,12 +111,20 @@
 /// request use the connection.
 const DISCARD_TIMEOUT: Millis = Millis(100);
 
+/// Whether a request may be sent. Asked again at the moment when it is sent, and while it waits for
+/// a connection.
+pub type MaySend<'a> = &'a (dyn Fn() -> bool + Send + Sync);
+
+/// How often a request that waits for a connection asks whether it may be sent.
+const MAY_SEND_INTERVAL: Millis = Millis(50);
+
 /// How a request is sent and its answer read.
 #[derive(Clone, Copy)]
-pub struct Exchange {
+pub struct Exchange<'a> {
     /// Whether the request is sent only over a new connection or one that was used a moment ago,
     /// as it must run at most once.
     pub fresh_only: bool,
+    pub may_send: MaySend<'a>,
     /// Whether the body of an answer with this head is needed. Another one is discarded, and the
     /// response has an empty body.
     pub needs_body: fn(StatusCode, &HeaderMap) -> bool,
@@ -227,6 +235,7 @@
     ) -> Result<FullResponse, CallError> {
         let exchange = Exchange {
             fresh_only: false,
+            may_send: &|| true,
             needs_body: |_, _| true,
             timeout,
         };
@@ -246,6 +255,7 @@
     ) -> Result<FullResponse, CallError> {
         let exchange = Exchange {
             fresh_only: true,
+            may_send: &|| true,
             needs_body: |_, _| true,
             timeout,
         };
@@ -260,16 +270,17 @@
     pub async fn exchange(
         &self,
         request: Request<Full<Bytes>>,
-        exchange: Exchange,
+        exchange: Exchange<'_>,
     ) -> Result<FullResponse, CallError> {
         let Exchange {
             fresh_only,
+            may_send,
             timeout,
             ..
         } = exchange;
         let progress = Progress::default();
         let work = async {
-            let response = self.send(request, fresh_only, &progress).await?;
+            let response = self.send(request, fresh_only, may_send, &progress).await?;
             if (exchange.needs_body)(response.status, &response.headers) {
                 return self.read_body(response, timeout).await;
             }
@@ -283,7 +294,8 @@
         self.with_timeout(work, timeout, &progress).await
     }
 
-    /// Sends `request` and waits at most `timeout` for the head of the response.
+    /// Sends `request`, if `may_send` holds then, and waits at most `timeout` for the head of the
+    /// response.
     ///
     /// # Errors
     ///
@@ -292,9 +304,10 @@
         &self,
         request: Request<Full<Bytes>>,
         timeout: Millis,
+        may_send: MaySend<'_>,
     ) -> Result<StreamingResponse, CallError> {
         let progress = Progress::default();
-        let sending = self.send(request, false, &progress);
+        let sending = self.send(request, false, may_send, &progress);
         self.with_timeout(sending, timeout, &progress).await
     }
 
@@ -399,6 +412,7 @@
         &self,
         request: Request<Full<Bytes>>,
         fresh_only: bool,
+        may_send: MaySend<'_>,
         progress: &Progress,
     ) -> Result<StreamingResponse, CallError> {
         let address = self.address;
@@ -413,7 +427,7 @@
         }
 
         let place = loop {
-            let mut connection = match self.take(key, fresh_only).await {
+            let mut connection = match self.take(key, fresh_only, may_send).await? {
                 Grant::Idle(idle) => idle.connection,
                 Grant::Place(place) => break place,
             };
@@ -445,6 +459,11 @@
             others,
             mut connection,
         } = self.connect(place).await?;
+        if !may_send() {
+            let until = usable_until(self.pool.now(), &HeaderMap::new());
+            self.pool.put(connection, until);
+            return WithdrawnSnafu { address }.fail();
+        }
         progress.set_written(true);
         let sent_at = self.pool.now();
         let failed = match connection.send(request, key).await {
@@ -480,25 +499,39 @@
     }
 
     /// Takes an idle connection on which the request `key` can be sent, or the place for a new
-    /// one.
-    async fn take(&self, key: Option<RequestKey>, fresh_only: bool) -> Grant {
+    /// one, while `may_send` holds.
+    async fn take(
+        &self,
+        key: Option<RequestKey>,
+        fresh_only: bool,
+        may_send: MaySend<'_>,
+    ) -> Result<Grant, CallError> {
+        let address = self.address;
         // Without an id, only the first answer on a connection is known to be its own.
         if key.is_none() && matches!(self.matching, Matching::Id(_)) {
-            return Grant::Place(self.pool.take_extra_place());
+            return Ok(Grant::Place(self.pool.take_extra_place()));
         }
         let mut patience = READY_TIMEOUT;
         loop {
             let grant = match self.pool.take(key, fresh_only) {
                 Turn::Now(grant) => Some(grant),
-                Turn::Wait(waiting) => waiting.granted().await,
+                Turn::Wait(waiting) => tokio::select! {
+                    biased;
+                    grant = waiting.granted() => grant,
+                    () = refused(may_send) => return WithdrawnSnafu { address }.fail(),
+                },
             };
             let mut idle = match grant {
                 Some(Grant::Idle(idle)) => idle,
-                Some(Grant::Place(place)) => return Grant::Place(place),
+                Some(Grant::Place(place)) => return Ok(Grant::Place(place)),
                 None => continue,
             };
             match idle.connection.is_ready(patience).await {
-                true if self.is_empty(&idle.connection) => return Grant::Idle(idle),
+                true if !may_send() => {
+                    self.pool.put(idle.connection, idle.usable_until);
+                    return WithdrawnSnafu { address }.fail();
+                }
+                true if self.is_empty(&idle.connection) => return Ok(Grant::Idle(idle)),
                 true => {}
                 false => patience = Millis(0),
             }
@@ -633,6 +666,13 @@
     }
 }
 
+/// Waits until `may_send` doesn't hold any more.
+async fn refused(may_send: MaySend<'_>) {
+    while may_send() {
+        tokio::time::sleep(MAY_SEND_INTERVAL.as_duration()).await;
+    }
+}
+
 /// The error of a request that was not written to any connection.
 fn not_connected(
     address: SocketAddr,
--- a/src/runner/run_item.rs
+++ b/src/runner/run_item.rs
@@ -415,9 +415,13 @@
         server: &incarnation.id,
         workspace: task.workspace.as_deref(),
     };
+    let may_send = || {
+        let current = engine.incarnation.borrow().as_ref() == Some(incarnation);
+        current && engine.shutdown.admits(task.deadline)
+    };
     let opened = match engine
         .peer
-        .open_stream(request.build(), HEADER_TIMEOUT)
+        .open_stream(request.build(), HEADER_TIMEOUT, &may_send)
         .await
     {
         Ok(opened) => opened,
--- a/standins/tests/integration/connections.rs
+++ b/standins/tests/integration/connections.rs
@@ -5,6 +5,7 @@
 use redwing_standins::site::{
     Batch,
     PlainFault,
+    PlainServer,
     SiteOptions,
     TestSite, //
 };
@@ -197,3 +198,39 @@
     // The first two calls time out after 2 s.
     tokio::join!(call("first"), call("second"), restart);
 }
+
+/// Calls wait for a connection to a server that begins to drain meanwhile. They were sent to it long
+/// after that, and lost when it left, while another server was idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_wait_for_a_connection_leave_a_draining_server() {
+    for path in ["/live/x", "/once/x"] {
+        let mut site = TestSite::open(options(LIMITED)).await.unwrap();
+        site.put_config(serde_json::json!([{
+            "name": "live", "host": "site.example", "pathPrefix": "/live/",
+            "routeType": "streaming", "timeoutMs": 10_000, "targetLatencyMs": 200, "priority": 1,
+            "maxAttempts": 3, "service": "plain",
+        }]));
+        let server = &site.plain[0];
+        server.set_service_time(Millis(1_500));
+        let call = async |number: u64| {
+            sleep(10 * number).await;
+            let id = format!("call-{number}");
+            let headers = [("x-attempt-id", id.as_str())];
+            let answer = site.send(0, Method::POST, path, &headers, "x").await;
+            answer.map(|answer| answer.status.as_u16())
+        };
+        let next = PlainServer::open("next").await.unwrap();
+        let drain = async {
+            while server.run_count() < 2 {
+                sleep(5).await;
+            }
+            sleep(200).await;
+            site.announce("plain-0", "plain", server.address, "draining");
+            site.announce("next", "plain", next.address, "ready");
+        };
+        let calls = futures_util::future::join_all((0..6).map(call));
+        let (statuses, ()) = tokio::join!(calls, drain);
+        assert_eq!(statuses, vec![Some(200); 6], "{path}");
+        assert_eq!((server.run_count(), next.run_count()), (2, 4), "{path}");
+    }
+}
--- a/tests/integration/connections.rs
+++ b/tests/integration/connections.rs
@@ -329,7 +329,7 @@
     for path in ["/ok", "/close", "/half", "/break", "/hang"] {
         let (server, peer) = Listener::open(100).await;
         peer.set_max_open(Some(1));
-        let opened = peer.open_stream(get(path), Millis(100)).await;
+        let opened = peer.open_stream(get(path), Millis(100), &|| true).await;
         // The body is dropped in the middle, or unread.
         drop(opened);
         let call = peer.call(get(path), Millis(100)).await;
@@ -366,7 +366,7 @@
     let (server, peer) = Listener::open(100).await;
     peer.set_max_open(Some(1));
     let held = peer
-        .open_stream(get("/half"), TIMEOUT)
+        .open_stream(get("/half"), TIMEOUT, &|| true)
         .await
         .unwrap();
     let error = peer.call(get("/ok"), Millis(50)).await.unwrap_err();
@@ -391,7 +391,7 @@
             match name {
                 "timed out" => drop(peer.call(get("/x"), Millis(50)).await),
                 "dropped" => drop(timeout(wait, peer.call(get("/x"), TIMEOUT)).await),
-                _ => drop(timeout(wait, peer.open_stream(get("/x"), TIMEOUT)).await),
+                _ => drop(timeout(wait, peer.open_stream(get("/x"), TIMEOUT, &|| true)).await),
             }
         };
         let serve = async {
@@ -417,7 +417,7 @@
     let (server, peer) = Listener::open(1).await;
     peer.set_max_open(Some(2));
     let held = peer
-        .open_stream(get("/half"), TIMEOUT)
+        .open_stream(get("/half"), TIMEOUT, &|| true)
         .await
         .unwrap();
     assert!(peer.has_capacity());
