Keep the results of a batch until its trainer ends it

"A result keeps its position and content at all nodes until statusTtlS after the batch submission was submitted, and while the batch submission is open" (PROTOCOL.md).

Cause: a complete batch counted as over, like an ended one.

Change: only an ended batch is removed after its retention. A complete one stays, unless 500 newer ones wait for their end as well: otherwise, trainers that leave could fill the 1,000 batches that the store may have.

old_batches_are_removed and the table in decisions.rs asked for the removal of a batch that nobody had ended, against the sentence above. They now ask for that of an ended one, and that the results of another one stay.

--- a/src/runner/sweep.rs
+++ b/src/runner/sweep.rs
@@ -10,7 +10,7 @@
     base::{Millis, stable_hash},
     batch::{BODIES, PARTIALS, RESULTS, WORK, batch_part},
     platform::Store,
-    policy::batch_age::{Action, BatchAge, decide},
+    policy::batch_age::{Action, BatchAge, BatchState, decide},
     store::{Key, StoreError, Transaction}, //
 };
 
@@ -36,6 +36,7 @@
         let runners = self.heartbeats.working_runners(&self.service, now);
         let store_now = self.store.now();
         let mut old = Vec::new();
+        let complete = self.complete_batches();
         for (id, batch) in &mut self.batches {
             // One runner is responsible for each batch. If two act, which can happen while
             // their views differ, the store accepts one of their appends.
@@ -46,8 +47,9 @@
             let route = config.route(&batch.head.host, &batch.head.path);
             let age = BatchAge {
                 age: store_now.since(batch.head.accepted),
-                over: batch.is_over(),
+                newer: newer(&complete, id, batch.head.accepted),
                 retention: self.retention,
+                state: batch.state(),
                 ttl: route.map_or(DEFAULT_ITEM_TTL, |route| route.item_ttl),
             };
             match decide(age) {
@@ -68,7 +70,35 @@
     }
 }
 
+impl WorkLoop {
+    /// When each complete batch that nobody has ended was accepted, and its id, in this order.
+    fn complete_batches(&self) -> Vec<(Millis, String)> {
+        let is_complete = |batch: &OpenBatch| batch.state() == BatchState::Complete;
+        let complete = self.batches.iter().filter(|(_, batch)| is_complete(batch));
+        let accepted = |(id, batch): (&String, &OpenBatch)| (batch.head.accepted, id.clone());
+        let mut complete: Vec<_> = complete.map(accepted).collect();
+        complete.sort();
+        complete
+    }
+}
+
+/// The number of batches in `complete` that were accepted after the batch `id`.
+fn newer(complete: &[(Millis, String)], id: &str, accepted: Millis) -> usize {
+    let newer = complete.iter().rev();
+    newer
+        .take_while(|(at, other)| (*at, other.as_str()) > (accepted, id))
+        .count()
+}
+
 impl OpenBatch {
+    fn state(&self) -> BatchState {
+        match self.log.ended {
+            true => BatchState::Ended,
+            false if self.is_over() => BatchState::Complete,
+            false => BatchState::Unfinished,
+        }
+    }
+
     /// Sets the result of every item that has none to "given up".
     fn give_up_items(&mut self, id: &str) {
         let head = self.head.clone();
--- a/standins/tests/integration/raw_answers.rs
+++ b/standins/tests/integration/raw_answers.rs
@@ -276,7 +276,7 @@
         _ => &engine,
     };
     relay.set_answers(path, answers);
-    let id = name.replace(' ', "-").replace('/', "-");
+    let id = name.replace([' ', '/'], "-");
     let mut batch = Batch::new(&format!("odd-{id}"), 1, 1, 4);
     if path == "/redwingpond/order" {
         site.name_version(2);
--- a/standins/tests/integration/site.rs
+++ b/standins/tests/integration/site.rs
@@ -1014,8 +1014,8 @@
     assert!(runs >= 3, "terminated after {runs} failures");
 }
 
-/// A complete batch must be removed with all its rows after its retention, and be unknown
-/// from then on. Newer batches must stay.
+/// An ended batch must be removed with all its rows after its retention, and be unknown from then
+/// on. Newer batches must stay, and so must the results of a complete one that nobody has ended.
 #[tokio::test(flavor = "multi_thread")]
 async fn old_batches_are_removed() {
     let options = SiteOptions {
@@ -1026,6 +1026,10 @@
     let old = Batch::new("old", 2, 2, 2);
     assert_eq!(site.submit(0, &old).await, Some(202));
     check_whole(&old, &site.read_results(&old, 4, RESULTS_TIMEOUT).await);
+    let open = Batch::new("open", 2, 2, 2);
+    assert_eq!(site.submit(0, &open).await, Some(202));
+    check_whole(&open, &site.read_results(&open, 4, RESULTS_TIMEOUT).await);
+    assert_eq!(site.end_batch(1, &old).await, Some(200));
     sleep(2_500).await;
     let new = Batch::new("new", 2, 2, 2);
     assert_eq!(site.submit(0, &new).await, Some(202));
@@ -1034,6 +1038,10 @@
     assert!(site.store.rows_in_part("batch-new") > 0);
     check_whole(&new, &site.read_results(&new, 4, RESULTS_TIMEOUT).await);
     assert_eq!(site.end_batch(1, &old).await, Some(404));
+    for gateway in 0..2 {
+        let page = site.read_page(gateway, &open, 0).await.unwrap();
+        check_whole(&open, &page.results);
+    }
 }
 
 /// Scorers answer 504 because the time of their calls has run out. That must not count as a
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -6,7 +6,7 @@
     base::Millis,
     policy::{
         adaptive_timeout::AdaptiveTimeout,
-        batch_age::{Action, BatchAge, decide},
+        batch_age::{Action, BatchAge, BatchState, decide},
         claim_choice::{Holder, Offer, Place, Runner, choose, is_assigned, usable_slots},
         engine_incarnation::{Mismatch, current_incarnation, is_caught_up},
         liveness::{ClaimWrite, LastHeartbeat, is_working},
@@ -1121,49 +1121,45 @@
     }
 }
 
-/// An unfinished batch is given up when it is too old. It is removed only after that.
+/// An unfinished batch is given up when it is too old. The results of a complete one were removed
+/// with those of ended ones, although its trainer may still read them.
 #[test]
-fn batches_are_given_up_before_they_are_removed() {
+fn batches_are_removed_after_their_end() {
     struct Test {
         age: u64,
-        over: bool,
+        newer: usize,
+        state: BatchState,
         action: Action,
     }
 
+    let test = |age, state, newer, action| Test {
+        age,
+        newer,
+        state,
+        action,
+    };
+
     for test in [
-        Test {
-            age: 10_000,
-            over: false,
-            action: Action::Keep,
-        },
-        Test {
-            age: 41_000,
-            over: false,
-            action: Action::GiveUp,
-        },
-        Test {
-            age: 41_000,
-            over: true,
-            action: Action::Keep,
-        },
-        Test {
-            age: 181_000,
-            over: true,
-            action: Action::Remove,
-        },
-        Test {
-            age: 181_000,
-            over: false,
-            action: Action::GiveUp,
-        },
+        test(10_000, BatchState::Unfinished, 0, Action::Keep),
+        test(41_000, BatchState::Unfinished, 0, Action::GiveUp),
+        test(181_000, BatchState::Unfinished, 1_000, Action::GiveUp),
+        test(41_000, BatchState::Complete, 0, Action::Keep),
+        test(181_000, BatchState::Complete, 0, Action::Keep),
+        test(181_000, BatchState::Complete, 499, Action::Keep),
+        test(181_000, BatchState::Complete, 500, Action::Remove),
+        test(41_000, BatchState::Complete, 500, Action::Keep),
+        test(41_000, BatchState::Ended, 500, Action::Keep),
+        test(181_000, BatchState::Ended, 0, Action::Remove),
     ] {
         let batch = BatchAge {
             age: Millis(test.age),
-            over: test.over,
+            newer: test.newer,
             retention: Millis(120_000),
+            state: test.state,
             ttl: Millis(40_000),
         };
-        assert_eq!(decide(batch), test.action, "{} {}", test.age, test.over);
+        let (age, state, newer) = (test.age, test.state, test.newer);
+        assert_eq!(decide(batch), test.action, "{age} {state:?} {newer}");
     }
 }
 
