Release late claims on bundles that their runner does not run

What users would see: a claim that is written after its call got no answer names a runner without a free slot. The others leave the bundle to it, and its items are at no engine until another runner joins, or, if it names a second runner as well, for good.

Cause: a runner took such a bundle only if it had a free slot, and released only claims that it had run.

Change: a runner releases a claim that names it on a bundle that it has not taken half a second later. A second runner releases its part, and the holder then the rest.

--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -92,6 +92,8 @@
     pub(super) own_bundles: BTreeMap<u16, BundleState>,
     /// Each bundle's position in the order in which bundles should start.
     start_order: Vec<u16>,
+    /// When this runner last released its claim on a bundle that it did not run.
+    pub(super) releases: BTreeMap<u16, Millis>,
     /// Results that are not in the log yet.
     pub(super) results: WaitingResults,
     /// The item runs in progress, by item index.
@@ -130,6 +132,7 @@
             progress: HashMap::new(),
             own_bundles: BTreeMap::new(),
             start_order,
+            releases: BTreeMap::new(),
             results: WaitingResults::default(),
             running: HashMap::new(),
             stopped: Vec::new(),
@@ -280,6 +283,7 @@
         self.chunks.clear();
         self.partials.clear();
         self.claims.clear();
+        self.releases.clear();
         self.progress.clear();
         self.start_order = Vec::new();
         self.head = Arc::new(self.head.without_items());
--- a/src/runner/work.rs
+++ b/src/runner/work.rs
@@ -273,6 +273,7 @@
         self.plan_order(&standing, now);
         self.restart_dropped();
         self.plan_claims(&standing, usual, now);
+        self.plan_releases(now);
         self.settle_stopped_runs(usual);
         self.plan_sweep(now);
         self.plan_heartbeat(now);
