End a short stop's admission with its last answers; document the stop

With a grace of less than 3.6 s, requests that came after the last answers were due were answered 504, although they had not run. The retry delay of a stop stands in one place now, and a stream that was not sent names its own reason.

By reading; no test has such a grace.

--- a/src/calls/call_run.rs
+++ b/src/calls/call_run.rs
@@ -7,14 +7,15 @@
     attempt::{AttemptOutcome, FULL_REASON, classify},
     crash_check::{QUARANTINE_REASON, RETRY_AFTER_QUARANTINE},
     dispatcher::{
-        MAX_ATTEMPTS_NOT_RUN, RETRY_AFTER_FULL, RETRY_AFTER_NO_SERVER, RETRY_AFTER_STOPPING,
-        STALE_REASON, STOPPING_REASON, SentAttempt,
+        MAX_ATTEMPTS_NOT_RUN, RETRY_AFTER_FULL, RETRY_AFTER_NO_SERVER, STALE_REASON,
+        STOPPING_REASON, SentAttempt,
     },
     gate::Refusal,
     permit::Permit, //
 };
 use crate::{
     base::{Millis, Verdict},
+    duty::RETRY_AFTER_STOPPING,
     net::FullResponse,
     policy::{
         call_queue::WaitingCall,
--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     base::{Clock, Millis, stable_hash},
-    duty::Shutdown,
+    duty::{RETRY_AFTER_STOPPING, Shutdown},
     net::{AnswerBudget, CallError, Exchange, FullResponse, Matching, Peer},
     platform::{self, check_answer, is_refusal},
     policy::{
@@ -130,9 +130,6 @@
 /// The reason for refusing a call that may not end before the process does.
 pub(super) const STOPPING_REASON: &str = "stopping";
 
-/// The retry delay for such a call: the caller's next attempt goes to another instance.
-pub(super) const RETRY_AFTER_STOPPING: Millis = Millis(20);
-
 /// The retry delay for a call that all servers refused: about the duration of one call,
 /// after which a slot is likely to be free.
 pub(super) const RETRY_AFTER_FULL: Millis = Millis(60);
@@ -245,7 +242,7 @@
             attempt.fail(&error).await;
             let (request, server) = (call.fingerprint, &server.incarnation.id);
             tracing::info!(call = call.id, %request, server, %error, "stream not opened");
-            reason = "no-connection";
+            reason = failure_reason(&error);
             if error.verdict().may_have_run() {
                 self.count_usage(call, sent_at);
                 let reason = failure_reason(&error).to_owned();
--- a/src/calls/gate.rs
+++ b/src/calls/gate.rs
@@ -3,12 +3,13 @@
 use super::{
     Call,
     Dispatcher,
-    dispatcher::{RETRY_AFTER_STOPPING, STOPPING_REASON, State},
+    dispatcher::{STOPPING_REASON, State},
     permit::Permit,
     server_view::{View, choose_view, supply}, //
 };
 use crate::{
     base::{Millis, stable_hash},
+    duty::RETRY_AFTER_STOPPING,
     policy::{
         call_queue::{
             Admission,
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -31,7 +31,7 @@
     },
     log::{LogGuard, open_log, open_stdout_log},
     memory::{Hold, Memory, Reader},
-    shutdown::{ACCEPT_TIME, Shutdown},
+    shutdown::{ACCEPT_TIME, RETRY_AFTER_STOPPING, Shutdown},
     signals::wait_for_stop,
     supervisor::{Health, Supervisor, SupervisorMessage},
     telemetry::render_metrics,
--- a/src/duty/shutdown.rs
+++ b/src/duty/shutdown.rs
@@ -24,6 +24,9 @@
 /// nothing more after two failed checks.
 pub const ACCEPT_TIME: Millis = Millis(3_000);
 
+/// The `Retry-After` of what a stopping program refuses: the next attempt goes to another instance.
+pub const RETRY_AFTER_STOPPING: Millis = Millis(20);
+
 /// How long a stopping program begins work that it may have to cut. Shorter than
 /// [`ACCEPT_TIME`], as the signal was sent before the program saw it.
 const OPEN_ENDED_TIME: Millis = Millis(2_800);
@@ -68,9 +71,8 @@
 
     /// Whether the program begins no more work whose end is unknown.
     pub fn is_closing(&self) -> bool {
-        let now = self.clock.now();
-        self.begun()
-            .is_some_and(|begun| now >= begun + OPEN_ENDED_TIME)
+        let begun = self.begun();
+        begun.is_some_and(|begun| self.clock.now() >= self.closing_time(begun))
     }
 
     /// Whether work that ends by `deadline` at the latest may begin now: it ends before the
@@ -87,7 +89,7 @@
     /// Waits until work that ends by `deadline` may not begin any more.
     pub async fn refuses(&self, deadline: Millis) {
         let begun = self.wait_begun().await;
-        self.sleep_until(begun + OPEN_ENDED_TIME).await;
+        self.sleep_until(self.closing_time(begun)).await;
         if self.admits(deadline) {
             std::future::pending::<()>().await;
         }
@@ -103,6 +105,11 @@
         *self.begun.borrow()
     }
 
+    /// When a stop that began at `begun` begins no more work whose end is unknown.
+    fn closing_time(&self, begun: Millis) -> Millis {
+        self.last_answer().min(begun + OPEN_ENDED_TIME)
+    }
+
     /// When the last answers are given; in the far future while the program runs.
     fn last_answer(&self) -> Millis {
         let begun = self.begun();
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -3,8 +3,7 @@
 pub(super) use crate::duty::unavailable as refusal;
 
 use crate::{
-    base::Millis,
-    duty::Answer,
+    duty::{Answer, RETRY_AFTER_STOPPING},
     net,
     platform, //
 };
@@ -23,10 +22,6 @@
     crate::duty::text(status, "text/plain", format!("{text}\n"))
 }
 
-/// The `Retry-After` of a request that a stopping gateway refuses: the next attempt goes to
-/// another gateway.
-const RETRY_AFTER_STOPPING: Millis = Millis(20);
-
 /// The response to the request `id`, which has not run and might not end before the gateway does.
 pub(super) fn stopping(id: Option<&str>) -> Answer {
     tracing::info!(id, "request refused: the gateway is stopping");
