--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod fault;
 mod keys;
 mod process;
+mod reserved;
 mod run;
 mod trainer;
 
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -30,7 +30,7 @@
     /// The file with the process's settings.
     settings: PathBuf,
     /// How many times the process was started; numbers its log files.
-    starts: u32,
+    pub(super) starts: u32,
 }
 
 impl Process {
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -5,6 +5,7 @@
     fault::{ENGINES, Fault, GATEWAYS, PLAIN, draw_faults, draw_key_and_usage_faults},
     keys::{Keys, WORKSPACES},
     process::Process,
+    reserved::ReservedCall,
     trainer::SubmittedBatch, //
 };
 use crate::{
@@ -64,6 +65,8 @@
 
 /// The running site and the state of the soak.
 struct Soak {
+    /// The starts of processes that were killed or paused, with their processes.
+    disturbed: Vec<(usize, u32)>,
     /// Violations found so far, besides those that callers, batches and stand-ins record.
     violations: Vec<String>,
     callers: Callers,
@@ -81,6 +84,10 @@
     plain: Vec<PlainServer>,
     /// Gateways first, then runners.
     processes: Vec<Process>,
+    /// Calls during planned stops of gateways.
+    reserved: Vec<ReservedCall>,
+    /// Draws their times.
+    reserved_rng: ChaCha8Rng,
     rng: ChaCha8Rng,
     store: Store,
     submitted: Vec<SubmittedBatch>,
@@ -91,6 +98,9 @@
 /// The pause between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The seed of the times of calls during planned stops, which are the same in each soak.
+const RESERVED_SEED: u64 = 68;
+
 /// A batch is submitted every this many steps.
 const STEPS_PER_BATCH: usize = 24;
 
@@ -200,6 +210,7 @@
         Ok(Self {
             collector,
             keys,
+            disturbed: Vec::new(),
             violations: Vec::new(),
             plain_incarnations: plain.iter().map(|server| server.id.clone()).collect(),
             callers: Callers::default(),
@@ -210,6 +221,8 @@
             deferred: Vec::new(),
             plain,
             processes,
+            reserved: Vec::new(),
+            reserved_rng: ChaCha8Rng::seed_from_u64(RESERVED_SEED),
             rng,
             store,
             submitted: Vec::new(),
@@ -253,11 +266,13 @@
             Fault::ForgetHistory => self.store.forget_history(),
             Fault::Hangup { process } => self.processes[process].signal(Signal::HUP),
             Fault::Kill { process, pause } => {
+                self.record_disturbance(process);
                 self.processes[process].signal(Signal::KILL);
                 self.deferred
                     .push((now + pause, Deferred::StartProcess(process)));
             }
             Fault::Pause { process, duration } => {
+                self.record_disturbance(process);
                 self.processes[process].signal(Signal::STOP);
                 self.deferred
                     .push((now + duration, Deferred::EndFault(fault)));
@@ -278,6 +293,7 @@
                     .push((now + duration, Deferred::EndFault(fault)));
             }
             Fault::Stop { process } => {
+                self.open_reserved(process);
                 self.processes[process].signal(Signal::TERM);
                 self.deferred.push((now, Deferred::StartProcess(process)));
             }
@@ -294,6 +310,42 @@
         }
     }
 
+    /// The present start of `process` is disturbed otherwise than by a planned stop.
+    fn record_disturbance(&mut self, process: usize) {
+        let starts = self.processes[process].starts;
+        self.disturbed.push((process, starts));
+    }
+
+    /// Opens connections to a gateway that is about to be stopped.
+    fn open_reserved(&mut self, process: usize) {
+        let target = (process, self.processes[process].starts);
+        if let Some(gateway) = self.processes[process].callers {
+            let prefix = format!("reserved-{}", self.reserved.len());
+            let key = self.keys.current(0).to_owned();
+            let rng = &mut self.reserved_rng;
+            let calls = ReservedCall::open(gateway, &key, &prefix, target, rng);
+            self.reserved.extend(calls);
+        }
+    }
+
+    /// Waits for the calls during planned stops. One that a server ran must have been answered,
+    /// unless its gateway was disturbed.
+    async fn check_reserved(&mut self) {
+        for mut call in std::mem::take(&mut self.reserved) {
+            let is_answered = call.is_answered().await;
+            let runs: usize = self
+                .plain
+                .iter()
+                .map(|server| server.runs_of(&call.id))
+                .sum();
+            let is_calm = !self.disturbed.contains(&call.target);
+            if runs > 0 && !is_answered && is_calm {
+                let violation = format!("call {} ran and was cut by a planned stop", call.id);
+                self.violations.push(violation);
+            }
+        }
+    }
+
     /// Executes the deferred actions that are due.
     fn run_deferred(&mut self) -> io::Result<()> {
         let now = self.clock.now();
@@ -502,6 +554,7 @@
                 .read(&self.client, gateway, self.keys.current(0), 1_000)
                 .await;
         }
+        self.check_reserved().await;
         self.check_fatal().await
     }
 
