Let calls during planned stops in the soak take 800 ms

Calls of 5 ms were answered also where they came late, so that the check could not fail. They have a server of their own now.

--- a/standins/src/soak/keys.rs
+++ b/standins/src/soak/keys.rs
@@ -24,6 +24,9 @@
     version: u64,
 }
 
+/// The service of calls during planned stops.
+pub(super) const SLOW_SERVICE: &str = "slow";
+
 impl Keys {
     /// Gives each workspace its first key and writes the first configuration.
     pub(super) fn open(store: &Store) -> Self {
@@ -69,7 +72,11 @@
         let named = WORKSPACES.iter().zip(&self.current);
         let workspaces =
             named.map(|(name, key)| serde_json::json!({"name": name, "apiKeys": [key]}));
-        let none = serde_json::json!([]);
-        put_config(store, self.version, &none, &workspaces.collect());
+        let slow = serde_json::json!([{
+            "name": SLOW_SERVICE, "host": "site.example", "pathPrefix": "/slow/",
+            "routeType": "unsafe", "timeoutMs": 2_000, "targetLatencyMs": 1_000, "priority": 1,
+            "maxAttempts": 3, "service": SLOW_SERVICE,
+        }]);
+        put_config(store, self.version, &slow, &workspaces.collect());
     }
 }
--- a/standins/src/soak/reserved.rs
+++ b/standins/src/soak/reserved.rs
@@ -47,9 +47,8 @@
     ) -> Vec<Self> {
         let calls = (0..CALLS).map(|number| {
             let id = format!("{prefix}-{number}");
-            let path = ["/once/x", "/safe/x"][number % 2];
             let request = format!(
-                "POST {path} HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\n\
+                "POST /slow/x HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\n\
                  x-deadline-ms: 1500\r\nx-api-key: {key}\r\ncontent-length: 4\r\n\r\nbody"
             );
             let at = Millis(rng.random_range(100..LAST_CALL.0));
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -3,7 +3,7 @@
 use super::{
     callers::{Callers, Credentials, FATAL_BODY},
     fault::{ENGINES, Fault, GATEWAYS, PLAIN, draw_faults, draw_key_and_usage_faults},
-    keys::{Keys, WORKSPACES},
+    keys::{Keys, SLOW_SERVICE, WORKSPACES},
     process::Process,
     reserved::ReservedCall,
     trainer::SubmittedBatch, //
@@ -89,6 +89,8 @@
     /// Draws their times.
     reserved_rng: ChaCha8Rng,
     rng: ChaCha8Rng,
+    /// The server of these calls.
+    slow: PlainServer,
     store: Store,
     submitted: Vec<SubmittedBatch>,
     /// The newest named weight version.
@@ -98,6 +100,9 @@
 /// The pause between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(25);
 
+/// How long the server of calls during planned stops takes: a call that comes late can't end in time.
+const SLOW_TIME: Millis = Millis(800);
+
 /// The seed of the times of calls during planned stops, which are the same in each soak.
 const RESERVED_SEED: u64 = 68;
 
@@ -206,6 +211,10 @@
             let entry = server_entry("plain", server.address, "ready");
             store.put("servers", &server.id, Some(&entry));
         }
+        let slow = PlainServer::open("slow-0").await?;
+        slow.set_service_time(SLOW_TIME);
+        let entry = server_entry(SLOW_SERVICE, slow.address, "ready");
+        store.put("servers", &slow.id, Some(&entry));
         let keys = Keys::open(&store);
         Ok(Self {
             collector,
@@ -224,6 +233,7 @@
             reserved: Vec::new(),
             reserved_rng: ChaCha8Rng::seed_from_u64(RESERVED_SEED),
             rng,
+            slow,
             store,
             submitted: Vec::new(),
             version: 1,
@@ -333,11 +343,7 @@
     async fn check_reserved(&mut self) {
         for mut call in std::mem::take(&mut self.reserved) {
             let is_answered = call.is_answered().await;
-            let runs: usize = self
-                .plain
-                .iter()
-                .map(|server| server.runs_of(&call.id))
-                .sum();
+            let runs = self.slow.runs_of(&call.id);
             let is_calm = !self.disturbed.contains(&call.target);
             if runs > 0 && !is_answered && is_calm {
                 let violation = format!("call {} ran and was cut by a planned stop", call.id);
