--- a/standins/tests/integration/planned_stop.rs
+++ b/standins/tests/integration/planned_stop.rs
@@ -1,6 +1,6 @@
 //! Requests around the planned stop of a gateway, on connections of every kind.
 
-use super::site::{RESULTS_TIMEOUT, check_whole, sleep, wait_for_runners};
+use super::site::{RESULTS_TIMEOUT, check_whole, holds_within, sleep, wait_for_runners};
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http_body_util::{
@@ -447,9 +447,8 @@
             tokio::spawn(client.run())
         })
         .collect();
-    while prepared.load(Ordering::Relaxed) < cases.len() {
-        sleep(10).await;
-    }
+    let all_prepared = || prepared.load(Ordering::Relaxed) == cases.len();
+    assert!(holds_within(&site, RESULTS_TIMEOUT, all_prepared).await);
     site.gateways[0].handle.drain();
     signal.send_replace(Some(site.clock.now()));
     let ends = timeout(GRACE.as_duration() * 2, join_all(clients))
