Announce the other server before the first one drains

The test announced the draining before the other server. Where the gateway learns of the two in separate pages, it has no server in between, and refuses the calls truthfully: they had not run.

--- a/standins/tests/integration/connections.rs
+++ b/standins/tests/integration/connections.rs
@@ -224,9 +224,10 @@
             while server.run_count() < 2 {
                 sleep(5).await;
             }
-            sleep(200).await;
-            site.announce("plain-0", "plain", server.address, "draining");
+            // The other server is known before this one drains.
             site.announce("next", "plain", next.address, "ready");
+            sleep(400).await;
+            site.announce("plain-0", "plain", server.address, "draining");
         };
         let calls = futures_util::future::join_all((0..6).map(call));
         let (statuses, ()) = tokio::join!(calls, drain);
