Name, log and bound what the change left vague

Behaviour changes in nothing but logs and metrics.

- Names that had to be guessed at: stopping, stopped, limit, refused.

--- a/src/calls/dispatcher.rs
+++ b/src/calls/dispatcher.rs
@@ -265,8 +265,8 @@
     }
 
     /// The earlier of `deadline` and the end of the work of a stopping process.
-    pub fn limit(&self, deadline: Millis) -> Millis {
-        self.shutdown.limit(deadline)
+    pub fn clip_deadline(&self, deadline: Millis) -> Millis {
+        self.shutdown.clip(deadline)
     }
 
     /// The clock of call deadlines.
--- a/src/duty/shutdown.rs
+++ b/src/duty/shutdown.rs
@@ -82,7 +82,7 @@
     }
 
     /// The earlier of `deadline` and the time of the last answers.
-    pub fn limit(&self, deadline: Millis) -> Millis {
+    pub fn clip(&self, deadline: Millis) -> Millis {
         deadline.min(self.last_answer())
     }
 
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -48,7 +48,7 @@
         let mut answer = tokio::select! {
             biased;
             answer = self.dispatch(request) => answer,
-            () = self.shutdown.answers_due() => reply::stopped(id.as_deref()),
+            () = self.shutdown.answers_due() => reply::stop_timeout(id.as_deref()),
         };
         let lag = self.pressure.lag.as_ref();
         if self.shutdown.has_begun() || lag.is_some_and(|lag| lag.is_overloaded()) {
@@ -66,7 +66,7 @@
         let arrived = self.clock.now();
         let (head, body) = request.into_parts();
         if !self.shutdown.admits(arrived) {
-            let mut answer = reply::stopping(attempt_id(&head.headers));
+            let mut answer = reply::stop_refusal(attempt_id(&head.headers));
             body::close_unread(&head, &mut answer);
             return answer;
         }
@@ -156,7 +156,7 @@
         let deadline = deadline_of(arrived, &route, head);
         // The body may have arrived long after the head.
         if !self.shutdown.admits(deadline) {
-            return reply::stopping(attempt_id(&head.headers));
+            return reply::stop_refusal(attempt_id(&head.headers));
         }
         let Some(id) = head.headers.get(platform::ATTEMPT_ID) else {
             return reply::status(StatusCode::BAD_REQUEST, "the request has no id");
@@ -253,7 +253,7 @@
             Some(Ok(Ok(body))) => return Ok(body),
             Some(Ok(Err(error))) => body::refuse(&error, id, memory),
             Some(Err(_)) => body::too_late(),
-            None => reply::stopping(Some(id)),
+            None => reply::stop_refusal(Some(id)),
         };
         body::close_unread(head, &mut answer);
         Err(answer)
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -23,14 +23,14 @@
 }
 
 /// The response to the request `id`, which has not run and might not end before the gateway does.
-pub(super) fn stopping(id: Option<&str>) -> Answer {
+pub(super) fn stop_refusal(id: Option<&str>) -> Answer {
     tracing::info!(id, "request refused: the gateway is stopping");
     metrics::counter!("redwing_stop_refusals_total").increment(1);
     refusal(RETRY_AFTER_STOPPING, "the gateway is stopping")
 }
 
 /// The response to the request `id`, which has not ended by the end of the gateway's work.
-pub(super) fn stopped(id: Option<&str>) -> Answer {
+pub(super) fn stop_timeout(id: Option<&str>) -> Answer {
     tracing::warn!(
         id,
         "request not answered before the gateway's end: it may have run"
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -124,6 +124,7 @@
     /// Whether the request is sent only over a new connection or one that was used a moment ago,
     /// as it must run at most once.
     pub fresh_only: bool,
+    /// Whether the request may still be sent.
     pub may_send: MaySend<'a>,
     /// Whether the body of an answer with this head is needed. Another one is discarded, and the
     /// response has an empty body.
@@ -524,7 +525,7 @@
                 Turn::Wait(waiting) => tokio::select! {
                     biased;
                     grant = waiting.granted() => grant,
-                    () = refused(may_send) => return WithdrawnSnafu { address }.fail(),
+                    () = wait_forbidden(may_send) => return WithdrawnSnafu { address }.fail(),
                 },
             };
             let mut idle = match grant {
@@ -673,7 +674,7 @@
 }
 
 /// Waits until `may_send` doesn't hold any more.
-async fn refused(may_send: MaySend<'_>) {
+async fn wait_forbidden(may_send: MaySend<'_>) {
     while may_send() {
         tokio::time::sleep(MAY_SEND_INTERVAL.as_duration()).await;
     }
--- a/src/policy/batch_age.rs
+++ b/src/policy/batch_age.rs
@@ -27,6 +27,17 @@
     Unfinished,
 }
 
+impl BatchState {
+    /// The label of metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Ended => "ended",
+            Self::Unfinished => "unfinished",
+        }
+    }
+}
+
 /// What to do with a batch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Action {
--- a/src/runner/give_back.rs
+++ b/src/runner/give_back.rs
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Releases this runner's claim on `bundle`, unless a second runner runs the bundle as
-    /// well.
+    /// Releases this runner's claim on `bundle`, or its part in the claim of another runner. A
+    /// claim with a second runner keeps its holder.
     ///
     /// An engine may be back before any heartbeat has said that it was gone. Without the
     /// release, other runners considered the bundle held, while this runner had no free
@@ -93,8 +93,8 @@
 }
 
 impl OpenBatch {
-    /// The unfinished bundles whose claims name the incarnation `token` of the runner `instance`,
-    /// and that it does not run.
+    /// The unfinished bundles that the runner `instance` does not run although their claims name it:
+    /// its incarnation `token` as the only holder, or any of its incarnations as the second runner.
     fn unrun_claims(&self, instance: &str, token: u64) -> Vec<u16> {
         let names = |claim: &HeldClaim| {
             let is_holder = claim.claim.holder == instance && claim.claim.token == token;
--- a/src/runner/open_batch.rs
+++ b/src/runner/open_batch.rs
@@ -92,7 +92,8 @@
     pub(super) own_bundles: BTreeMap<u16, BundleState>,
     /// Each bundle's position in the order in which bundles should start.
     start_order: Vec<u16>,
-    /// When this runner last released its claim on a bundle that it did not run.
+    /// When this runner last released its claim on a bundle that it did not run, by bundle
+    /// index.
     pub(super) releases: BTreeMap<u16, Millis>,
     /// Results that are not in the log yet.
     pub(super) results: WaitingResults,
--- a/src/runner/score.rs
+++ b/src/runner/score.rs
@@ -56,7 +56,7 @@
         loop {
             let now = self.site.now();
             // A score may be asked for again elsewhere, so what is left of a stop is used.
-            let deadline = self.dispatcher.limit(deadline);
+            let deadline = self.dispatcher.clip_deadline(deadline);
             if now >= deadline {
                 return ScoreEnd::TimedOut;
             }
--- a/src/runner/sweep.rs
+++ b/src/runner/sweep.rs
@@ -55,11 +55,13 @@
             match decide(age) {
                 Action::GiveUp => batch.give_up_items(id),
                 Action::Keep => {}
-                Action::Remove => old.push(id.clone()),
+                Action::Remove => old.push((id.clone(), age.state)),
             }
         }
-        for id in old {
-            tracing::info!(batch = id, "removing batch: its retention is over");
+        for (id, state) in old {
+            tracing::info!(batch = id, ?state, "removing batch: its retention is over");
+            metrics::counter!("redwing_batches_removed_total", "state" => state.label())
+                .increment(1);
             let store = self.store.clone();
             tokio::spawn(async move {
                 if let Err(error) = remove_batch(&store, &id).await {
@@ -68,9 +70,7 @@
             });
         }
     }
-}
 
-impl WorkLoop {
     /// When each complete batch that nobody has ended was accepted, and its id, in this order.
     fn complete_batches(&self) -> Vec<(Millis, String)> {
         let is_complete = |batch: &OpenBatch| batch.state() == BatchState::Complete;
--- a/standins/tests/integration/planned_stop.rs
+++ b/standins/tests/integration/planned_stop.rs
@@ -536,16 +536,16 @@
             site.gateways[0].handle.drain();
         };
         let (ends, ()) = tokio::join!(join_all(requests), stop);
-        let served = ends.iter().filter(|(_, status, _)| *status == Some(200));
-        let served = served.count();
+        let answered = ends.iter().filter(|(_, status, _)| *status == Some(200));
+        let answered = answered.count();
         let wrong = ends.into_iter().filter(|(id, status, _)| {
             let runs = server.runs_of(id);
             let is_listed = status.is_some_and(|status| test.statuses.contains(&status));
             !is_listed || (*status == Some(503) && runs > 0) || runs > 1
         });
         let mut violations: Vec<_> = wrong.map(|end| format!("{end:?}")).collect();
-        if served != test.served {
-            violations.push(format!("{}: {served} served", test.name));
+        if answered != test.served {
+            violations.push(format!("{}: {answered} served", test.name));
         }
         violations
     };
